--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -6,19 +6,19 @@
 import (
 	"bufio"
 	"encoding/json"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
+	"wardtray/connection/seam"
 	"wardtray/process/fault"
 )
 
 const (
 	dialBound     = 400 * time.Millisecond
+	untakenBound  = time.Second
 	identityBound = 500 * time.Millisecond
 	idleBound     = 15 * time.Second
 	idleCount     = 16
@@ -36,32 +36,35 @@
 
 // Connection is one checked connection.
 type Connection struct {
-	net.Conn
+	seam.Conn
 	Reader   *bufio.Reader
 	Identity Identity
+	links    *Links
 	address  string
 	idle     time.Time
 }
 
 // Counters are what the links count.
 type Counters struct {
-	Dials, Reused, WrongIdentity, Unreachable atomic.Uint64
+	Dials, Reused, WrongIdentity, Unreachable, Lost atomic.Uint64
 }
 
+// shelf holds the connections of one runner: the idle ones, and those with work under way.
 type shelf struct {
 	mutex sync.Mutex
 	idle  []*Connection
+	busy  []*Connection
 }
 
-// Links holds the idle connections of all runners.
+// Links holds the connections of all runners.
 type Links struct {
-	local    net.Addr
+	world    seam.World
 	shelves  sync.Map
 	Counters Counters
 }
 
-// New makes an empty set whose connections leave from an address; nil leaves that to the system.
-func New(local net.Addr) *Links { return &Links{local: local} }
+// New makes an empty set of connections into a world.
+func New(world seam.World) *Links { return &Links{world: world} }
 
 func (links *Links) shelf(runner string) *shelf {
 	found, _ := links.shelves.LoadOrStore(runner, &shelf{})
@@ -78,26 +81,35 @@
 		connection := shelf.idle[last]
 		shelf.idle = shelf.idle[:last]
 		// Why: a connection that the other side has closed would leave us in doubt about work sent over it.
-		if connection.address == address && time.Since(connection.idle) < idleBound && connection.quiet() {
+		if connection.address == address && links.world.Now().Sub(connection.idle) < idleBound && connection.Quiet() {
+			shelf.busy = append(shelf.busy, connection)
 			shelf.mutex.Unlock()
 			links.Counters.Reused.Add(1)
 			return connection, nil
 		}
-		_ = connection.Close()
+		_ = connection.Conn.Close()
 	}
 	shelf.mutex.Unlock()
-	return links.dial(runner, address)
+	connection, failure := links.dial(runner, address)
+	if failure != nil {
+		return nil, failure
+	}
+	// Why: the shelf may have been forgotten while the connection was being made.
+	shelf = links.shelf(runner)
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	shelf.busy = append(shelf.busy, connection)
+	return connection, nil
 }
 
 func (links *Links) dial(runner, address string) (*Connection, error) {
 	links.Counters.Dials.Add(1)
-	dialer := net.Dialer{Timeout: dialBound, LocalAddr: links.local}
-	raw, failure := dialer.Dial("tcp", address)
+	raw, failure := links.world.Dial(address, seam.Terms{Dial: dialBound, Untaken: untakenBound})
 	if failure != nil {
 		links.Counters.Unreachable.Add(1)
 		return nil, fault.Wrap(failure, fault.Unreachable, "runner %s at %s", runner, address)
 	}
-	connection := &Connection{Conn: raw, Reader: bufio.NewReaderSize(raw, 16<<10), address: address}
+	connection := &Connection{Conn: raw, Reader: bufio.NewReaderSize(raw, 16<<10), links: links, address: address}
 	content, failure := connection.Get("/identity", identityBound)
 	if failure == nil {
 		failure = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
@@ -118,20 +130,57 @@
 // Keep puts a connection back whose last answer has been read whole.
 func (links *Links) Keep(connection *Connection) {
 	_ = connection.SetDeadline(time.Time{})
-	connection.idle = time.Now()
+	connection.idle = links.world.Now()
 	shelf := links.shelf(connection.Identity.RunnerID)
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
-	if len(shelf.idle) >= idleCount || connection.Reader.Buffered() > 0 {
-		_ = connection.Close()
+	if !shelf.rest(connection) || len(shelf.idle) >= idleCount || connection.Reader.Buffered() > 0 {
+		_ = connection.Conn.Close()
 		return
 	}
 	shelf.idle = append(shelf.idle, connection)
 }
 
-// Forget closes what is kept of a runner that is gone.
+// rest takes a connection off the busy ones; it tells whether it was still among them.
+func (shelf *shelf) rest(connection *Connection) bool {
+	for place, busy := range shelf.busy {
+		if busy == connection {
+			shelf.busy = append(shelf.busy[:place], shelf.busy[place+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Close aborts a connection.
+func (connection *Connection) Close() error {
+	shelf := connection.links.shelf(connection.Identity.RunnerID)
+	shelf.mutex.Lock()
+	shelf.rest(connection)
+	shelf.mutex.Unlock()
+	return connection.Conn.Close()
+}
+
+// Lose aborts every connection of a runner that is known to be gone, so that whoever waits for its
+// answer learns of it at once.
+func (links *Links) Lose(runner string) {
+	found, there := links.shelves.Load(runner)
+	if !there {
+		return
+	}
+	shelf := found.(*shelf)
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	for _, connection := range append(shelf.idle, shelf.busy...) {
+		links.Counters.Lost.Add(1)
+		_ = connection.Conn.Close()
+	}
+	shelf.idle, shelf.busy = nil, nil
+}
+
+// Forget closes what is kept idle of a runner that is no longer listed.
 func (links *Links) Forget(runner string) {
-	found, there := links.shelves.LoadAndDelete(runner)
+	found, there := links.shelves.Load(runner)
 	if !there {
 		return
 	}
@@ -139,9 +188,12 @@
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
 	for _, connection := range shelf.idle {
-		_ = connection.Close()
+		_ = connection.Conn.Close()
 	}
 	shelf.idle = nil
+	if len(shelf.busy) == 0 {
+		links.shelves.Delete(runner)
+	}
 }
 
 // Get asks for a small document over this connection.
@@ -152,7 +204,7 @@
 	request.Header.SetMethod("GET")
 	request.SetRequestURI(path)
 	request.Header.SetHost(connection.RemoteAddr().String())
-	if failure := connection.SetDeadline(time.Now().Add(bound)); failure != nil {
+	if failure := connection.SetDeadline(connection.links.world.Now().Add(bound)); failure != nil {
 		return nil, fault.Wrap(failure, fault.Unreachable, "setting a deadline")
 	}
 	writer := bufio.NewWriter(connection)
@@ -171,19 +223,3 @@
 	}
 	return append([]byte{}, response.Body()...), nil
 }
-
-// quiet tells whether the other side has neither closed nor sent anything unasked.
-func (connection *Connection) quiet() bool {
-	raw, failure := connection.Conn.(*net.TCPConn).SyscallConn()
-	if failure != nil {
-		return false
-	}
-	quiet := false
-	failure = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peeked := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = peeked == unix.EAGAIN
-		return true
-	})
-	return failure == nil && quiet
-}
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"wardtray/connection/seam"
 	"wardtray/process/fault"
 	"wardtray/proof/history"
 	"wardtray/proof/standin"
@@ -33,7 +34,7 @@
 func TestReusedAddressGetsNobodyElsesWork(test *testing.T) {
 	address := free(test)
 	former := runner(test, "old", address)
-	links := New(nil)
+	links := New(seam.Real(nil))
 	connection, failure := links.Take("old", address)
 	if failure != nil || connection.Identity.Service != "s" {
 		test.Fatalf("%v", failure)
@@ -62,7 +63,7 @@
 }
 
 func TestNobodyThere(test *testing.T) {
-	if _, failure := New(nil).Take("r", free(test)); !fault.Is(failure, fault.Unreachable) {
+	if _, failure := New(seam.Real(nil)).Take("r", free(test)); !fault.Is(failure, fault.Unreachable) {
 		test.Fatal(failure)
 	}
 }
--- /dev/null
+++ b/connection/seam/real.go
@@ -0,0 +1,97 @@
+package seam
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"wardtray/process/fault"
+)
+
+// Real is the world of a process whose connections leave from an address; nil leaves that to the system.
+func Real(local net.Addr) World {
+	return World{Now: time.Now, Go: func(work func()) { go work() }, Dial: func(address string, terms Terms) (Conn, error) {
+		dialer := net.Dialer{Timeout: terms.Dial, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			outer := raw.Control(func(descriptor uintptr) { failure = keep(int(descriptor), terms) })
+			if outer != nil {
+				return outer
+			}
+			return failure
+		}}
+		raw, failure := dialer.Dial("tcp", address)
+		if failure != nil {
+			return nil, fault.Wrap(failure, fault.Unreachable, "dialing %s", address)
+		}
+		return tcp{raw.(*net.TCPConn)}, nil
+	}}
+}
+
+// keep sets the terms on a socket.
+//
+// Why: the system goes on sending what a closed, or killed, sender left behind. Work that was given up
+// would reach its runner when a cut heals, long after the zone was closed or the runner left. With no time to
+// linger every end is an abort, and bytes that are not taken in time end the connection.
+func keep(descriptor int, terms Terms) error {
+	if failure := unix.SetsockoptLinger(descriptor, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0}); failure != nil {
+		return failure
+	}
+	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(terms.Untaken.Milliseconds()))
+}
+
+type tcp struct{ *net.TCPConn }
+
+// Quiet looks into the socket without taking anything out.
+func (conn tcp) Quiet() bool {
+	raw, failure := conn.SyscallConn()
+	if failure != nil {
+		return false
+	}
+	quiet := false
+	failure = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, peeked := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peeked == unix.EAGAIN
+		return true
+	})
+	return failure == nil && quiet
+}
+
+type fromHTTP struct{ context *fasthttp.RequestCtx }
+
+// FromHTTP is the requester behind one HTTP request.
+func FromHTTP(context *fasthttp.RequestCtx) Requester { return fromHTTP{context} }
+
+func (requester fromHTTP) Header(name string) []string {
+	var values []string
+	for _, value := range requester.context.Request.Header.PeekAll(name) {
+		values = append(values, string(value))
+	}
+	return values
+}
+
+func (requester fromHTTP) Body() []byte { return requester.context.PostBody() }
+
+func (requester fromHTTP) Last() { requester.context.SetConnectionClose() }
+
+func (requester fromHTTP) head(status int, headers []Header) {
+	requester.context.ResetBody()
+	requester.context.SetStatusCode(status)
+	for _, header := range headers {
+		requester.context.Response.Header.Set(header.Name, header.Value)
+	}
+}
+
+func (requester fromHTTP) Answer(status int, headers []Header, body []byte) {
+	requester.head(status, headers)
+	requester.context.SetBody(body)
+}
+
+func (requester fromHTTP) Stream(headers []Header, write func(writer *bufio.Writer)) {
+	requester.head(200, headers)
+	requester.context.SetBodyStreamWriter(write)
+}
--- /dev/null
+++ b/connection/seam/seam.go
@@ -0,0 +1,51 @@
+// Package seam is all through which the request path meets the world: a clock, work beside one's own,
+// connections to runners, and the requester's side of an answer. The process gives the real ones, the
+// simulator its own; below the hosts nothing else tells the time, starts a tick or dials.
+package seam
+
+import (
+	"bufio"
+	"net"
+	"time"
+)
+
+// Conn is a connection to a runner. Closing it is an abort: what the other machine has not taken
+// by then never reaches it.
+type Conn interface {
+	net.Conn
+	// Quiet tells whether the other side has neither closed nor sent anything unasked.
+	Quiet() bool
+}
+
+// Terms are what a connection has to keep.
+type Terms struct {
+	// Dial is how long making the connection may take.
+	Dial time.Duration
+	// Untaken is for how long bytes may be on their way before the connection is aborted.
+	Untaken time.Duration
+}
+
+// World is what a process is given of the world.
+type World struct {
+	Now func() time.Time
+	// Go begins work beside the caller's.
+	Go func(work func())
+	// Dial makes a connection that keeps the terms.
+	Dial func(address string, terms Terms) (Conn, error)
+}
+
+// Header is one line of an answer's head.
+type Header struct{ Name, Value string }
+
+// Requester is the side of a request that asked.
+type Requester interface {
+	// Header gives every value of a header, in order.
+	Header(name string) []string
+	Body() []byte
+	// Answer gives a whole answer at once.
+	Answer(status int, headers []Header, body []byte)
+	// Stream begins an answer of events; write is called once, then the answer ends.
+	Stream(headers []Header, write func(writer *bufio.Writer))
+	// Last says that no other request should come over this connection.
+	Last()
+}
--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -3,27 +3,24 @@
 package datahost
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"math/rand"
 	"net"
-	"reflect"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/link"
+	"wardtray/connection/seam"
 	"wardtray/connection/transport"
 	"wardtray/connection/wire"
 	"wardtray/process/corehost"
 	"wardtray/process/director"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
+	"wardtray/process/plane"
 	"wardtray/process/pressure"
 	"wardtray/process/startup"
 	"wardtray/process/tally"
@@ -33,13 +30,8 @@
 )
 
 const (
-	tickEvery     = 50 * time.Millisecond
-	settleEvery   = 20 * time.Millisecond
-	pressureEvery = 250 * time.Millisecond
-	pressureBound = 800 * time.Millisecond
-	ageEvery      = 30 * time.Second
-	pollBound     = time.Second
-	finishBound   = 2 * time.Minute
+	pollBound   = time.Second
+	finishBound = 2 * time.Minute
 	// streamBound ends streams whose requester has stopped reading.
 	streamBound = 10 * time.Minute
 	maximumList = 4 << 20
@@ -48,146 +40,48 @@
 
 // Host is the process.
 type Host struct {
+	*plane.Plane
 	startup   *startup.Startup
 	log       *slog.Logger
-	begun     time.Time
-	mutex     sync.Mutex
-	director  *director.Director
 	transport *transport.Transport
-	snapshot  atomic.Pointer[director.Snapshot]
-	daemons   atomic.Pointer[[]string]
-	runners   []*wire.Runner
-	epoch     uint64
-	serving   bool
-
-	yard     *course.Yard
-	desks    sync.Map
-	asking   sync.Map
-	platform *fasthttp.Client
+	platform  *fasthttp.Client
 }
 
 // New makes the process; nothing listens yet.
 func New(startup *startup.Startup, log *slog.Logger) (*Host, error) {
-	now := time.Now()
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, kvblock.DefaultWorkers)
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.Internal, "making the index")
-	}
-	host := &Host{startup: startup, log: log, begun: now,
+	host := &Host{startup: startup, log: log,
 		platform: &fasthttp.Client{ReadTimeout: pollBound, WriteTimeout: pollBound, MaxResponseBodySize: maximumList, MaxConnsPerHost: 4}}
-	host.director = director.New(now, director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds},
-		rand.New(rand.NewSource(corehost.Seed())))
-	host.snapshot.Store(&director.Snapshot{})
-	host.daemons.Store(&[]string{startup.Address})
 	var local net.Addr
 	if place, _, failure := net.SplitHostPort(startup.Address); failure == nil {
 		local = &net.TCPAddr{IP: net.ParseIP(place)}
 	}
-	host.yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, Snapshot: host.snapshot.Load, Daemons: func() []string { return *host.daemons.Load() },
-		Book: pressure.NewBook(now, startup.Address), Indexer: indexer, Links: link.New(local), Tally: tally.New(), Desk: host.desk}
+	made, failure := plane.New(seam.Real(local), plane.Startup{Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds},
+		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: func(steps <-chan award.Step) award.Step { return <-steps }, Log: log})
+	if failure != nil {
+		return nil, failure
+	}
+	host.Plane = made
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
-		host.step(func(now time.Time) { host.director.Receive(now, envelope) })
+		host.step(func(now time.Time, director *director.Director) { director.Receive(now, envelope) })
 	})
 	return host, nil
 }
 
-// step runs one step of the director under its lock, then makes what it knows visible to requests.
-func (host *Host) step(do func(now time.Time)) {
-	host.mutex.Lock()
-	defer host.mutex.Unlock()
-	now := time.Now()
-	do(now)
-	host.transport.Send(host.director.Drain())
-	snapshot := host.director.Snapshot(now)
-	host.snapshot.Store(&snapshot)
-	host.follow(now, snapshot)
-	if host.director.WantsPoll() {
+// step runs one step of the control side and carries out what it asks for.
+func (host *Host) step(do func(now time.Time, director *director.Director)) {
+	parcels, poll := host.Step(do)
+	host.transport.Send(parcels)
+	if poll {
 		go host.poll()
 	}
 }
 
-// follow hands on what changed and logs changes of state.
-func (host *Host) follow(now time.Time, snapshot director.Snapshot) {
-	if len(snapshot.Runners) > 0 && !sameList(snapshot.Runners, host.runners) {
-		host.runners = snapshot.Runners
-		for _, gone := range host.yard.Book.List(now, snapshot.Runners) {
-			host.yard.Indexer.Pool.Add(kvblock.RunnerGone{Runner: gone})
-			host.yard.Links.Forget(gone)
-		}
-	}
-	if snapshot.SpecEpoch != host.epoch {
-		host.epoch = snapshot.SpecEpoch
-		host.log.Info("new spec", "epoch", host.epoch)
-	}
-	if serving := now.Before(snapshot.Until); serving != host.serving {
-		host.serving = serving
-		host.log.Info("serving", "serving", serving)
-	}
-	var daemons []string
-	for _, member := range host.director.Directory() {
-		daemons = append(daemons, member.Address)
-	}
-	if len(daemons) == 0 {
-		daemons = []string{host.startup.Address}
-	}
-	if !reflect.DeepEqual(daemons, *host.daemons.Load()) {
-		host.daemons.Store(&daemons)
-	}
-}
-
-func sameList(left, right []*wire.Runner) bool {
-	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
-}
-
-// desk gives the desk of a pool, made when it is first asked for.
-func (host *Host) desk(pool string) *award.Desk {
-	if found, there := host.desks.Load(pool); there {
-		return found.(*award.Desk)
-	}
-	scene := func(now time.Time) ([]pressure.Runner, int) {
-		snapshot, daemons := host.snapshot.Load(), *host.daemons.Load()
-		if snapshot.Book == nil || snapshot.Book.Pools[pool] == nil {
-			return nil, 1
-		}
-		var permitted []pressure.Runner
-		for _, runner := range host.yard.Book.All(now, daemons) {
-			if course.Permits(snapshot.Book, snapshot.Book.Pools[pool], runner) {
-				permitted = append(permitted, runner)
-			}
-		}
-		return permitted, len(daemons)
-	}
-	made := award.NewDesk(scene, host.yard.Book, host.yard.Indexer, rand.New(rand.NewSource(corehost.Seed())))
-	found, _ := host.desks.LoadOrStore(pool, made)
-	return found.(*award.Desk)
-}
-
-// ListLine is one runner as the platform lists it.
-type ListLine struct {
-	RunnerID string `json:"runner_id"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Service  string `json:"service"`
-	State    string `json:"state"`
-}
-
 // poll reads the platform's list.
 func (host *Host) poll() {
 	status, content, failure := host.platform.GetTimeout(nil, host.startup.Platform, pollBound)
-	var lines []ListLine
-	if failure == nil && status == 200 {
-		failure = json.NewDecoder(bytes.NewReader(content)).Decode(&lines)
-	}
-	// Why: an empty list is more likely a platform in trouble than a fleet without runners, and acting on it would stop all service.
-	failed := failure != nil || status != 200 || len(lines) == 0
-	runners := make([]*wire.Runner, 0, len(lines))
-	for _, line := range lines {
-		if line.RunnerID == "" || line.Address == "" {
-			continue
-		}
-		runners = append(runners, &wire.Runner{RunnerId: line.RunnerID, Address: line.Address, Zone: line.Zone, Service: line.Service, State: line.State})
-	}
-	host.step(func(now time.Time) { host.director.Polled(now, runners, failed) })
+	runners, fine := plane.ReadList(content)
+	failed := failure != nil || status != 200 || !fine
+	host.step(func(now time.Time, director *director.Director) { director.Polled(now, runners, failed) })
 }
 
 // Run serves until the context ends, then drains.
@@ -203,28 +97,24 @@
 	host.log.Info("started")
 	stopped, stop := context.WithCancel(context.Background())
 	defer stop()
-	host.every(stopped, tickEvery, func(time.Time) { host.step(func(now time.Time) { host.director.Tick(now) }) })
-	host.every(stopped, settleEvery, func(now time.Time) {
-		host.desks.Range(func(_, desk any) bool { desk.(*award.Desk).Settle(now); return true })
-	})
-	host.every(stopped, pressureEvery, host.askPressures)
-	host.every(stopped, ageEvery, func(now time.Time) {
-		for _, runner := range host.yard.Book.All(now, nil) {
-			host.yard.Indexer.Pool.Add(kvblock.Aged{Runner: runner.ID, Now: now})
-		}
+	host.every(stopped, plane.TickEvery, func() {
+		host.step(func(now time.Time, director *director.Director) { director.Tick(now) })
 	})
+	host.every(stopped, plane.SettleEvery, host.Settle)
+	host.every(stopped, plane.PressureEvery, host.AskPressures)
+	host.every(stopped, plane.AgeEvery, host.Age)
 	<-running.Done()
 	return host.drain(server)
 }
 
-func (host *Host) every(stopped context.Context, length time.Duration, do func(now time.Time)) {
+func (host *Host) every(stopped context.Context, length time.Duration, do func()) {
 	go func() {
 		ticker := time.NewTicker(length)
 		defer ticker.Stop()
 		for {
 			select {
-			case now := <-ticker.C:
-				do(now)
+			case <-ticker.C:
+				do()
 			case <-stopped.Done():
 				return
 			}
@@ -237,63 +127,30 @@
 func (host *Host) drain(server *fasthttp.Server) error {
 	length := host.startup.DrainTime()
 	host.log.Info("draining", "for", length.String())
-	host.yard.Draining.Store(true)
-	host.step(func(time.Time) { host.director.Leave() })
-	ticker := time.NewTicker(settleEvery)
+	host.Yard.Draining.Store(true)
+	host.step(func(_ time.Time, director *director.Director) { director.Leave() })
+	ticker := time.NewTicker(plane.SettleEvery)
 	defer ticker.Stop()
 	begun := time.Now()
-	for time.Since(begun) < length || host.yard.InFlight.Load() > 0 && time.Since(begun) < length+finishBound {
+	for time.Since(begun) < length || host.Yard.InFlight.Load() > 0 && time.Since(begun) < length+finishBound {
 		<-ticker.C
 	}
 	finishing, stop := context.WithTimeout(context.Background(), finishBound)
 	defer stop()
 	failure := server.ShutdownWithContext(finishing)
-	host.log.Info("stopped", "left_unfinished", host.yard.InFlight.Load())
+	host.log.Info("stopped", "left_unfinished", host.Yard.InFlight.Load())
 	return fault.Wrap(failure, fault.Internal, "closing the HTTP side")
 }
 
-// askPressures asks every listed runner for its pressure, none twice at once.
-func (host *Host) askPressures(now time.Time) {
-	for _, runner := range host.yard.Book.All(now, nil) {
-		if _, already := host.asking.LoadOrStore(runner.ID, true); already {
-			continue
-		}
-		go func() {
-			defer host.asking.Delete(runner.ID)
-			host.askPressure(runner)
-		}()
-	}
-}
-
-func (host *Host) askPressure(runner pressure.Runner) {
-	connection, failure := host.yard.Links.Take(runner.ID, runner.Address)
-	if failure != nil {
-		host.yard.Book.Failed(time.Now(), runner.ID, string(fault.Of(failure).Kind))
-		return
-	}
-	content, failure := connection.Get("/pressure", pressureBound)
-	report := pressure.Report{}
-	if failure == nil {
-		failure = json.Unmarshal(content, &report)
-	}
-	if failure != nil {
-		_ = connection.Close()
-		host.yard.Book.Failed(time.Now(), runner.ID, "does not tell its pressure")
-		return
-	}
-	host.yard.Links.Keep(connection)
-	host.yard.Book.Reported(time.Now(), runner.ID, report)
-}
-
 // serve opens the requesters' side.
 func (host *Host) serve() (*fasthttp.Server, error) {
 	routes := router.New()
-	routes.POST("/v1/stream", host.yard.Serve)
-	routes.POST("/v1/explain", host.yard.Explain)
+	routes.POST("/v1/stream", func(context *fasthttp.RequestCtx) { host.Yard.Serve(seam.FromHTTP(context)) })
+	routes.POST("/v1/explain", func(context *fasthttp.RequestCtx) { host.Yard.Explain(seam.FromHTTP(context)) })
 	routes.GET("/fitness", host.fitness)
 	routes.GET("/v1/status", host.status)
 	routes.NotFound = func(context *fasthttp.RequestCtx) {
-		course.Refuse(context, fault.NotFound, string(context.Path()), award.DidNotRun, 0)
+		course.Refuse(seam.FromHTTP(context), fault.NotFound, string(context.Path()), award.DidNotRun, 0)
 	}
 	server := &fasthttp.Server{Handler: routes.Handler, Name: "wtdata", ReadTimeout: 10 * time.Second, WriteTimeout: streamBound, IdleTimeout: time.Minute,
 		MaxRequestBodySize: intake.MaximumBody, ReadBufferSize: headerBound, Concurrency: 16384, CloseOnShutdown: true,
@@ -319,17 +176,17 @@
 	if _, tooSmall := failure.(*fasthttp.ErrSmallBuffer); tooSmall {
 		kind = fault.TooLarge
 	}
-	course.Refuse(context, kind, failure.Error(), award.DidNotRun, 0)
+	course.Refuse(seam.FromHTTP(context), kind, failure.Error(), award.DidNotRun, 0)
 	context.SetConnectionClose()
 }
 
 // fitness tells the platform whether to send requesters here.
 func (host *Host) fitness(context *fasthttp.RequestCtx) {
-	if host.yard.Draining.Load() {
+	if host.Yard.Draining.Load() {
 		context.Error("draining\n", 503)
 		return
 	}
-	if !time.Now().Before(host.snapshot.Load().Until) {
+	if !time.Now().Before(host.Snapshot().Until) {
 		context.Error("no present spec\n", 503)
 		return
 	}
@@ -360,32 +217,33 @@
 }
 
 func (host *Host) status(context *fasthttp.RequestCtx) {
-	now, snapshot := time.Now(), host.snapshot.Load()
-	host.mutex.Lock()
+	now, snapshot := time.Now(), host.Snapshot()
 	var cohort []string
-	for _, line := range host.director.Cohort() {
-		cohort = append(cohort, line.Address)
-	}
-	view, counters := host.director.View().GetEpoch(), host.director.Counters()
-	host.mutex.Unlock()
-	pool, links := host.yard.Indexer.Pool, &host.yard.Links.Counters
+	var view uint64
+	var counters director.Counters
+	host.Look(func(director *director.Director) {
+		for _, line := range director.Cohort() {
+			cohort = append(cohort, line.Address)
+		}
+		view, counters = director.View().GetEpoch(), director.Counters()
+	})
+	pool, links := host.Yard.Indexer.Pool, &host.Yard.Links.Counters
 	status := Status{Program: "wtdata", Address: host.startup.Address, Zone: host.startup.Zone,
-		Uptime: now.Sub(host.begun).Round(time.Millisecond).String(), Epoch: snapshot.SpecEpoch, Sequence: snapshot.Sequence,
-		Serving: now.Before(snapshot.Until), Draining: host.yard.Draining.Load(), InFlight: host.yard.InFlight.Load(), View: view,
-		Cohort: cohort, Runners: host.yard.Book.All(now, *host.daemons.Load()), Lanes: host.yard.Tally.Lanes(), Desks: map[string]any{},
-		Index: map[string]uint64{"keys": uint64(host.yard.Indexer.Index.Keys()), "events": pool.Applied.Load(),
+		Uptime: now.Sub(host.Begun()).Round(time.Millisecond).String(), Epoch: snapshot.SpecEpoch, Sequence: snapshot.Sequence,
+		Serving: now.Before(snapshot.Until), Draining: host.Yard.Draining.Load(), InFlight: host.Yard.InFlight.Load(), View: view,
+		Cohort: cohort, Runners: host.Yard.Book.All(now, host.Daemons()), Lanes: host.Yard.Tally.Lanes(), Desks: map[string]any{},
+		Index: map[string]uint64{"keys": uint64(host.Yard.Indexer.Index.Keys()), "events": pool.Applied.Load(),
 			"dropped": pool.Dropped.Load(), "inferred_removals": pool.Inferred.Load()},
 		Links: map[string]uint64{"dials": links.Dials.Load(), "reused": links.Reused.Load(),
-			"wrong_identity": links.WrongIdentity.Load(), "unreachable": links.Unreachable.Load()},
-		Director: counters, Wire: corehost.WireCounters(host.transport), Directory: len(*host.daemons.Load())}
-	host.desks.Range(func(name, desk any) bool {
-		counters, waiting, lanes := desk.(*award.Desk).State()
-		status.Desks[name.(string)] = map[string]any{"counters": counters, "waiting": waiting, "lanes": lanes, "prices": desk.(*award.Desk).Prices()}
-		return true
+			"wrong_identity": links.WrongIdentity.Load(), "unreachable": links.Unreachable.Load(), "lost": links.Lost.Load()},
+		Director: counters, Wire: corehost.WireCounters(host.transport), Directory: len(host.Daemons())}
+	host.Desks(func(pool string, desk *award.Desk) {
+		counters, waiting, lanes := desk.State()
+		status.Desks[pool] = map[string]any{"counters": counters, "waiting": waiting, "lanes": lanes, "prices": desk.Prices()}
 	})
 	content, failure := json.Marshal(status)
 	if failure != nil {
-		course.Refuse(context, fault.Internal, failure.Error(), award.DidNotRun, 0)
+		course.Refuse(seam.FromHTTP(context), fault.Internal, failure.Error(), award.DidNotRun, 0)
 		return
 	}
 	context.SetContentType("application/json")
--- /dev/null
+++ b/process/plane/plane.go
@@ -0,0 +1,271 @@
+// Package plane is the data plane of one machine without its sockets: the director under its lock, the
+// desks, the runners' book, index and links, and what is done with the platform's list. The process and
+// the simulator drive the same.
+package plane
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"math/rand"
+	"reflect"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wardtray/connection/link"
+	"wardtray/connection/seam"
+	"wardtray/connection/wire"
+	"wardtray/process/director"
+	"wardtray/process/fault"
+	"wardtray/process/kvblock"
+	"wardtray/process/machine"
+	"wardtray/process/pressure"
+	"wardtray/process/tally"
+	"wardtray/request/award"
+	"wardtray/request/course"
+)
+
+// How often a driver calls Tick, Settle, AskPressures and Age.
+const (
+	TickEvery     = 50 * time.Millisecond
+	SettleEvery   = 20 * time.Millisecond
+	PressureEvery = 250 * time.Millisecond
+	AgeEvery      = 30 * time.Second
+	pressureBound = 800 * time.Millisecond
+)
+
+// Startup is what a plane is given.
+type Startup struct {
+	director.Startup
+	// Workers are the index's; without any, events are applied at once.
+	Workers int
+	Random  *rand.Rand
+	Await   func(steps <-chan award.Step) award.Step
+	Log     *slog.Logger
+}
+
+// Plane is the whole.
+type Plane struct {
+	Yard     *course.Yard
+	world    seam.World
+	log      *slog.Logger
+	address  string
+	begun    time.Time
+	snapshot atomic.Pointer[director.Snapshot]
+	daemons  atomic.Pointer[[]string]
+
+	mutex    sync.Mutex
+	director *director.Director
+	runners  []*wire.Runner
+	epoch    uint64
+	serving  bool
+
+	deskMutex sync.RWMutex
+	random    *rand.Rand
+	desks     map[string]*award.Desk
+	asking    sync.Map
+}
+
+// New makes a plane that knows nothing yet.
+func New(world seam.World, startup Startup) (*Plane, error) {
+	now := world.Now()
+	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, startup.Workers)
+	if failure != nil {
+		return nil, fault.Wrap(failure, fault.Internal, "making the index")
+	}
+	plane := &Plane{world: world, log: startup.Log, address: startup.Address, begun: now, random: startup.Random, desks: map[string]*award.Desk{}}
+	plane.director = director.New(now, startup.Startup, rand.New(rand.NewSource(startup.Random.Int63())))
+	plane.snapshot.Store(&director.Snapshot{})
+	plane.daemons.Store(&[]string{startup.Address})
+	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Await: startup.Await, Snapshot: plane.snapshot.Load,
+		Daemons: func() []string { return *plane.daemons.Load() }, Book: pressure.NewBook(now, startup.Address), Indexer: indexer,
+		Links: link.New(world), Tally: tally.New(), Desk: plane.desk}
+	return plane, nil
+}
+
+// Step runs one step of the director under its lock, then makes what it knows visible to requests. It
+// gives the messages to send, and whether the platform's list should be read.
+func (plane *Plane) Step(do func(now time.Time, director *director.Director)) (parcels []machine.Parcel, poll bool) {
+	plane.mutex.Lock()
+	defer plane.mutex.Unlock()
+	now := plane.world.Now()
+	do(now, plane.director)
+	parcels = plane.director.Drain()
+	snapshot := plane.director.Snapshot(now)
+	plane.snapshot.Store(&snapshot)
+	plane.follow(now, snapshot)
+	return parcels, plane.director.WantsPoll()
+}
+
+// follow hands on what changed and logs changes of state.
+func (plane *Plane) follow(now time.Time, snapshot director.Snapshot) {
+	if len(snapshot.Runners) > 0 && !sameList(snapshot.Runners, plane.runners) {
+		plane.runners = snapshot.Runners
+		for _, gone := range plane.Yard.Book.List(now, snapshot.Runners) {
+			plane.Yard.Indexer.Pool.Add(kvblock.RunnerGone{Runner: gone})
+			plane.Yard.Links.Forget(gone)
+		}
+	}
+	if snapshot.SpecEpoch != plane.epoch {
+		plane.epoch = snapshot.SpecEpoch
+		plane.log.Info("new spec", "epoch", plane.epoch)
+	}
+	if serving := now.Before(snapshot.Until); serving != plane.serving {
+		plane.serving = serving
+		plane.log.Info("serving", "serving", serving)
+	}
+	var daemons []string
+	for _, member := range plane.director.Directory() {
+		daemons = append(daemons, member.Address)
+	}
+	if len(daemons) == 0 {
+		daemons = []string{plane.address}
+	}
+	if !reflect.DeepEqual(daemons, *plane.daemons.Load()) {
+		plane.daemons.Store(&daemons)
+	}
+}
+
+func sameList(left, right []*wire.Runner) bool {
+	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
+}
+
+// Snapshot gives what requests go by now.
+func (plane *Plane) Snapshot() *director.Snapshot { return plane.snapshot.Load() }
+
+// Daemons gives who shares the work.
+func (plane *Plane) Daemons() []string { return *plane.daemons.Load() }
+
+// Begun gives when this plane was made.
+func (plane *Plane) Begun() time.Time { return plane.begun }
+
+// Look runs something under the director's lock.
+func (plane *Plane) Look(do func(director *director.Director)) {
+	plane.mutex.Lock()
+	defer plane.mutex.Unlock()
+	do(plane.director)
+}
+
+// desk gives the desk of a pool, made when it is first asked for.
+func (plane *Plane) desk(pool string) *award.Desk {
+	plane.deskMutex.RLock()
+	found := plane.desks[pool]
+	plane.deskMutex.RUnlock()
+	if found != nil {
+		return found
+	}
+	scene := func(now time.Time) ([]pressure.Runner, int) {
+		snapshot, daemons := plane.snapshot.Load(), *plane.daemons.Load()
+		if snapshot.Book == nil || snapshot.Book.Pools[pool] == nil {
+			return nil, 1
+		}
+		var permitted []pressure.Runner
+		for _, runner := range plane.Yard.Book.All(now, daemons) {
+			if course.Permits(snapshot.Book, snapshot.Book.Pools[pool], runner) {
+				permitted = append(permitted, runner)
+			}
+		}
+		return permitted, len(daemons)
+	}
+	plane.deskMutex.Lock()
+	defer plane.deskMutex.Unlock()
+	if plane.desks[pool] == nil {
+		plane.desks[pool] = award.NewDesk(scene, plane.Yard.Book, plane.Yard.Indexer, rand.New(rand.NewSource(plane.random.Int63())))
+	}
+	return plane.desks[pool]
+}
+
+// Desks calls something for each desk, in the order of their pools' names.
+func (plane *Plane) Desks(do func(pool string, desk *award.Desk)) {
+	plane.deskMutex.RLock()
+	names := make([]string, 0, len(plane.desks))
+	for name := range plane.desks {
+		names = append(names, name)
+	}
+	plane.deskMutex.RUnlock()
+	sort.Strings(names)
+	for _, name := range names {
+		do(name, plane.desk(name))
+	}
+}
+
+// Settle looks at everybody who waits.
+func (plane *Plane) Settle() {
+	plane.Desks(func(_ string, desk *award.Desk) { desk.Settle(plane.world.Now()) })
+}
+
+// Age lets the index forget what was not used for long.
+func (plane *Plane) Age() {
+	now := plane.world.Now()
+	for _, runner := range plane.Yard.Book.All(now, nil) {
+		plane.Yard.Indexer.Pool.Add(kvblock.Aged{Runner: runner.ID, Now: now})
+	}
+}
+
+// ListLine is one runner as the platform lists it.
+type ListLine struct {
+	RunnerID string `json:"runner_id"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Service  string `json:"service"`
+	State    string `json:"state"`
+}
+
+// ReadList reads the platform's list; it tells whether there is anything to go by.
+func ReadList(content []byte) (runners []*wire.Runner, fine bool) {
+	var lines []ListLine
+	// Why: an empty list is more likely a platform in trouble than a fleet without runners, and acting on it would stop all service.
+	if failure := json.NewDecoder(bytes.NewReader(content)).Decode(&lines); failure != nil || len(lines) == 0 {
+		return nil, false
+	}
+	for _, line := range lines {
+		if line.RunnerID == "" || line.Address == "" {
+			continue
+		}
+		runners = append(runners, &wire.Runner{RunnerId: line.RunnerID, Address: line.Address, Zone: line.Zone, Service: line.Service, State: line.State})
+	}
+	return runners, true
+}
+
+// AskPressures asks every runner for its pressure, none twice at once.
+func (plane *Plane) AskPressures() {
+	for _, runner := range plane.Yard.Book.All(plane.world.Now(), nil) {
+		if _, already := plane.asking.LoadOrStore(runner.ID, true); already {
+			continue
+		}
+		plane.world.Go(func() {
+			defer plane.asking.Delete(runner.ID)
+			plane.askPressure(runner)
+		})
+	}
+}
+
+func (plane *Plane) askPressure(runner pressure.Runner) {
+	connection, failure := plane.Yard.Links.Take(runner.ID, runner.Address)
+	if failure != nil {
+		plane.missed(runner.ID, fault.Of(failure))
+		return
+	}
+	content, failure := connection.Get("/pressure", pressureBound)
+	report := pressure.Report{}
+	if failure == nil {
+		failure = fault.Wrap(json.Unmarshal(content, &report), fault.Unreachable, "its pressure is no JSON")
+	}
+	if failure != nil {
+		_ = connection.Close()
+		plane.missed(runner.ID, fault.Of(failure))
+		return
+	}
+	plane.Yard.Links.Keep(connection)
+	plane.Yard.Book.Reported(plane.world.Now(), runner.ID, report)
+}
+
+// missed takes in that a runner did not tell its pressure. One that is surely gone is given up at once:
+// whoever waits for its answer learns of it now and not at the end of a patience.
+func (plane *Plane) missed(runner string, failure *fault.Fault) {
+	if plane.Yard.Book.Missed(plane.world.Now(), runner, failure.Kind) {
+		plane.Yard.Links.Lose(runner)
+	}
+}
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wardtray/connection/wire"
+	"wardtray/process/fault"
 )
 
 const (
@@ -25,6 +26,8 @@
 	mostPause    = 5 * time.Second
 	smoothing    = 0.05
 	initialSlots = 4
+	// missesBound is how many reports in a row may fail before a runner counts as lost.
+	missesBound = 3
 )
 
 // Report is what a runner last said of itself.
@@ -64,6 +67,8 @@
 	pause    time.Duration
 	paused   time.Time
 	reason   string
+	// misses counts the reports that failed since the last good one.
+	misses int
 }
 
 type shard struct {
@@ -144,10 +149,27 @@
 			known.external = others
 		}
 		known.external += smoothing * (others - known.external)
-		known.report, known.reported = report, now
+		known.report, known.reported, known.misses = report, now, 0
 	})
 }
 
+// Missed takes in that a runner's report could not be had, which pauses its use; it tells whether the
+// runner is to be taken for lost: another answers at its address, it is no longer listed either, or
+// several reports in a row have failed.
+func (book *Book) Missed(now time.Time, runner string, why fault.Kind) (lost bool) {
+	book.change(runner, func(known *entry) {
+		known.misses++
+		known.fail(now, string(why))
+		lost = why == fault.WrongIdentity || !known.listed || known.misses >= missesBound
+	})
+	return lost
+}
+
+func (known *entry) fail(now time.Time, reason string) {
+	known.pause = min(mostPause, max(leastPause, 2*known.pause))
+	known.paused, known.reason = now.Add(known.pause), reason
+}
+
 func (book *Book) change(runner string, do func(known *entry)) {
 	shard := book.shard(runner)
 	shard.mutex.Lock()
@@ -173,10 +195,7 @@
 
 // Failed pauses the use of a runner, longer each time; Served ends that.
 func (book *Book) Failed(now time.Time, runner, reason string) {
-	book.change(runner, func(known *entry) {
-		known.pause = min(mostPause, max(leastPause, 2*known.pause))
-		known.paused, known.reason = now.Add(known.pause), reason
-	})
+	book.change(runner, func(known *entry) { known.fail(now, reason) })
 }
 
 // Served notes that a runner did its work.
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardtray/connection/link"
+	"wardtray/connection/seam"
 	"wardtray/epoch/spec"
 	"wardtray/process/budget"
 	"wardtray/process/director"
@@ -39,8 +40,11 @@
 
 // Yard is what lives as long as the process and every course uses.
 type Yard struct {
-	Name     string
-	Zone     string
+	Name  string
+	Zone  string
+	World seam.World
+	// Await waits for the next step of a ticket.
+	Await    func(steps <-chan award.Step) award.Step
 	Snapshot func() *director.Snapshot
 	Daemons  func() []string
 	Book     *pressure.Book
@@ -87,10 +91,10 @@
 
 // Course is one request on its way.
 type Course struct {
-	yard    *Yard
-	context *fasthttp.RequestCtx
-	state   state
-	begun   time.Time
+	yard      *Yard
+	requester seam.Requester
+	state     state
+	begun     time.Time
 
 	request *intake.Request
 	lane    spec.Lane
@@ -135,27 +139,25 @@
 }
 
 // Refuse writes a refusal.
-func Refuse(context *fasthttp.RequestCtx, kind fault.Kind, detail, ran string, retry time.Duration) {
+func Refuse(requester seam.Requester, kind fault.Kind, detail, ran string, retry time.Duration) {
 	refusal := Refusal{Kind: kind, Detail: detail, Remedy: (&fault.Fault{Kind: kind}).Remedy(), Ran: ran, RetryMS: retry.Milliseconds()}
 	content, failure := json.Marshal(refusal)
 	if failure != nil {
 		content = []byte(`{"kind":"internal"}`)
 	}
-	context.ResetBody()
-	context.SetStatusCode(statuses[kind])
-	context.SetContentType("application/json")
+	headers := []seam.Header{{Name: "Content-Type", Value: "application/json"}}
 	if retry > 0 {
-		context.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+		headers = append(headers, seam.Header{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(retry.Seconds())))})
 	}
-	context.SetBody(content)
+	requester.Answer(statuses[kind], headers, content)
 }
 
 // Serve takes one request that has been read whole.
-func (yard *Yard) Serve(context *fasthttp.RequestCtx) {
-	course := &Course{yard: yard, context: context, state: reading, begun: time.Now()}
+func (yard *Yard) Serve(requester seam.Requester) {
+	course := &Course{yard: yard, requester: requester, state: reading, begun: yard.World.Now()}
 	yard.InFlight.Add(1)
 	if yard.Draining.Load() {
-		context.SetConnectionClose()
+		requester.Last()
 	}
 	if failure := course.read(); failure != nil {
 		found := fault.Of(failure)
@@ -168,33 +170,27 @@
 }
 
 // Explain tells what would happen to a request, and passes it nowhere.
-func (yard *Yard) Explain(context *fasthttp.RequestCtx) {
-	course := &Course{yard: yard, context: context, state: reading, begun: time.Now()}
+func (yard *Yard) Explain(requester seam.Requester) {
+	course := &Course{yard: yard, requester: requester, state: reading, begun: yard.World.Now()}
 	if failure := course.read(); failure != nil {
 		found := fault.Of(failure)
-		Refuse(context, found.Kind, found.Detail, award.DidNotRun, 0)
+		Refuse(requester, found.Kind, found.Detail, award.DidNotRun, 0)
 		return
 	}
 	quotes, step := course.desk.Explain(course.begun, course.ticket)
 	content, failure := json.Marshal(map[string]any{"step": step, "quotes": quotes, "prices": course.desk.Prices(), "bid": course.ticket.Bid})
 	if failure != nil {
-		Refuse(context, fault.Internal, failure.Error(), award.DidNotRun, 0)
+		Refuse(requester, fault.Internal, failure.Error(), award.DidNotRun, 0)
 		return
 	}
-	context.SetContentType("application/json")
-	context.SetBody(content)
+	requester.Answer(200, []seam.Header{{Name: "Content-Type", Value: "application/json"}}, content)
 }
 
+func (course *Course) now() time.Time { return course.yard.World.Now() }
+
 // read checks the request against the newest spec.
 func (course *Course) read() error {
-	header := &course.context.Request.Header
-	request, failure := intake.Parse(func(name string) []string {
-		var values []string
-		for _, value := range header.PeekAll(name) {
-			values = append(values, string(value))
-		}
-		return values
-	}, course.context.PostBody())
+	request, failure := intake.Parse(course.requester.Header, course.requester.Body())
 	if failure != nil {
 		return failure
 	}
@@ -231,8 +227,8 @@
 			course.refuse(verdict.Otherwise, "every attempt failed", course.ran(verdict.Ran), time.Second)
 			return
 		}
-		course.desk.Enter(time.Now(), course.ticket)
-		course.step = <-course.ticket.Steps
+		course.desk.Enter(course.now(), course.ticket)
+		course.step = course.yard.Await(course.ticket.Steps)
 		if course.step.Kind == award.Refuse {
 			course.refuseStep()
 			return
@@ -267,7 +263,7 @@
 }
 
 func (course *Course) refuseStep() {
-	late := time.Since(course.begun) > 50*time.Millisecond
+	late := course.now().Sub(course.begun) > 50*time.Millisecond
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
 		if late {
 			lane.Late++
@@ -288,7 +284,7 @@
 	if course.request != nil {
 		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(kind)]++ })
 	}
-	Refuse(course.context, kind, detail, ran, retry)
+	Refuse(course.requester, kind, detail, ran, retry)
 	course.yard.InFlight.Add(-1)
 }
 
@@ -298,12 +294,12 @@
 		_ = course.connection.Close()
 		course.connection = nil
 	}
-	course.desk.Release(time.Now(), course.ticket, course.step.Runner.ID)
+	course.desk.Release(course.now(), course.ticket, course.step.Runner.ID)
 }
 
 // allowed looks at the newest spec and the newest list once more, at the moment before bytes go out.
 func (course *Course) allowed(identity link.Identity) bool {
-	snapshot, now := course.yard.Snapshot(), time.Now()
+	snapshot, now := course.yard.Snapshot(), course.now()
 	if !now.Before(snapshot.Until) || snapshot.Book == nil {
 		return false
 	}
@@ -334,14 +330,14 @@
 	runner := course.step.Runner
 	connection, failure := course.yard.Links.Take(runner.ID, runner.Address)
 	if failure != nil {
-		course.yard.Book.Failed(time.Now(), runner.ID, string(fault.Of(failure).Kind))
+		course.yard.Book.Failed(course.now(), runner.ID, string(fault.Of(failure).Kind))
 		course.countFree()
 		return award.NotSent
 	}
 	course.connection = connection
 	if !course.allowed(connection.Identity) {
 		if !course.pool.Allows(connection.Identity.Service) || connection.Identity.Weights != course.pool.Weights {
-			course.yard.Book.Failed(time.Now(), runner.ID, "serves something else than listed")
+			course.yard.Book.Failed(course.now(), runner.ID, "serves something else than listed")
 		}
 		course.countFree()
 		return award.NotSent
@@ -367,10 +363,10 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	if course.sends == 0 {
-		budget.budget.Request(time.Now())
+		budget.budget.Request(course.now())
 		return true
 	}
-	if !budget.budget.Repeat(time.Now()) {
+	if !budget.budget.Repeat(course.now()) {
 		// Why: without budget no later attempt can go out either, so the final answer is given now.
 		course.attempts = maximumAttempts
 		return false
@@ -383,7 +379,7 @@
 func (course *Course) send() {
 	course.to(sent)
 	course.sends++
-	course.sentAt = time.Now()
+	course.sentAt = course.now()
 	runner, request := course.step.Runner, course.request
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
@@ -391,12 +387,12 @@
 	outgoing.SetRequestURI("/run")
 	outgoing.Header.SetHost(runner.Address)
 	outgoing.Header.SetContentType("application/json")
-	for name, value := range map[string]string{intake.HeaderLane: request.Lane, intake.HeaderModel: request.Model,
-		intake.HeaderAdapter: request.Adapter, intake.HeaderRequest: request.ID, intake.HeaderRunner: runner.ID,
-		intake.HeaderDaemon: course.yard.Name, intake.HeaderEpoch: strconv.FormatUint(course.epoch, 10),
-		intake.HeaderPrompt: strconv.Itoa(request.PromptTokens), intake.HeaderAnswer: strconv.Itoa(request.AnswerToken)} {
-		if value != "" {
-			outgoing.Header.Set(name, value)
+	for _, header := range []seam.Header{{Name: intake.HeaderLane, Value: request.Lane}, {Name: intake.HeaderModel, Value: request.Model},
+		{Name: intake.HeaderAdapter, Value: request.Adapter}, {Name: intake.HeaderRequest, Value: request.ID}, {Name: intake.HeaderRunner, Value: runner.ID},
+		{Name: intake.HeaderDaemon, Value: course.yard.Name}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(course.epoch, 10)},
+		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerToken)}} {
+		if header.Value != "" {
+			outgoing.Header.Set(header.Name, header.Value)
 		}
 	}
 	for place, part := range request.Parts {
@@ -404,7 +400,7 @@
 	}
 	outgoing.SetBodyRaw(request.Body)
 	// Why: a failure to write tells nothing of what the runner got, so reading the answer decides.
-	_ = course.connection.SetDeadline(time.Now().Add(writeBound))
+	_ = course.connection.SetDeadline(course.now().Add(writeBound))
 	writer := bufio.NewWriterSize(course.connection, 16<<10)
 	if failure := outgoing.Write(writer); failure == nil {
 		_ = writer.Flush()
@@ -423,10 +419,10 @@
 	if course.lane.Repeatable {
 		bound = time.Duration(course.lane.Patience) + repeatBound
 	}
-	_ = course.connection.SetDeadline(time.Now().Add(bound))
+	_ = course.connection.SetDeadline(course.now().Add(bound))
 	course.response = &fasthttp.Response{StreamBody: true}
 	if failure := course.response.ReadLimitBody(course.connection.Reader, -1); failure != nil {
-		course.yard.Book.Failed(time.Now(), runner.ID, "gave no answer")
+		course.yard.Book.Failed(course.now(), runner.ID, "gave no answer")
 		return award.Doubt
 	}
 	if course.response.StatusCode() != 200 {
@@ -435,7 +431,7 @@
 	course.reader = stream.NewReader(course.response.BodyStream())
 	first, failure := course.reader.Next()
 	if failure != nil {
-		course.yard.Book.Failed(time.Now(), runner.ID, "gave no first event")
+		course.yard.Book.Failed(course.now(), runner.ID, "gave no first event")
 		return award.Doubt
 	}
 	course.first = first
@@ -447,7 +443,7 @@
 	said := putBack{}
 	failure := json.Unmarshal(course.response.Body(), &said)
 	if failure == nil && said.Started != nil && !*said.Started {
-		course.desk.PutBack(time.Now(), course.ticket, course.step)
+		course.desk.PutBack(course.now(), course.ticket, course.step)
 		return award.PutBack
 	}
 	return award.Doubt
@@ -456,23 +452,19 @@
 // relay streams the run on, beginning with the event that showed that it runs.
 func (course *Course) relay() {
 	course.firstSeen()
-	course.context.SetStatusCode(200)
-	course.context.SetContentType("text/event-stream")
-	course.context.Response.Header.Set("Cache-Control", "no-store")
-	course.context.Response.Header.Set(intake.HeaderRunner, course.step.Runner.ID)
-	course.context.Response.Header.Set(intake.HeaderEpoch, strconv.FormatUint(course.epoch, 10))
 	if course.yard.Draining.Load() {
-		course.context.SetConnectionClose()
+		course.requester.Last()
 	}
-	course.context.SetBodyStreamWriter(course.rest)
+	course.requester.Stream([]seam.Header{{Name: "Content-Type", Value: "text/event-stream"}, {Name: "Cache-Control", Value: "no-store"},
+		{Name: intake.HeaderRunner, Value: course.step.Runner.ID}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(course.epoch, 10)}}, course.rest)
 }
 
 func (course *Course) firstSeen() {
-	took, runner := time.Since(course.sentAt), course.step.Runner
+	took, runner := course.now().Sub(course.sentAt), course.step.Runner
 	course.yard.Book.Served(runner.ID)
 	course.desk.First(course.ticket, course.step, took)
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
-		lane.First(time.Since(course.begun))
+		lane.First(course.now().Sub(course.begun))
 		lane.HeldTokens += uint64(course.step.HeldTokens)
 		lane.PromptTokens += uint64(course.request.PromptTokens)
 		if runner.Zone != course.yard.Zone {
@@ -496,7 +488,7 @@
 			end, whole = "done", true
 			break
 		}
-		_ = course.connection.SetDeadline(time.Now().Add(silenceBound))
+		_ = course.connection.SetDeadline(course.now().Add(silenceBound))
 		next, failure := course.reader.Next()
 		if failure != nil {
 			course.breakOff(writer, event.ID, failure)
@@ -516,19 +508,19 @@
 		// Why: the requester may be gone as well; there is nobody else to tell.
 		_ = stream.Event{ID: last + 1, Name: "error", Data: content}.Write(writer)
 	}
-	course.yard.Book.Failed(time.Now(), course.step.Runner.ID, "broke off a stream")
+	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off a stream")
 }
 
 // finish ends a course that was relayed.
 func (course *Course) finish(end string, whole bool, across int) {
 	course.to(ended)
 	if whole {
-		_ = course.connection.SetDeadline(time.Now().Add(tailBound))
+		_ = course.connection.SetDeadline(course.now().Add(tailBound))
 		if course.reader.End() {
 			course.yard.Links.Keep(course.connection)
 			course.connection = nil
 		}
-		course.desk.Learn(0, 0, time.Since(course.sentAt))
+		course.desk.Learn(0, 0, course.now().Sub(course.sentAt))
 	}
 	course.drop()
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardtray/connection/link"
+	"wardtray/connection/seam"
 	"wardtray/connection/wire"
 	"wardtray/epoch/spec"
 	"wardtray/process/director"
@@ -131,12 +132,13 @@
 	daemons := func() []string { return []string{"d"} }
 	desk := award.NewDesk(func(now time.Time) ([]pressure.Runner, int) { return book.All(now, daemons()), 1 }, book, indexer, rand.New(rand.NewSource(1)))
 	made.Yard = &Yard{Name: "d", Zone: "a", Snapshot: func() *director.Snapshot { return made.snapshot }, Daemons: daemons, Book: book,
-		Indexer: indexer, Links: link.New(nil), Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
+		World: seam.Real(nil), Await: func(steps <-chan award.Step) award.Step { return <-steps },
+		Indexer: indexer, Links: link.New(seam.Real(nil)), Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
 	listener, failure := net.Listen("tcp", "127.0.0.1:0")
 	if failure != nil {
 		test.Fatal(failure)
 	}
-	server := &fasthttp.Server{Handler: made.Serve}
+	server := &fasthttp.Server{Handler: func(context *fasthttp.RequestCtx) { made.Serve(seam.FromHTTP(context)) }}
 	go func() { _ = server.Serve(listener) }()
 	test.Cleanup(func() { _ = listener.Close() })
 	made.address = listener.Addr().String()
