--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -118,12 +118,11 @@
 func (host *Host) drain(server *fasthttp.Server) error {
 	length := host.startup.DrainTime()
 	host.log.Info("draining", "for", length.String())
-	host.Yard.Draining.Store(true)
-	host.Step(func(_ time.Time, director *director.Director) { director.Leave() })
+	host.Drain()
 	ticker := time.NewTicker(plane.SettleEvery)
 	defer ticker.Stop()
 	begun := time.Now()
-	for time.Since(begun) < length || host.Yard.InFlight.Load() > 0 && time.Since(begun) < length+finishBound {
+	for !host.Drained(length) && time.Since(begun) < length+finishBound {
 		<-ticker.C
 	}
 	finishing, stop := context.WithTimeout(context.Background(), finishBound)
--- a/process/once/once.go
+++ b/process/once/once.go
@@ -77,6 +77,17 @@
 	return "", true
 }
 
+// Look gives what is known of a request, "" if nothing is.
+func (memory *Memory) Look(key Key) State {
+	shard := memory.shard(key)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	if element := shard.entries[key]; element != nil {
+		return element.Value.(*entry).state
+	}
+	return ""
+}
+
 // End notes how a request ended.
 func (memory *Memory) End(now time.Time, key Key, state State) {
 	shard := memory.shard(key)
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -52,15 +52,17 @@
 
 // Plane is the whole.
 type Plane struct {
-	Yard     *course.Yard
-	world    seam.World
-	log      *slog.Logger
-	send     func(parcels []machine.Parcel)
-	poll     func()
-	address  string
-	begun    time.Time
-	snapshot atomic.Pointer[director.Snapshot]
-	daemons  atomic.Pointer[[]string]
+	Yard    *course.Yard
+	world   seam.World
+	log     *slog.Logger
+	send    func(parcels []machine.Parcel)
+	poll    func()
+	address string
+	begun   time.Time
+	// drainBegun is when a planned stop began.
+	drainBegun time.Time
+	snapshot   atomic.Pointer[director.Snapshot]
+	daemons    atomic.Pointer[[]string]
 
 	mutex    sync.Mutex
 	director *director.Director
@@ -116,6 +118,23 @@
 	}
 }
 
+// Drain begins a planned stop: fitness fails, and what comes yet is still taken.
+func (plane *Plane) Drain() {
+	plane.drainBegun = plane.world.Now()
+	plane.Yard.Draining.Store(true)
+	plane.Step(func(_ time.Time, director *director.Director) { director.Leave() })
+}
+
+// Drained tells whether the platform has had a length of time to see that, and all that was read is answered.
+func (plane *Plane) Drained(length time.Duration) bool {
+	return plane.world.Now().Sub(plane.drainBegun) >= length && plane.Yard.InFlight.Load() == 0
+}
+
+// Fit tells whether requesters should be sent here.
+func (plane *Plane) Fit() bool {
+	return !plane.Yard.Draining.Load() && plane.world.Now().Before(plane.Snapshot().Until)
+}
+
 // Listed takes what the platform answered.
 func (plane *Plane) Listed(content []byte, read bool) {
 	runners, fine := readList(content)
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -35,17 +35,19 @@
 	committed map[uint64][32]byte
 	known     map[string]uint64
 	refused   map[string]bool
-	acked     []*Order
-	seen      map[string]uint64
-	Awards    int
-	Refusals  int
+	// invalid are the changes that no fleet may accept.
+	invalid  map[string]bool
+	acked    []*Order
+	seen     map[string]uint64
+	Awards   int
+	Refusals int
 	// OnAccepted, if set, runs when a change has been acknowledged.
 	OnAccepted func()
 }
 
 func newChecker(world *World) *Checker {
 	return &Checker{world: world, Margins: map[string]time.Duration{}, committed: map[uint64][32]byte{}, known: map[string]uint64{},
-		refused: map[string]bool{}, seen: map[string]uint64{}}
+		refused: map[string]bool{}, invalid: map[string]bool{}, seen: map[string]uint64{}}
 }
 
 func (checker *Checker) broken(format string, values ...any) {
@@ -202,6 +204,9 @@
 	if order.Outcome != "accepted" {
 		return
 	}
+	if checker.invalid[order.Operation] {
+		checker.broken("invalid-accepted: %s is invalid and was accepted", order.Operation)
+	}
 	if epoch, known := checker.known[order.Operation]; !known || epoch != order.Epoch {
 		checker.broken("%s was acknowledged as epoch %d and is committed as %d", order.Operation, order.Epoch, epoch)
 	}
--- /dev/null
+++ b/proof/sim/rules.go
@@ -0,0 +1,70 @@
+package sim
+
+import (
+	"sort"
+	"time"
+
+	"wardtray/proof/load"
+)
+
+// GuildPath and FerriesPath are the deployments with their request paths.
+var (
+	GuildPath   = Guild.With(load.Guild)
+	FerriesPath = Ferries.With(load.Ferries)
+)
+
+// Attempt is a trial aimed at one part of a rule of the brief.
+type Attempt struct {
+	// Faults are the kinds of harm that cause what must not happen.
+	Faults []string
+	change func(trial *Trial)
+}
+
+// Trial gives the trial of an attempt, with harm for a length of time.
+func (attempt Attempt) Trial(length time.Duration) Trial {
+	trial := DefaultTrial
+	trial.Faults, trial.Length = attempt.Faults, length
+	if attempt.change != nil {
+		attempt.change(&trial)
+	}
+	return trial
+}
+
+// AttemptNames gives the names of all attempts in order.
+func AttemptNames() []string {
+	names := make([]string, 0, len(Attempts))
+	for name := range Attempts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func often(trial *Trial) { trial.Every, trial.Takes = 800*time.Millisecond, 0.6 }
+
+// Attempts has one row for each part of each point of "What must never happen". docs/rules.md names the
+// broken code that turns each of them red.
+var Attempts = map[string]Attempt{
+	"run twice":                {Faults: []string{"runner fails", "runner killed", "runner frozen", "runner deaf"}},
+	"run twice, sent again":    {Faults: []string{"data killed", "runner killed"}, change: func(trial *Trial) { trial.Repeats = 0.3 }},
+	"run after will not run":   {Faults: []string{"runner fails", "pool killed", "all put back"}},
+	"not whole":                {Faults: []string{"runner partial", "runner killed"}},
+	"skip, repeat, splice":     {Faults: []string{"runner garbles", "runner partial"}},
+	"service not allowed":      {Faults: []string{"data cut from control", "address taken"}, change: often},
+	"address reused":           {Faults: []string{"address taken", "runner replaced"}},
+	"draining":                 {Faults: []string{"runner drained", "list older", "list stuck"}, change: func(trial *Trial) { trial.AtOnce = 2 }},
+	"vanished":                 {Faults: []string{"runner delisted", "list half"}},
+	"leaving beside a cut":     {Faults: []string{"runner deaf", "runner delisted"}, change: func(trial *Trial) { trial.AtOnce = 3 }},
+	"change ignored":           {Faults: []string{"data cut off", "data cut from control", "data deaf", "data frozen"}, change: often},
+	"slips back":               {Faults: []string{"data killed", "data cut from control", "zone cut off"}, change: often},
+	"refused, losing, invalid": {Faults: []string{"core killed", "core frozen", "core link cut one way"}, change: often},
+	"closed zone":              {Faults: []string{"data cut off", "zone cut off", "runner deaf"}, change: often},
+	"repeats":                  {Faults: []string{"all put back", "pool killed", "uneven daemons", "runner fails"}, change: func(trial *Trial) { trial.AtOnce = 2 }},
+	"cold runner":              {Faults: []string{"pool killed", "runner replaced", "crowd", "hot key"}, change: func(trial *Trial) { trial.AtOnce = 3 }},
+	"planned restart":          {Faults: []string{"daemon drained", "runner drained", "crowd"}, change: func(trial *Trial) { trial.AtOnce = 2 }},
+	"change under way":         {Faults: []string{"crowd", "uneven daemons"}, change: often},
+	"forgotten":                {Faults: []string{"power after acknowledgement", "core wiped"}},
+	"down":                     {Faults: []string{"all down", "zone lost"}},
+	"turned away":              {Faults: []string{"control cut from data", "core killed", "list empty", "list silent", "hot key"}},
+	"answer at once":           {Faults: []string{"runner dark", "runner mute", "runner unheard", "address taken"}},
+}
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -177,6 +177,13 @@
 	}
 	if failure := course.read(); failure != nil {
 		found := fault.Of(failure)
+		// Why: whoever sends a request again must not be told that it did not run where it may have run before.
+		if course.request != nil {
+			if known := yard.Once.Look(once.KeyOf(course.request.Lane, course.request.ID)); known != "" {
+				course.refuse(fault.AlreadyTaken, "the request with this id "+string(known), ranWords[known], 0)
+				return
+			}
+		}
 		course.refuse(found.Kind, found.Detail, course.ran(award.DidNotRun), course.comeback(found.Kind))
 		return
 	}
@@ -279,6 +286,7 @@
 	if failure != nil {
 		return failure
 	}
+	course.request = request
 	sure := course.sure()
 	snapshot := course.yard.Snapshot()
 	if !sure {
@@ -295,7 +303,7 @@
 	if !pool.Serves(request.Adapter) {
 		return fault.New(fault.UnknownAdapter, "pool %q has no adapter %q", pool.Name, request.Adapter)
 	}
-	course.request, course.lane, course.pool = request, *lane, *pool
+	course.lane, course.pool = *lane, *pool
 	course.desk = course.yard.Desk(pool.Name)
 	course.ticket = &award.Ticket{Lane: lane.Name, Purse: lane.Purse, PartTokens: request.PartTokens, Steps: make(chan award.Step, 1),
 		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: pool.Model, Weights: pool.Weights, Adapter: request.Adapter}),
@@ -375,7 +383,7 @@
 		kind = fault.OutcomeUnknown
 	}
 	course.settle(map[bool]once.State{true: "", false: once.Unknown}[ran == award.DidNotRun])
-	if course.request != nil {
+	if course.desk != nil {
 		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(kind)]++ })
 	}
 	Refuse(course.requester, kind, detail, ran, retry)
