A request whose lane is taken away says so at once; decided answers are never held

Lane, model and pool are now looked up again before each attempt. Ruled out: pauses, weights, closed zones (the last look's state showed all well, epoch 4 without the lane).

The simulator now also wants every refusal within a millisecond of what decided it.

--- a/proof/history/check.go
+++ b/proof/history/check.go
@@ -195,7 +195,7 @@
 			return
 		}
 		if why := check(judge, answer); why != "" {
-			broken("%s of %s, sent to %s, was refused with %q after %v, but %s", answer.Request, answer.Lane, answer.Daemon, answer.Kind, answer.Got.Sub(answer.Sent), why)
+			broken("%s of %s, sent to %s, was refused with %q (%s) after %v, but %s", answer.Request, answer.Lane, answer.Daemon, answer.Kind, answer.Detail, answer.Got.Sub(answer.Sent), why)
 		}
 	},
 	"no-return-time": func(judge *Judge, answer *Answer, broken broken) {
--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -51,6 +51,7 @@
 	First      time.Duration
 	Status     int
 	Kind       string
+	Detail     string
 	Ran        string
 	RetryAfter bool
 	// IDs and Runs are the ids of the events and the runs that they name.
--- a/proof/load/mix.go
+++ b/proof/load/mix.go
@@ -168,10 +168,10 @@
 
 // Refused takes a refusal's body.
 func Refused(record *history.Answer, body []byte) {
-	refusal := struct{ Kind, Ran string }{}
+	refusal := struct{ Kind, Detail, Ran string }{}
 	if failure := json.Unmarshal(body, &refusal); failure != nil || refusal.Kind == "" {
 		record.Kind = "unreadable"
 		return
 	}
-	record.Kind, record.Ran = refusal.Kind, refusal.Ran
+	record.Kind, record.Detail, record.Ran = refusal.Kind, refusal.Detail, refusal.Ran
 }
--- a/proof/sim/conn.go
+++ b/proof/sim/conn.go
@@ -63,7 +63,8 @@
 
 // dial makes a connection from the running strand.
 func (world *World) dial(from *Host, target string, terms seam.Terms) (seam.Conn, error) {
-	to, begun := world.byName[target], world.Now
+	to, begun, strand := world.byName[target], world.Now, world.current
+	defer func() { strand.decided = world.Now }()
 	for to != nil && !(world.passes(from, to) && world.passes(to, from)) {
 		if world.Now.Sub(begun) >= terms.Dial {
 			return nil, fault.Wrap(os.ErrDeadlineExceeded, fault.Unreachable, "dialing %s", target)
@@ -154,6 +155,8 @@
 
 // Read gives what has arrived, and parks until something has.
 func (conn *conn) Read(into []byte) (int, error) {
+	strand := conn.world.current
+	defer func() { strand.decided = conn.world.Now }()
 	for {
 		if conn.closed {
 			return 0, net.ErrClosed
--- a/proof/sim/strand.go
+++ b/proof/sim/strand.go
@@ -22,6 +22,9 @@
 	woken  bool
 	ended  bool
 	arrive func() bool
+	// decided is when this strand last learned something of its request's ways: a step of its desk, what a
+	// runner said, or that a connection failed.
+	decided time.Time
 }
 
 // gone unwinds a strand whose process has ended.
@@ -114,7 +117,9 @@
 // await is how a course waits for its desk's next step.
 func (world *World) await(steps <-chan award.Step) award.Step {
 	world.until(func() bool { return len(steps) > 0 })
-	return <-steps
+	step := <-steps
+	world.current.decided = world.Now
+	return step
 }
 
 // endStreams ends all work of a host that is about to end, and the connections that it had.
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -310,6 +310,11 @@
 func (asker *asker) Answer(status int, headers []seam.Header, body []byte) {
 	asker.head(status, headers)
 	load.Refused(asker.record, body)
+	// Why: from the moment at which its last way was lost a request has nothing to wait for.
+	world := asker.traffic.world
+	if held := world.Now.Sub(world.current.decided); !world.current.decided.IsZero() && held > answerBound && world.local(asker.host).Before(asker.host.plane.Snapshot().Until) {
+		world.Check.broken("held-back: %s got its final %q %v after it was decided", asker.record.Request, asker.record.Kind, held)
+	}
 }
 
 func (asker *asker) Stream(headers []seam.Header, write func(writer *bufio.Writer)) {
@@ -317,6 +322,9 @@
 	write(bufio.NewWriterSize(asker, 4<<10))
 }
 
+// answerBound is how long a decided answer may take, which is nothing but the daemon's own work.
+const answerBound = time.Millisecond
+
 var errQuit = errors.New("the requester hung up")
 
 // Write is what reaches the requester.
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -280,30 +280,41 @@
 
 func (course *Course) now() time.Time { return course.yard.World.Now() }
 
-// read checks the request against the newest spec.
-func (course *Course) read() error {
-	request, failure := intake.Parse(course.requester.Header, course.requester.Body())
-	if failure != nil {
-		return failure
-	}
-	course.request = request
-	sure := course.sure()
-	snapshot := course.yard.Snapshot()
-	if !sure {
+// proper looks the request's lane and pool up in the newest spec, once this daemon is sure of that.
+func (course *Course) proper() error {
+	if !course.sure() {
 		return fault.New(fault.NotServing, "this daemon does not know for sure that its spec is the present one")
 	}
-	lane, found := snapshot.Book.Lanes[request.Lane]
+	book, request := course.yard.Snapshot().Book, course.request
+	lane, found := book.Lanes[request.Lane]
 	if !found {
 		return fault.New(fault.UnknownLane, "there is no lane %q", request.Lane)
 	}
-	pool := snapshot.Book.Pools[lane.Pool]
+	pool := book.Pools[lane.Pool]
 	if pool.Model != request.Model {
 		return fault.New(fault.UnknownModel, "lane %q serves model %q, not %q", lane.Name, pool.Model, request.Model)
 	}
 	if !pool.Serves(request.Adapter) {
 		return fault.New(fault.UnknownAdapter, "pool %q has no adapter %q", pool.Name, request.Adapter)
 	}
+	if course.desk != nil && pool.Name != course.pool.Name {
+		return fault.New(fault.UnknownLane, "lane %q now belongs to pool %q", lane.Name, pool.Name)
+	}
 	course.lane, course.pool = *lane, *pool
+	return nil
+}
+
+// read checks the request against the newest spec.
+func (course *Course) read() error {
+	request, failure := intake.Parse(course.requester.Header, course.requester.Body())
+	if failure != nil {
+		return failure
+	}
+	course.request = request
+	if failure := course.proper(); failure != nil {
+		return failure
+	}
+	lane, pool := &course.lane, &course.pool
 	course.desk = course.yard.Desk(pool.Name)
 	course.ticket = &award.Ticket{Lane: lane.Name, Purse: lane.Purse, PartTokens: request.PartTokens, Steps: make(chan award.Step, 1),
 		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: pool.Model, Weights: pool.Weights, Adapter: request.Adapter}),
@@ -321,8 +332,10 @@
 			course.refuse(verdict.Otherwise, "every attempt failed", course.ran(verdict.Ran), course.comeback(verdict.Otherwise))
 			return
 		}
-		if !course.sure() {
-			course.refuse(fault.NotServing, "this daemon no longer knows for sure that its spec is the present one", course.ran(award.DidNotRun), course.comeback(fault.NotServing))
+		// Why: the spec may have taken the lane or its pool away since the last attempt.
+		if failure := course.proper(); failure != nil {
+			found := fault.Of(failure)
+			course.refuse(found.Kind, found.Detail, course.ran(award.DidNotRun), course.comeback(found.Kind))
 			return
 		}
 		course.desk.Enter(course.now(), course.ticket)
