--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -45,6 +45,8 @@
 	Slots                             int
 	// Load is how much work the runner seems to have: ours, and that of others by its own reports.
 	Load float64
+	// Sure is the same, but by the last report alone where that tells of a runner less than half full.
+	Sure float64
 	// InFlight is our own work on it.
 	InFlight int
 	// Limit is how much work of ours it may have now; it is low while the runner warms.
@@ -70,6 +72,8 @@
 	reported time.Time
 	// external is the work of all others on the runner, smoothed over reports.
 	external float64
+	// others is the same by the last report alone.
+	others   float64
 	inFlight int
 	pause    time.Duration
 	paused   time.Time
@@ -171,7 +175,7 @@
 			known.external = others
 		}
 		known.external += smoothing * (others - known.external)
-		known.report, known.reported, known.misses = report, now, 0
+		known.report, known.reported, known.misses, known.others = report, now, 0, others
 	})
 }
 
@@ -252,9 +256,15 @@
 	if known.report.Slots > 0 {
 		runner.Slots = known.report.Slots
 	}
-	runner.Load = float64(known.inFlight)
+	runner.Load, runner.Sure = float64(known.inFlight), float64(known.inFlight)
 	if now.Sub(known.reported) < reportBound {
 		runner.Load += known.external
+		runner.Sure += known.external
+		// Why: smoothed reports go on for seconds after a crowd has gone. A report of a runner that is nearly
+		// full is too old to be believed, or all daemons would rush to it.
+		if known.others <= float64(runner.Slots)/2 {
+			runner.Sure += min(0, known.others-known.external)
+		}
 	}
 	runner.Limit = runner.Slots + max(1, runner.Slots/2)
 	runner.Warming, runner.Limit = book.warming(now, known, runner.Limit, daemons)
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -118,7 +118,8 @@
 
 // full tells whether a runner may have no more work of ours now.
 func full(runner pressure.Runner) bool {
-	return runner.Load >= float64(Places(runner)) || runner.InFlight >= runner.Limit
+	// Why: smoothed reports go on for seconds after a crowd has gone; nobody is turned away for those.
+	return runner.Sure >= float64(Places(runner)) || runner.InFlight >= runner.Limit
 }
 
 // emptiness makes a nearly idle runner cheaper than a half full one by a little, growing steeply
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -240,7 +240,7 @@
 			slots += float64(runner.Slots)
 			places += float64(Places(runner))
 			market.Room = market.Room || !full(runner)
-			used += min(runner.Load, float64(runner.Slots))
+			used += min(runner.Sure, float64(runner.Slots))
 		}
 	}
 	market.Slots, market.Places = slots/float64(max(1, daemons)), places/float64(max(1, daemons))
@@ -335,6 +335,7 @@
 	for place := range market.Offers {
 		if market.Offers[place].ID == step.Runner.ID {
 			market.Offers[place].Load++
+			market.Offers[place].Sure++
 			market.Offers[place].InFlight++
 		}
 	}
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -128,6 +128,8 @@
 	// the zone's other daemons were told.
 	key  *once.Key
 	told bool
+	// said is what was known of the request when it came.
+	said once.State
 	// counted says that the request is in the budget's count.
 	counted bool
 }
@@ -177,20 +179,9 @@
 	}
 	if failure := course.read(); failure != nil {
 		found := fault.Of(failure)
-		// Why: whoever sends a request again must not be told that it did not run where it may have run before.
-		if course.request != nil {
-			if known := yard.Once.Look(once.KeyOf(course.request.Lane, course.request.ID)); known != "" {
-				course.refuse(fault.AlreadyTaken, "the request with this id "+string(known), ranWords[known], 0)
-				return
-			}
-		}
 		course.refuse(found.Kind, found.Detail, course.ran(award.DidNotRun), course.comeback(found.Kind))
 		return
 	}
-	if known := course.take(); known != "" {
-		course.refuse(fault.AlreadyTaken, "the request with this id "+string(known), ranWords[known], 0)
-		return
-	}
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Requests++ })
 	course.bid(award.NotSent)
 }
@@ -198,16 +189,22 @@
 // ranWords are what is said of the work of a request that was sent before.
 var ranWords = map[once.State]string{once.Ran: "ran", once.Running: award.Unknown, once.Unknown: award.Unknown, once.Elsewhere: award.Unknown}
 
-// take notes a request that must run at most once; it gives what is known of it if it was sent before.
+// take notes a request that must run at most once, before anything else can be said of it; it gives what
+// is known if it was sent before.
 func (course *Course) take() once.State {
-	if course.lane.Repeatable {
+	key := once.KeyOf(course.request.Lane, course.request.ID)
+	if course.said = course.yard.Once.Look(key); course.said != "" {
+		return course.said
+	}
+	book := course.yard.Snapshot().Book
+	if book == nil || book.Lanes[course.request.Lane] == nil || book.Lanes[course.request.Lane].Repeatable {
 		return ""
 	}
-	key := once.KeyOf(course.lane.Name, course.request.ID)
 	known, fresh := course.yard.Once.Begin(course.now(), key)
 	if fresh {
 		course.key = &key
 	}
+	course.said = known
 	return known
 }
 
@@ -311,6 +308,9 @@
 		return failure
 	}
 	course.request = request
+	if known := course.take(); known != "" {
+		return fault.New(fault.AlreadyTaken, "the request with this id %s", known)
+	}
 	if failure := course.proper(); failure != nil {
 		return failure
 	}
@@ -368,8 +368,11 @@
 	}
 }
 
-// ran keeps a doubt once there is one.
+// ran keeps a doubt once there is one, and what is known of the request from before.
 func (course *Course) ran(said string) string {
+	if word := ranWords[course.said]; word != "" {
+		return word
+	}
 	if course.doubted {
 		return award.Unknown
 	}
