--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -10,7 +10,9 @@
 	// Share is the part of the requests that may be sent again.
 	Share = 0.15
 	cells = 40
-	cell  = Window / cells
+	// lately is the part of the window that gives credit of its own.
+	lately = cells / 4
+	cell   = Window / cells
 )
 
 // Budget is one daemon's for one pool. It is not safe for several goroutines at once.
@@ -29,8 +31,9 @@
 	return place
 }
 
-func (budget *Budget) sums(now time.Time) (requests, repeats int) {
-	oldest := now.UnixNano()/int64(cell) - cells
+// sums counts what lies in the last so many cells.
+func (budget *Budget) sums(now time.Time, length int64) (requests, repeats int) {
+	oldest := now.UnixNano()/int64(cell) - length
 	for place, number := range budget.numbers {
 		// Why: the cell that is leaving the window counts for repeats but not for requests, so that no window of ten seconds, however it lies, breaks the bound.
 		if number >= oldest {
@@ -49,10 +52,16 @@
 // Repeat takes one repeat out of the budget, if there is one.
 func (budget *Budget) Repeat(now time.Time) bool {
 	place := budget.place(now)
-	requests, repeats := budget.sums(now)
+	requests, repeats := budget.sums(now, cells)
 	if float64(repeats+1) > Share*float64(requests) {
 		return false
 	}
+	// Why: where requests cease, as when a whole pool puts back, the credit of the ten seconds before would be
+	// spent in ten seconds that have hardly any. Most of it must be of late.
+	requests, repeats = budget.sums(now, lately)
+	if float64(repeats+1) > max(1, Share*float64(requests)) {
+		return false
+	}
 	budget.repeats[place]++
 	return true
 }
