--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -29,11 +29,7 @@
 	application.HelpFlag.Short('h')
 	command := application.Command("fleet", "Run a deployment as real processes on loopback and check it.")
 	deployment := command.Arg("deployment", "guild or ferries").Required().Enum("guild", "ferries")
-	names := make([]string, 0, len(fleet.Scenarios))
-	for name := range fleet.Scenarios {
-		names = append(names, name)
-	}
-	sort.Strings(names)
+	names := sortedNames(fleet.Scenarios)
 	scenarios := command.Flag("scenario", "One of: "+strings.Join(names, ", ")+"; or all.").Default("default").Enum(append(names, "all")...)
 	seconds := command.Flag("seconds", "How long the load lasts.").Default("30").Int()
 	seed := command.Flag("seed", "Seed of the load and the faults.").Default("1").Int64()
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -164,11 +164,7 @@
 // Lose aborts every connection of a runner that is known to be gone, so that whoever waits for its
 // answer learns of it at once.
 func (links *Links) Lose(runner string) {
-	found, there := links.shelves.Load(runner)
-	if !there {
-		return
-	}
-	shelf := found.(*shelf)
+	shelf := links.shelf(runner)
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
 	for _, connection := range append(shelf.idle, shelf.busy...) {
@@ -180,11 +176,7 @@
 
 // Forget closes what is kept idle of a runner that is no longer listed.
 func (links *Links) Forget(runner string) {
-	found, there := links.shelves.Load(runner)
-	if !there {
-		return
-	}
-	shelf := found.(*shelf)
+	shelf := links.shelf(runner)
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
 	for _, connection := range shelf.idle {
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -430,9 +430,9 @@
 // RunnerFaultNames gives every kind of fault of the request path in order.
 func RunnerFaultNames() []string { return sorted(RunnerFaults) }
 
-func sorted(faults map[string]func(world *World) (undo func())) []string {
-	names := make([]string, 0, len(faults))
-	for name := range faults {
+func sorted[Value any](of map[string]Value) []string {
+	names := make([]string, 0, len(of))
+	for name := range of {
 		names = append(names, name)
 	}
 	sort.Strings(names)
--- a/proof/sim/rules.go
+++ b/proof/sim/rules.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"sort"
 	"time"
 
 	"wardtray/proof/load"
@@ -31,14 +30,7 @@
 }
 
 // AttemptNames gives the names of all attempts in order.
-func AttemptNames() []string {
-	names := make([]string, 0, len(Attempts))
-	for name := range Attempts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func AttemptNames() []string { return sorted(Attempts) }
 
 func often(trial *Trial) { trial.Every, trial.Takes = 800*time.Millisecond, 0.6 }
 
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -39,8 +39,6 @@
 	Quits float64
 	// Repeats is the part of the requests that their requesters send again.
 	Repeats float64
-	// Figures for measurements.
-	FirstEvents []time.Duration
 }
 
 // StartTraffic brings the request path in: so many runners, and requesters once Rate is above zero.
@@ -269,9 +267,6 @@
 	}
 	traffic, record := asker.traffic, asker.record
 	record.Got, record.Lost, record.Sure = traffic.world.Now, lost, asker.read
-	if record.Done {
-		traffic.FirstEvents = append(traffic.FirstEvents, record.First)
-	}
 	traffic.History.Answers = append(traffic.History.Answers, record)
 	if !record.Done {
 		traffic.note()
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -59,8 +59,7 @@
 	data    *director.Director
 	plane   *plane.Plane
 	engine  *engine
-	// strands are the pieces of work of this life that have begun and not ended; waiting are those that
-	// wait for something of the process itself.
+	// strands are the pieces of work of this life that have begun and not ended.
 	strands []*strand
 	conns   []*conn
 	askers  []*asker
