Spec and wire: fields for lanes by host and path, shares, limits, engines and registered runners

Cause: runners that register themselves, and operators who route by host and path, need words in the product's own spec and wire. Ruled out: a second spec for one platform (the product stays one). Change: fields only, all of which may be left out; checks and use follow in the parts that own them.

--- a/epoch/spec/spec.go
+++ b/epoch/spec/spec.go
@@ -52,6 +52,10 @@
 	Zones []Zone `json:"zones"`
 	Pools []Pool `json:"pools"`
 	Lanes []Lane `json:"lanes"`
+	// Limits hold for every requester.
+	Limits Limits `json:"limits,omitempty"`
+	// Annotations are what the operators' tools keep beside the spec.
+	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
 }
 
 // Zone is a place that may be closed to new work.
@@ -72,6 +76,25 @@
 	Adapters []string `json:"adapters,omitempty"`
 	// Services are the services of which runners may take this pool's work.
 	Services []string `json:"services"`
+	// ConnectionLimit is how many connections one runner takes from all daemons together; 0: not told.
+	ConnectionLimit int `json:"connection_limit,omitempty"`
+	// HealthPath is where a runner answers whether it thinks that it is well; empty: nowhere.
+	HealthPath string `json:"health_path,omitempty"`
+	Engine     Engine `json:"engine,omitempty"`
+	// Annotations are what the operators' tools keep beside a pool; wardtray stores and gives them back unchanged.
+	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
+}
+
+// Engine is what operators tell of the engines of a pool's runners; 0 stands for not told.
+//
+//easyjson:json
+type Engine struct {
+	// Slots is how many requests a runner works on at once.
+	Slots int `json:"slots,omitempty"`
+	// MemoryTokens is how many tokens the running requests and the kept prefixes share.
+	MemoryTokens int `json:"memory_tokens,omitempty"`
+	// EventTokens is how many tokens of the answer one event holds.
+	EventTokens int `json:"event_tokens,omitempty"`
 }
 
 // Lane is a kind of work.
@@ -88,6 +111,42 @@
 	Purse float64 `json:"purse"`
 	// Repeatable says that a second run does no harm. Without it a prompt runs at most once.
 	Repeatable bool `json:"repeatable"`
+	// Authority and PathPrefix choose the lane of requests that name none: the host asked for, and the
+	// longest prefix that begins the path.
+	Authority  string `json:"authority,omitempty"`
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// Split divides the lane's requests over several pools, in the place of Pool.
+	Split []Share `json:"split,omitempty"`
+	// Deadline is the longest time that a request of the lane is held; 0: only the requester's own.
+	Deadline Span `json:"deadline,omitempty"`
+	// Attempts is the most runners that one request may be sent to; 0: the product's own bound.
+	Attempts int `json:"attempts,omitempty"`
+	// Rank orders lanes under pressure, 0 first.
+	Rank int `json:"rank,omitempty"`
+	// Resumable says that a stream may go on at another runner after its last whole event.
+	Resumable bool `json:"resumable,omitempty"`
+	// Pause is the longest time between two events with which a stream is still in time; 0: not told.
+	Pause Span `json:"pause,omitempty"`
+	// Annotations are what the operators' tools keep beside a lane; wardtray stores and gives them back unchanged.
+	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
+}
+
+// Share is one pool's part of a lane.
+//
+//easyjson:json
+type Share struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+}
+
+// Limits bound what a requester may send and how long it may take; 0 stands for the product's own.
+//
+//easyjson:json
+type Limits struct {
+	HeaderBytes int  `json:"header_bytes,omitempty"`
+	BodyBytes   int  `json:"body_bytes,omitempty"`
+	HeaderTime  Span `json:"header_time,omitempty"`
+	IdleTime    Span `json:"idle_time,omitempty"`
 }
 
 // Flaw is one fault of a spec.
--- a/epoch/spec/spec_easyjson.go
+++ b/epoch/spec/spec_easyjson.go
@@ -173,7 +173,7 @@
 				in.Delim('[')
 				if out.Lanes == nil {
 					if !in.IsDelim(']') {
-						out.Lanes = make([]Lane, 0, 1)
+						out.Lanes = make([]Lane, 0, 0)
 					} else {
 						out.Lanes = []Lane{}
 					}
@@ -192,6 +192,36 @@
 				}
 				in.Delim(']')
 			}
+		case "limits":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Limits).UnmarshalEasyJSON(in)
+			}
+		case "annotations":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Annotations = make(map[string]easyjson.RawMessage)
+				} else {
+					out.Annotations = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v4 easyjson.RawMessage
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v4).UnmarshalEasyJSON(in)
+					}
+					(out.Annotations)[key] = v4
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -217,11 +247,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v4, v5 := range in.Zones {
-				if v4 > 0 {
+			for v5, v6 := range in.Zones {
+				if v5 > 0 {
 					out.RawByte(',')
 				}
-				(v5).MarshalEasyJSON(out)
+				(v6).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -233,11 +263,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v6, v7 := range in.Pools {
-				if v6 > 0 {
+			for v7, v8 := range in.Pools {
+				if v7 > 0 {
 					out.RawByte(',')
 				}
-				(v7).MarshalEasyJSON(out)
+				(v8).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -249,15 +279,39 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v8, v9 := range in.Lanes {
-				if v8 > 0 {
+			for v9, v10 := range in.Lanes {
+				if v9 > 0 {
 					out.RawByte(',')
 				}
-				(v9).MarshalEasyJSON(out)
+				(v10).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if true {
+		const prefix string = ",\"limits\":"
+		out.RawString(prefix)
+		(in.Limits).MarshalEasyJSON(out)
+	}
+	if len(in.Annotations) != 0 {
+		const prefix string = ",\"annotations\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('{')
+			v11First := true
+			for v11Name, v11Value := range in.Annotations {
+				if v11First {
+					v11First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v11Name))
+				out.RawByte(':')
+				(v11Value).MarshalEasyJSON(out)
+			}
+			out.RawByte('}')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -284,7 +338,87 @@
 func (v *Spec) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson4ca8a529DecodeWardtrayEpochSpec1(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec2(in *jlexer.Lexer, out *Pool) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec2(in *jlexer.Lexer, out *Share) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "pool":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Pool = string(in.String())
+			}
+		case "weight":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Weight = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec2(out *jwriter.Writer, in Share) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"pool\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Pool))
+	}
+	{
+		const prefix string = ",\"weight\":"
+		out.RawString(prefix)
+		out.Int(int(in.Weight))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Share) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec2(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Share) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec2(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Share) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec2(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Share) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec2(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec3(in *jlexer.Lexer, out *Pool) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -332,13 +466,13 @@
 					out.Adapters = (out.Adapters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v10 string
+					var v12 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v10 = string(in.String())
+						v12 = string(in.String())
 					}
-					out.Adapters = append(out.Adapters, v10)
+					out.Adapters = append(out.Adapters, v12)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -359,17 +493,59 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v11 string
+					var v13 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v11 = string(in.String())
+						v13 = string(in.String())
 					}
-					out.Services = append(out.Services, v11)
+					out.Services = append(out.Services, v13)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "connection_limit":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.ConnectionLimit = int(in.Int())
+			}
+		case "health_path":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.HealthPath = string(in.String())
+			}
+		case "engine":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Engine).UnmarshalEasyJSON(in)
+			}
+		case "annotations":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Annotations = make(map[string]easyjson.RawMessage)
+				} else {
+					out.Annotations = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v14 easyjson.RawMessage
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v14).UnmarshalEasyJSON(in)
+					}
+					(out.Annotations)[key] = v14
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -384,7 +560,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec2(out *jwriter.Writer, in Pool) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec3(out *jwriter.Writer, in Pool) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -408,11 +584,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v12, v13 := range in.Adapters {
-				if v12 > 0 {
+			for v15, v16 := range in.Adapters {
+				if v15 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v13))
+				out.String(string(v16))
 			}
 			out.RawByte(']')
 		}
@@ -424,42 +600,194 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v14, v15 := range in.Services {
-				if v14 > 0 {
+			for v17, v18 := range in.Services {
+				if v17 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v15))
+				out.String(string(v18))
 			}
 			out.RawByte(']')
 		}
 	}
+	if in.ConnectionLimit != 0 {
+		const prefix string = ",\"connection_limit\":"
+		out.RawString(prefix)
+		out.Int(int(in.ConnectionLimit))
+	}
+	if in.HealthPath != "" {
+		const prefix string = ",\"health_path\":"
+		out.RawString(prefix)
+		out.String(string(in.HealthPath))
+	}
+	if true {
+		const prefix string = ",\"engine\":"
+		out.RawString(prefix)
+		(in.Engine).MarshalEasyJSON(out)
+	}
+	if len(in.Annotations) != 0 {
+		const prefix string = ",\"annotations\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('{')
+			v19First := true
+			for v19Name, v19Value := range in.Annotations {
+				if v19First {
+					v19First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v19Name))
+				out.RawByte(':')
+				(v19Value).MarshalEasyJSON(out)
+			}
+			out.RawByte('}')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Pool) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec2(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pool) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec2(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pool) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec2(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pool) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec2(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec3(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec4(in *jlexer.Lexer, out *Limits) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "header_bytes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.HeaderBytes = int(in.Int())
+			}
+		case "body_bytes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.BodyBytes = int(in.Int())
+			}
+		case "header_time":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.HeaderTime).UnmarshalEasyJSON(in)
+			}
+		case "idle_time":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.IdleTime).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec4(out *jwriter.Writer, in Limits) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.HeaderBytes != 0 {
+		const prefix string = ",\"header_bytes\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.HeaderBytes))
+	}
+	if in.BodyBytes != 0 {
+		const prefix string = ",\"body_bytes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.BodyBytes))
+	}
+	if in.HeaderTime != 0 {
+		const prefix string = ",\"header_time\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.HeaderTime).MarshalEasyJSON(out)
+	}
+	if in.IdleTime != 0 {
+		const prefix string = ",\"idle_time\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.IdleTime).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec3(in *jlexer.Lexer, out *Lane) {
+
+// MarshalJSON supports json.Marshaler interface
+func (v Limits) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec4(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec4(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Limits) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec4(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec4(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec5(in *jlexer.Lexer, out *Lane) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -509,6 +837,99 @@
 			} else {
 				out.Repeatable = bool(in.Bool())
 			}
+		case "authority":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Authority = string(in.String())
+			}
+		case "path_prefix":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.PathPrefix = string(in.String())
+			}
+		case "split":
+			if in.IsNull() {
+				in.Skip()
+				out.Split = nil
+			} else {
+				in.Delim('[')
+				if out.Split == nil {
+					if !in.IsDelim(']') {
+						out.Split = make([]Share, 0, 2)
+					} else {
+						out.Split = []Share{}
+					}
+				} else {
+					out.Split = (out.Split)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v20 Share
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v20).UnmarshalEasyJSON(in)
+					}
+					out.Split = append(out.Split, v20)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "deadline":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Deadline).UnmarshalEasyJSON(in)
+			}
+		case "attempts":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Attempts = int(in.Int())
+			}
+		case "rank":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Rank = int(in.Int())
+			}
+		case "resumable":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Resumable = bool(in.Bool())
+			}
+		case "pause":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Pause).UnmarshalEasyJSON(in)
+			}
+		case "annotations":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Annotations = make(map[string]easyjson.RawMessage)
+				} else {
+					out.Annotations = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v21 easyjson.RawMessage
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v21).UnmarshalEasyJSON(in)
+					}
+					(out.Annotations)[key] = v21
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -523,7 +944,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec3(out *jwriter.Writer, in Lane) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec5(out *jwriter.Writer, in Lane) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -557,33 +978,101 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Repeatable))
 	}
+	if in.Authority != "" {
+		const prefix string = ",\"authority\":"
+		out.RawString(prefix)
+		out.String(string(in.Authority))
+	}
+	if in.PathPrefix != "" {
+		const prefix string = ",\"path_prefix\":"
+		out.RawString(prefix)
+		out.String(string(in.PathPrefix))
+	}
+	if len(in.Split) != 0 {
+		const prefix string = ",\"split\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v22, v23 := range in.Split {
+				if v22 > 0 {
+					out.RawByte(',')
+				}
+				(v23).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Deadline != 0 {
+		const prefix string = ",\"deadline\":"
+		out.RawString(prefix)
+		(in.Deadline).MarshalEasyJSON(out)
+	}
+	if in.Attempts != 0 {
+		const prefix string = ",\"attempts\":"
+		out.RawString(prefix)
+		out.Int(int(in.Attempts))
+	}
+	if in.Rank != 0 {
+		const prefix string = ",\"rank\":"
+		out.RawString(prefix)
+		out.Int(int(in.Rank))
+	}
+	if in.Resumable {
+		const prefix string = ",\"resumable\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Resumable))
+	}
+	if in.Pause != 0 {
+		const prefix string = ",\"pause\":"
+		out.RawString(prefix)
+		(in.Pause).MarshalEasyJSON(out)
+	}
+	if len(in.Annotations) != 0 {
+		const prefix string = ",\"annotations\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('{')
+			v24First := true
+			for v24Name, v24Value := range in.Annotations {
+				if v24First {
+					v24First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v24Name))
+				out.RawByte(':')
+				(v24Value).MarshalEasyJSON(out)
+			}
+			out.RawByte('}')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Lane) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec3(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Lane) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec3(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Lane) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec3(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Lane) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec3(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec5(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec4(in *jlexer.Lexer, out *Flaw) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec6(in *jlexer.Lexer, out *Flaw) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -623,7 +1112,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec4(out *jwriter.Writer, in Flaw) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec6(out *jwriter.Writer, in Flaw) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -643,23 +1132,125 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Flaw) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec4(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Flaw) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec4(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Flaw) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec4(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Flaw) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec4(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec6(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec7(in *jlexer.Lexer, out *Engine) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "slots":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Slots = int(in.Int())
+			}
+		case "memory_tokens":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MemoryTokens = int(in.Int())
+			}
+		case "event_tokens":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.EventTokens = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec7(out *jwriter.Writer, in Engine) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Slots != 0 {
+		const prefix string = ",\"slots\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.Slots))
+	}
+	if in.MemoryTokens != 0 {
+		const prefix string = ",\"memory_tokens\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.MemoryTokens))
+	}
+	if in.EventTokens != 0 {
+		const prefix string = ",\"event_tokens\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.EventTokens))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Engine) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec7(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Engine) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec7(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Engine) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec7(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Engine) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec7(l, v)
 }
