--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -17,11 +17,11 @@
 	properties := gopter.NewProperties(parameters)
 	properties.Property("bound", prop.ForAll(func(seed int64) bool {
 		random := rand.New(rand.NewSource(seed))
-		budget, now := &Budget{}, time.Unix(1_700_000_000, 0)
+		budget, now := New(Default, nil), time.Unix(1_700_000_000, 0)
 		var requests, repeats []time.Time
 		since := func(times []time.Time) (count int) {
 			for _, at := range times {
-				if now.Sub(at) <= Window {
+				if now.Sub(at) <= Default.Window {
 					count++
 				}
 			}
@@ -39,7 +39,7 @@
 			}
 			if budget.Repeat(now) {
 				repeats = append(repeats, now)
-				if float64(since(repeats)) > Share*float64(since(requests)) {
+				if float64(since(repeats)) > Default.Ratio*float64(since(requests)) {
 					return false
 				}
 			}
@@ -47,7 +47,7 @@
 		return len(repeats) > 0
 	}, gen.Int64()))
 	properties.TestingRun(test)
-	if (&Budget{}).Repeat(time.Unix(1_700_000_000, 0)) {
+	if New(Default, nil).Repeat(time.Unix(1_700_000_000, 0)) {
 		test.Fatal("credit at the start")
 	}
 }
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -198,10 +198,10 @@
 	if found != nil {
 		return found
 	}
-	scene := func(now time.Time) ([]pressure.Runner, int) {
+	scene := func(now time.Time) award.Field {
 		snapshot, daemons := plane.snapshot.Load(), *plane.daemons.Load()
 		if snapshot.Book == nil || snapshot.Book.Pools[pool] == nil {
-			return nil, 1
+			return award.Field{Daemons: 1}
 		}
 		var permitted []pressure.Runner
 		for _, runner := range plane.Yard.Book.All(now, daemons) {
@@ -209,7 +209,7 @@
 				permitted = append(permitted, runner)
 			}
 		}
-		return permitted, len(daemons)
+		return award.Field{Runners: permitted, Daemons: len(daemons), Pool: *snapshot.Book.Pools[pool]}
 	}
 	plane.deskMutex.Lock()
 	defer plane.deskMutex.Unlock()
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -37,6 +37,10 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Tokens is how much of its memory is in use and can't give way, and Room how much it has, both in
+	// tokens; Room 0: not told.
+	Tokens int `json:"tokens,omitempty"`
+	Room   int `json:"room,omitempty"`
 }
 
 // Runner is one runner as seen at a moment; it is a copy.
@@ -175,10 +179,30 @@
 			known.external = others
 		}
 		known.external += smoothing * (others - known.external)
+		// Why: the head of an answer tells nothing of memory; what a report told of it holds on.
+		if report.Room == 0 {
+			report.Tokens, report.Room = known.report.Tokens, known.report.Room
+		}
 		known.report, known.reported, known.misses, known.others = report, now, 0, others
 	})
 }
 
+// Stale gives the listed runners whose newest word, be it a report or an answer's head, is older than a bound.
+func (book *Book) Stale(now time.Time, bound time.Duration) []Runner {
+	var runners []Runner
+	for _, shard := range book.shards {
+		shard.mutex.Lock()
+		for _, known := range shard.entries {
+			if known.listed && now.Sub(known.reported) >= bound {
+				runners = append(runners, book.view(now, known, nil))
+			}
+		}
+		shard.mutex.Unlock()
+	}
+	sort.Slice(runners, func(left, right int) bool { return runners[left].ID < runners[right].ID })
+	return runners
+}
+
 // Missed takes in that a runner's report could not be had, which pauses its use; it tells whether the
 // runner is to be taken for lost: another answers at its address, it is no longer listed either, or
 // several reports in a row have failed.
--- a/proof/place/place.go
+++ b/proof/place/place.go
@@ -90,7 +90,7 @@
 }
 
 type daemon struct {
-	budget  budget.Budget
+	budget  *budget.Budget
 	zone    string
 	book    *pressure.Book
 	desk    *award.Desk
@@ -137,9 +137,11 @@
 		if failure != nil {
 			return nil, failure
 		}
-		made := &daemon{zone: setting.Zones[number%len(setting.Zones)], book: pressure.NewBook(stage.world.Now, name), tickets: map[*award.Ticket]*job{}}
+		made := &daemon{budget: budget.New(budget.Default, nil), zone: setting.Zones[number%len(setting.Zones)], book: pressure.NewBook(stage.world.Now, name), tickets: map[*award.Ticket]*job{}}
 		made.book.List(stage.world.Now, lines)
-		made.desk = award.NewDesk(func(now time.Time) ([]pressure.Runner, int) { return made.book.All(now, names), len(names) },
+		made.desk = award.NewDesk(func(now time.Time) award.Field {
+			return award.Field{Runners: made.book.All(now, names), Daemons: len(names)}
+		},
 			made.book, indexer, rand.New(rand.NewSource(stage.random.Int63())))
 		made.desk.Choose = Ways[setting.Way]
 		stage.daemons = append(stage.daemons, made)
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -26,11 +26,20 @@
 
 // Bid is what a prompt brings to the auction.
 type Bid struct {
-	Worth        float64
-	Patience     time.Duration
-	Waited       time.Duration
+	Worth float64
+	// Patience is the time within which the first event earns its full worth.
+	Patience time.Duration
+	Waited   time.Duration
+	// Deadline is how long the requester waits at all, from when the request came; 0: not told.
+	Deadline     time.Duration
 	PromptTokens int
-	Zone         string
+	// AnswerTokens is the most that the answer may hold; 0: not told.
+	AnswerTokens int
+	// Rank orders lanes under pressure, 0 first.
+	Rank int
+	// Resumed tells that part of the answer was relayed already and the rest is wanted.
+	Resumed bool
+	Zone    string
 	// InPurse is false when the lane already holds its share of the pool.
 	InPurse bool
 	// Shut names runners that this request must not go to again.
@@ -64,16 +73,21 @@
 	Fault      fault.Kind
 	RetryAfter time.Duration
 	Reason     string
+	// Urgency is what the runner is told, from 0, the most urgent, to 9; Unset stands for not telling.
+	Urgency int
 }
 
+// Unset is the urgency of a request whose runner is told none.
+const Unset = 5
+
 // Urgency grows with the part of its patience that a prompt has used up.
 func (bid Bid) Urgency() float64 {
 	return 1 + min(1, float64(bid.Waited)/float64(max(bid.Patience, time.Millisecond)))
 }
 
-// Rank orders waiting prompts; the greater goes first. A lane beyond its purse comes after all
+// standing orders waiting prompts; the greater goes first. A lane beyond its purse comes after all
 // lanes within theirs, so that none starves.
-func (bid Bid) Rank() float64 {
+func (bid Bid) standing() float64 {
 	rank := bid.Worth * bid.Urgency()
 	if bid.InPurse {
 		rank += 10_000
@@ -162,7 +176,7 @@
 	}
 	if best >= 0 && pursed && market.Ahead == 0 {
 		quote := quotes[best]
-		return Step{Kind: Pass, Runner: quote.Offer.Runner, HeldTokens: quote.Offer.HeldTokens, Predicted: seconds(quote.First)}
+		return Step{Kind: Pass, Runner: quote.Offer.Runner, HeldTokens: quote.Offer.HeldTokens, Predicted: seconds(quote.First), Urgency: Unset}
 	}
 	return wait(bid, market, quotes, best >= 0 && !pursed)
 }
--- a/request/award/award_test.go
+++ b/request/award/award_test.go
@@ -33,7 +33,7 @@
 		made.runners = append(made.runners, &wire.Runner{RunnerId: fmt.Sprintf("r%02d", number), Address: "x", Zone: "a", Service: "s", State: "ready"})
 	}
 	made.book.List(begun, made.runners)
-	made.Desk = NewDesk(func(now time.Time) ([]pressure.Runner, int) { return made.book.All(now, []string{"d1"}), 1 }, made.book, indexer, rand.New(rand.NewSource(1)))
+	made.Desk = NewDesk(func(now time.Time) Field { return Field{Runners: made.book.All(now, []string{"d1"}), Daemons: 1} }, made.book, indexer, rand.New(rand.NewSource(1)))
 	return made
 }
 
@@ -227,7 +227,7 @@
 		runners = append(runners, &wire.Runner{RunnerId: fmt.Sprintf("r%02d", number), Zone: "a", State: "ready"})
 	}
 	book.List(begun, runners)
-	desk := NewDesk(func(now time.Time) ([]pressure.Runner, int) { return book.All(now, []string{"d1"}), 1 }, book, indexer, rand.New(rand.NewSource(1)))
+	desk := NewDesk(func(now time.Time) Field { return Field{Runners: book.All(now, []string{"d1"}), Daemons: 1} }, book, indexer, rand.New(rand.NewSource(1)))
 	keys := indexer.Processor.BlockKeys([]string{"a", "b", "c"}, kvblock.Extra{})
 	bench.ReportAllocs()
 	for bench.Loop() {
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wardtray/epoch/spec"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
@@ -30,9 +31,16 @@
 	waited  bool
 }
 
-// Scene is what a desk asks for before it decides: the runners that the newest spec allows the pool,
-// and how many daemons share them.
-type Scene func(now time.Time) (runners []pressure.Runner, daemons int)
+// Field is what a desk decides about: the runners that the newest spec allows the pool, how many daemons
+// share them, and what operators tell of the pool.
+type Field struct {
+	Runners []pressure.Runner
+	Daemons int
+	Pool    spec.Pool
+}
+
+// Scene gives the field as it is now.
+type Scene func(now time.Time) Field
 
 // Desk awards the prompts of one pool at one daemon.
 type Desk struct {
@@ -95,6 +103,13 @@
 	desk.settle(now)
 }
 
+// Waiting tells whether anybody waits; only then is there anything to settle.
+func (desk *Desk) Waiting() bool {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return len(desk.waitlist) > 0
+}
+
 // Cancel takes a ticket off the waitlist; it tells whether the ticket was still there.
 func (desk *Desk) Cancel(ticket *Ticket) bool {
 	desk.mutex.Lock()
@@ -231,7 +246,8 @@
 }
 
 func (desk *Desk) market(now time.Time) Market {
-	runners, daemons := desk.scene(now)
+	field := desk.scene(now)
+	runners, daemons := field.Runners, field.Daemons
 	market := Market{Now: now, Prices: desk.prices}
 	slots, used, places := 0.0, 0.0, 0.0
 	for _, runner := range runners {
@@ -282,7 +298,7 @@
 		ticket.Bid.InPurse = desk.inPurse(ticket, market)
 	}
 	sort.SliceStable(desk.waitlist, func(left, right int) bool {
-		return desk.waitlist[left].Bid.Rank() > desk.waitlist[right].Bid.Rank()
+		return desk.waitlist[left].Bid.standing() > desk.waitlist[right].Bid.standing()
 	})
 	kept := desk.waitlist[:0]
 	ahead := 0
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -63,6 +63,8 @@
 	// Once remembers requests that run at most once; Tell tells the zone's other daemons of them.
 	Once *once.Memory
 	Tell func(key once.Key, dropped bool)
+	// Repeats bounds what is sent again; the zero value stands for budget.Default.
+	Repeats budget.Settings
 
 	InFlight atomic.Int64
 	Draining atomic.Bool
@@ -71,11 +73,14 @@
 
 type lockedBudget struct {
 	mutex  sync.Mutex
-	budget budget.Budget
+	budget *budget.Budget
 }
 
 func (yard *Yard) budget(pool string) *lockedBudget {
-	found, _ := yard.budgets.LoadOrStore(pool, &lockedBudget{})
+	found, known := yard.budgets.Load(pool)
+	if !known {
+		found, _ = yard.budgets.LoadOrStore(pool, &lockedBudget{budget: budget.New(yard.Repeats, func() int { return len(yard.Daemons()) })})
+	}
 	return found.(*lockedBudget)
 }
 
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -133,7 +133,7 @@
 	}
 	book.List(now, lines)
 	daemons := func() []string { return []string{"d"} }
-	desk := award.NewDesk(func(now time.Time) ([]pressure.Runner, int) { return book.All(now, daemons()), 1 }, book, indexer, rand.New(rand.NewSource(1)))
+	desk := award.NewDesk(func(now time.Time) award.Field { return award.Field{Runners: book.All(now, daemons()), Daemons: 1} }, book, indexer, rand.New(rand.NewSource(1)))
 	made.Yard = &Yard{Name: "d", Zone: "a", Snapshot: func() *director.Snapshot { return made.snapshot }, Daemons: daemons, Book: book,
 		World: seam.Real(nil), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Once: once.New(), Tell: func(key once.Key, dropped bool) { made.told = append(made.told, dropped) },
