Checks of the spec's new fields, lanes found by host and path, and annotations in order

A spec's lanes may be found by host and longest path prefix, split over pools and carry bounds and annotations, but none of that was checked, and annotations were written in a random order, so that one spec had many canonical forms. Every field has its bound and the path of its flaw. A list may be empty where no zones are named, but not left out.

--- /dev/null
+++ b/epoch/spec/check.go
@@ -0,0 +1,237 @@
+package spec
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	maximumName        = 256
+	maximumServices    = 64
+	maximumAdapters    = 1024
+	maximumShares      = 64
+	maximumWeight      = 1_000_000
+	maximumAttempts    = 1000
+	maximumRank        = 1000
+	maximumConnections = 1_000_000
+	maximumSlots       = 1_000_000
+	maximumTokens      = 1 << 40
+	maximumPath        = 1024
+	maximumHeaderBytes = 1 << 20
+	maximumBodyBytes   = 1 << 30
+	maximumSpan        = 24 * time.Hour
+	// maximumAnnotations bounds what one entry may carry for the operators' tools.
+	maximumAnnotations = 256 << 10
+)
+
+// checker gathers the flaws of a spec.
+type checker struct {
+	flaws []Flaw
+}
+
+func (checker *checker) flaw(path, format string, values ...any) {
+	checker.flaws = append(checker.flaws, Flaw{Path: path, Detail: fmt.Sprintf(format, values...)})
+}
+
+func (checker *checker) count(path string, have, least, most int) {
+	if have < least || have > most {
+		checker.flaw(path, "has %d entries; wants %d to %d", have, least, most)
+	}
+}
+
+func (checker *checker) name(path, name string, seen map[string]bool) {
+	if !plain(name) {
+		checker.flaw(path+".name", "wants 1 to %d of the letters a-z and A-Z, 0-9, '-', '_' and '.'", maximumName)
+		return
+	}
+	if seen[name] {
+		checker.flaw(path+".name", "%q is there twice", name)
+	}
+	seen[name] = true
+}
+
+func (checker *checker) text(path, value string) {
+	if value == "" || len(value) > 256 {
+		checker.flaw(path, "wants 1 to 256 bytes")
+	}
+}
+
+func (checker *checker) distinct(path string, list []string) {
+	seen := map[string]bool{}
+	for position, value := range list {
+		here := fmt.Sprintf("%s[%d]", path, position)
+		checker.text(here, value)
+		if seen[value] {
+			checker.flaw(here, "%q is there twice", value)
+		}
+		seen[value] = true
+	}
+}
+
+func (checker *checker) within(path string, value, least, most int) {
+	if value < least || value > most {
+		checker.flaw(path, "wants %d to %d", least, most)
+	}
+}
+
+func (checker *checker) span(path string, value Span, least, most time.Duration) {
+	if length := time.Duration(value); length < least || length > most {
+		checker.flaw(path, "wants %v to %v", least, most)
+	}
+}
+
+func (checker *checker) annotations(path string, annotations Annotations) {
+	size := 0
+	for _, name := range annotations.names() {
+		checker.text(path+"."+name, name)
+		size += len(name) + len(annotations[name])
+	}
+	if size > maximumAnnotations {
+		checker.flaw(path, "takes %d bytes; at most %d", size, maximumAnnotations)
+	}
+}
+
+// Check lists every flaw, in the order of the document.
+func (spec *Spec) Check() []Flaw {
+	checker := &checker{}
+	// Why: a list left out is more likely forgotten than meant, and would take everything away. The same goes
+	// for one that is empty where zones are listed; who lists none has nothing that would be served there.
+	least := min(1, len(spec.Zones))
+	for _, list := range []struct {
+		path                  string
+		missing               bool
+		entries, least, bound int
+	}{{"zones", spec.Zones == nil, len(spec.Zones), 0, MaximumZones}, {"pools", spec.Pools == nil, len(spec.Pools), least, MaximumPools},
+		{"lanes", spec.Lanes == nil, len(spec.Lanes), least, MaximumLanes}} {
+		if list.missing {
+			checker.flaw(list.path, "is left out; write [] for none")
+			continue
+		}
+		checker.count(list.path, list.entries, list.least, list.bound)
+	}
+	zones, pools, lanes, routes := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for place, zone := range spec.Zones {
+		checker.name(fmt.Sprintf("zones[%d]", place), zone.Name, zones)
+	}
+	for place := range spec.Pools {
+		checker.pool(fmt.Sprintf("pools[%d]", place), &spec.Pools[place], pools)
+	}
+	for place := range spec.Lanes {
+		checker.lane(fmt.Sprintf("lanes[%d]", place), &spec.Lanes[place], pools, lanes, routes)
+	}
+	checker.within("limits.header_bytes", spec.Limits.HeaderBytes, 0, maximumHeaderBytes)
+	checker.within("limits.body_bytes", spec.Limits.BodyBytes, 0, maximumBodyBytes)
+	checker.span("limits.header_time", spec.Limits.HeaderTime, 0, maximumSpan)
+	checker.span("limits.idle_time", spec.Limits.IdleTime, 0, maximumSpan)
+	checker.annotations("annotations", spec.Annotations)
+	return checker.flaws
+}
+
+func (checker *checker) pool(path string, pool *Pool, pools map[string]bool) {
+	checker.name(path, pool.Name, pools)
+	if pool.Model != "" || pool.Weights != "" {
+		checker.text(path+".model", pool.Model)
+		checker.text(path+".weights", pool.Weights)
+	}
+	checker.count(path+".services", len(pool.Services), 1, maximumServices)
+	checker.count(path+".adapters", len(pool.Adapters), 0, maximumAdapters)
+	checker.distinct(path+".services", pool.Services)
+	checker.distinct(path+".adapters", pool.Adapters)
+	checker.within(path+".connection_limit", pool.ConnectionLimit, 0, maximumConnections)
+	if pool.HealthPath != "" && !pathLike(pool.HealthPath) {
+		checker.flaw(path+".health_path", "wants a path of at most %d bytes that begins with '/'", maximumPath)
+	}
+	checker.within(path+".engine.slots", pool.Engine.Slots, 0, maximumSlots)
+	checker.within(path+".engine.memory_tokens", pool.Engine.MemoryTokens, 0, maximumTokens)
+	checker.within(path+".engine.event_tokens", pool.Engine.EventTokens, 0, maximumSlots)
+	checker.annotations(path+".annotations", pool.Annotations)
+}
+
+func (checker *checker) lane(path string, lane *Lane, pools, lanes, routes map[string]bool) {
+	checker.name(path, lane.Name, lanes)
+	checker.destination(path, lane, pools)
+	if !(lane.Worth >= 1 && lane.Worth <= 1000) {
+		checker.flaw(path+".worth", "wants 1 to 1000")
+	}
+	checker.span(path+".patience", lane.Patience, 10*time.Millisecond, time.Hour)
+	if !(lane.Purse > 0 && lane.Purse <= 1) {
+		checker.flaw(path+".purse", "wants more than 0, at most 1")
+	}
+	checker.route(path, lane, routes)
+	checker.span(path+".deadline", lane.Deadline, 0, maximumSpan)
+	checker.within(path+".attempts", lane.Attempts, 0, maximumAttempts)
+	checker.within(path+".rank", lane.Rank, 0, maximumRank)
+	checker.span(path+".pause", lane.Pause, 0, maximumSpan)
+	checker.annotations(path+".annotations", lane.Annotations)
+}
+
+// destination checks that a lane's requests have somewhere to go.
+func (checker *checker) destination(path string, lane *Lane, pools map[string]bool) {
+	if lane.Split == nil {
+		if !pools[lane.Pool] {
+			checker.flaw(path+".pool", "there is no pool %q", lane.Pool)
+		}
+		return
+	}
+	if lane.Pool != "" {
+		checker.flaw(path+".split", "stands beside a pool; give one of the two")
+	}
+	checker.count(path+".split", len(lane.Split), 1, maximumShares)
+	sum := 0
+	for place, share := range lane.Split {
+		here := fmt.Sprintf("%s.split[%d]", path, place)
+		if !pools[share.Pool] {
+			checker.flaw(here+".pool", "there is no pool %q", share.Pool)
+		}
+		checker.within(here+".weight", share.Weight, 0, maximumWeight)
+		sum += share.Weight
+	}
+	if len(lane.Split) > 0 && sum == 0 {
+		checker.flaw(path+".split", "its weights sum to 0")
+	}
+}
+
+// route checks the host and path by which a lane is found.
+func (checker *checker) route(path string, lane *Lane, routes map[string]bool) {
+	if lane.Authority == "" && lane.PathPrefix == "" {
+		return
+	}
+	authority := Host(lane.Authority)
+	if authority == "" || len(authority) > 256 || !visible(authority) || strings.Contains(authority, "/") {
+		checker.flaw(path+".authority", "wants the name of a host, of at most 256 bytes")
+	}
+	if !pathLike(lane.PathPrefix) || !strings.HasSuffix(lane.PathPrefix, "/") {
+		checker.flaw(path+".path_prefix", "wants a path of at most %d bytes that begins and ends with '/'", maximumPath)
+		return
+	}
+	if routes[authority+lane.PathPrefix] {
+		checker.flaw(path+".path_prefix", "another lane has %s%s", authority, lane.PathPrefix)
+	}
+	routes[authority+lane.PathPrefix] = true
+}
+
+func pathLike(path string) bool {
+	return strings.HasPrefix(path, "/") && len(path) <= maximumPath && visible(path)
+}
+
+// visible tells whether a text can stand in the first line and the headers of a request.
+func visible(text string) bool {
+	for _, letter := range []byte(text) {
+		if letter <= ' ' || letter == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// plain tells whether a name can stand in headers, paths and command lines as it is.
+func plain(name string) bool {
+	for _, letter := range name {
+		if !(letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' || letter >= '0' && letter <= '9' ||
+			letter == '-' || letter == '_' || letter == '.') {
+			return false
+		}
+	}
+	return len(name) >= 1 && len(name) <= maximumName
+}
--- a/epoch/spec/diff.go
+++ b/epoch/spec/diff.go
@@ -54,5 +54,12 @@
 	for place := range spec.Lanes {
 		add("lane "+spec.Lanes[place].Name, &spec.Lanes[place])
 	}
+	// Why: what a spec does not bound or annotate is no entry, or an empty spec would have one.
+	if spec.Limits != (Limits{}) {
+		add("limits", &spec.Limits)
+	}
+	if len(spec.Annotations) > 0 {
+		add("annotations", spec.Annotations)
+	}
 	return entries
 }
--- a/epoch/spec/spec.go
+++ b/epoch/spec/spec.go
@@ -51,11 +51,11 @@
 type Spec struct {
 	Zones []Zone `json:"zones"`
 	Pools []Pool `json:"pools"`
-	Lanes []Lane `json:"lanes"`
+	Lanes Lanes  `json:"lanes"`
 	// Limits hold for every requester.
 	Limits Limits `json:"limits,omitempty"`
 	// Annotations are what the operators' tools keep beside the spec.
-	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
+	Annotations Annotations `json:"annotations,omitempty"`
 }
 
 // Zone is a place that may be closed to new work.
@@ -66,13 +66,13 @@
 	Closed bool   `json:"closed"`
 }
 
-// Pool is the runners that serve one model with one set of weights.
+// Pool is the runners that serve one model with one set of weights; without them, any model.
 //
 //easyjson:json
 type Pool struct {
 	Name     string   `json:"name"`
-	Model    string   `json:"model"`
-	Weights  string   `json:"weights"`
+	Model    string   `json:"model,omitempty"`
+	Weights  string   `json:"weights,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
 	// Services are the services of which runners may take this pool's work.
 	Services []string `json:"services"`
@@ -82,7 +82,7 @@
 	HealthPath string `json:"health_path,omitempty"`
 	Engine     Engine `json:"engine,omitempty"`
 	// Annotations are what the operators' tools keep beside a pool; wardtray stores and gives them back unchanged.
-	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
+	Annotations Annotations `json:"annotations,omitempty"`
 }
 
 // Engine is what operators tell of the engines of a pool's runners; 0 stands for not told.
@@ -102,12 +102,13 @@
 //easyjson:json
 type Lane struct {
 	Name string `json:"name"`
-	Pool string `json:"pool"`
-	// Worth weighs the lane against others; 1 to 1000.
+	Pool string `json:"pool,omitempty"`
+	// Worth weighs the lane against others; 1 to 1000, and 1 where it is left out.
 	Worth float64 `json:"worth"`
 	// Patience is how long until the first event may take.
 	Patience Span `json:"patience"`
-	// Purse is the share of the pool that the lane may hold while others wait; above 0, at most 1.
+	// Purse is the share of the pool that the lane may hold while others wait; above 0, at most 1, and 1 where
+	// it is left out.
 	Purse float64 `json:"purse"`
 	// Repeatable says that a second run does no harm. Without it a prompt runs at most once.
 	Repeatable bool `json:"repeatable"`
@@ -128,7 +129,7 @@
 	// Pause is the longest time between two events with which a stream is still in time; 0: not told.
 	Pause Span `json:"pause,omitempty"`
 	// Annotations are what the operators' tools keep beside a lane; wardtray stores and gives them back unchanged.
-	Annotations map[string]easyjson.RawMessage `json:"annotations,omitempty"`
+	Annotations Annotations `json:"annotations,omitempty"`
 }
 
 // Share is one pool's part of a lane.
@@ -181,118 +182,6 @@
 	return content
 }
 
-// Check lists every flaw, in the order of the document.
-func (spec *Spec) Check() []Flaw {
-	var flaws []Flaw
-	flaw := func(path, format string, values ...any) {
-		flaws = append(flaws, Flaw{Path: path, Detail: fmt.Sprintf(format, values...)})
-	}
-	count := func(path string, have, least, most int) {
-		if have < least || have > most {
-			flaw(path, "has %d entries; wants %d to %d", have, least, most)
-		}
-	}
-	count("zones", len(spec.Zones), 1, MaximumZones)
-	count("pools", len(spec.Pools), 1, MaximumPools)
-	count("lanes", len(spec.Lanes), 1, MaximumLanes)
-	name := func(path, name string, seen map[string]bool) {
-		if !plain(name) {
-			flaw(path+".name", "wants 1 to 64 of the letters a-z, 0-9, '-', '_' and '.'")
-			return
-		}
-		if seen[name] {
-			flaw(path+".name", "%q is there twice", name)
-		}
-		seen[name] = true
-	}
-	text := func(path, value string) {
-		if value == "" || len(value) > 256 {
-			flaw(path, "wants 1 to 256 bytes")
-		}
-	}
-	distinct := func(path string, list []string) {
-		seen := map[string]bool{}
-		for position, value := range list {
-			here := fmt.Sprintf("%s[%d]", path, position)
-			text(here, value)
-			if seen[value] {
-				flaw(here, "%q is there twice", value)
-			}
-			seen[value] = true
-		}
-	}
-	zones, pools, lanes := map[string]bool{}, map[string]bool{}, map[string]bool{}
-	for place, zone := range spec.Zones {
-		name(fmt.Sprintf("zones[%d]", place), zone.Name, zones)
-	}
-	for place, pool := range spec.Pools {
-		path := fmt.Sprintf("pools[%d]", place)
-		name(path, pool.Name, pools)
-		text(path+".model", pool.Model)
-		text(path+".weights", pool.Weights)
-		count(path+".services", len(pool.Services), 1, 64)
-		count(path+".adapters", len(pool.Adapters), 0, 1024)
-		distinct(path+".services", pool.Services)
-		distinct(path+".adapters", pool.Adapters)
-	}
-	for place, lane := range spec.Lanes {
-		path := fmt.Sprintf("lanes[%d]", place)
-		name(path, lane.Name, lanes)
-		if !pools[lane.Pool] {
-			flaw(path+".pool", "there is no pool %q", lane.Pool)
-		}
-		if !(lane.Worth >= 1 && lane.Worth <= 1000) {
-			flaw(path+".worth", "wants 1 to 1000")
-		}
-		if patience := time.Duration(lane.Patience); patience < 10*time.Millisecond || patience > time.Hour {
-			flaw(path+".patience", "wants 10ms to 1h")
-		}
-		if !(lane.Purse > 0 && lane.Purse <= 1) {
-			flaw(path+".purse", "wants more than 0, at most 1")
-		}
-	}
-	return flaws
-}
-
-// plain tells whether a name can stand in headers, paths and command lines as it is.
-func plain(name string) bool {
-	for _, letter := range name {
-		if !(letter >= 'a' && letter <= 'z' || letter >= '0' && letter <= '9' || letter == '-' || letter == '_' || letter == '.') {
-			return false
-		}
-	}
-	return len(name) >= 1 && len(name) <= 64
-}
-
-// Book is a spec with its entries ready to be found by name.
-type Book struct {
-	Spec  *Spec
-	Lanes map[string]*Lane
-	Pools map[string]*Pool
-	Zones map[string]*Zone
-}
-
-// NewBook indexes a checked spec.
-func NewBook(spec *Spec) *Book {
-	book := &Book{Spec: spec, Lanes: map[string]*Lane{}, Pools: map[string]*Pool{}, Zones: map[string]*Zone{}}
-	for place := range spec.Zones {
-		book.Zones[spec.Zones[place].Name] = &spec.Zones[place]
-	}
-	for place := range spec.Pools {
-		book.Pools[spec.Pools[place].Name] = &spec.Pools[place]
-	}
-	for place := range spec.Lanes {
-		book.Lanes[spec.Lanes[place].Name] = &spec.Lanes[place]
-	}
-	return book
-}
-
-// Open tells whether a zone is named and not closed.
-func (book *Book) Open(zone string) bool {
-	found := book.Zones[zone]
-	return found != nil && !found.Closed
-}
-
 // Allows tells whether a pool may use a service.
 func (pool *Pool) Allows(service string) bool {
 	for _, allowed := range pool.Services {
@@ -303,6 +192,9 @@
 	return false
 }
 
+// Runs tells whether a pool serves a model; one that names none serves any.
+func (pool *Pool) Runs(model string) bool { return pool.Model == "" || pool.Model == model }
+
 // Serves tells whether a pool has an adapter; no adapter at all is always served.
 func (pool *Pool) Serves(adapter string) bool {
 	if adapter == "" {
--- a/epoch/spec/spec_easyjson.go
+++ b/epoch/spec/spec_easyjson.go
@@ -168,29 +168,8 @@
 		case "lanes":
 			if in.IsNull() {
 				in.Skip()
-				out.Lanes = nil
 			} else {
-				in.Delim('[')
-				if out.Lanes == nil {
-					if !in.IsDelim(']') {
-						out.Lanes = make([]Lane, 0, 0)
-					} else {
-						out.Lanes = []Lane{}
-					}
-				} else {
-					out.Lanes = (out.Lanes)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v3 Lane
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						(v3).UnmarshalEasyJSON(in)
-					}
-					out.Lanes = append(out.Lanes, v3)
-					in.WantComma()
-				}
-				in.Delim(']')
+				(out.Lanes).UnmarshalEasyJSON(in)
 			}
 		case "limits":
 			if in.IsNull() {
@@ -202,25 +181,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				in.Delim('{')
-				if !in.IsDelim('}') {
-					out.Annotations = make(map[string]easyjson.RawMessage)
-				} else {
-					out.Annotations = nil
-				}
-				for !in.IsDelim('}') {
-					key := string(in.String())
-					in.WantColon()
-					var v4 easyjson.RawMessage
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						(v4).UnmarshalEasyJSON(in)
-					}
-					(out.Annotations)[key] = v4
-					in.WantComma()
-				}
-				in.Delim('}')
+				(out.Annotations).UnmarshalEasyJSON(in)
 			}
 		default:
 			in.AddError(&jlexer.LexerError{
@@ -247,11 +208,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Zones {
-				if v5 > 0 {
+			for v3, v4 := range in.Zones {
+				if v3 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v4).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -263,11 +224,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v7, v8 := range in.Pools {
-				if v7 > 0 {
+			for v5, v6 := range in.Pools {
+				if v5 > 0 {
 					out.RawByte(',')
 				}
-				(v8).MarshalEasyJSON(out)
+				(v6).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -275,18 +236,7 @@
 	{
 		const prefix string = ",\"lanes\":"
 		out.RawString(prefix)
-		if in.Lanes == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
-			out.RawByte('[')
-			for v9, v10 := range in.Lanes {
-				if v9 > 0 {
-					out.RawByte(',')
-				}
-				(v10).MarshalEasyJSON(out)
-			}
-			out.RawByte(']')
-		}
+		(in.Lanes).MarshalEasyJSON(out)
 	}
 	if true {
 		const prefix string = ",\"limits\":"
@@ -296,21 +246,7 @@
 	if len(in.Annotations) != 0 {
 		const prefix string = ",\"annotations\":"
 		out.RawString(prefix)
-		{
-			out.RawByte('{')
-			v11First := true
-			for v11Name, v11Value := range in.Annotations {
-				if v11First {
-					v11First = false
-				} else {
-					out.RawByte(',')
-				}
-				out.String(string(v11Name))
-				out.RawByte(':')
-				(v11Value).MarshalEasyJSON(out)
-			}
-			out.RawByte('}')
-		}
+		(in.Annotations).MarshalEasyJSON(out)
 	}
 	out.RawByte('}')
 }
@@ -466,13 +402,13 @@
 					out.Adapters = (out.Adapters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v12 string
+					var v7 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v12 = string(in.String())
+						v7 = string(in.String())
 					}
-					out.Adapters = append(out.Adapters, v12)
+					out.Adapters = append(out.Adapters, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -493,13 +429,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v13 string
+					var v8 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v13 = string(in.String())
+						v8 = string(in.String())
 					}
-					out.Services = append(out.Services, v13)
+					out.Services = append(out.Services, v8)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -526,25 +462,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				in.Delim('{')
-				if !in.IsDelim('}') {
-					out.Annotations = make(map[string]easyjson.RawMessage)
-				} else {
-					out.Annotations = nil
-				}
-				for !in.IsDelim('}') {
-					key := string(in.String())
-					in.WantColon()
-					var v14 easyjson.RawMessage
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						(v14).UnmarshalEasyJSON(in)
-					}
-					(out.Annotations)[key] = v14
-					in.WantComma()
-				}
-				in.Delim('}')
+				(out.Annotations).UnmarshalEasyJSON(in)
 			}
 		default:
 			in.AddError(&jlexer.LexerError{
@@ -569,12 +487,12 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Name))
 	}
-	{
+	if in.Model != "" {
 		const prefix string = ",\"model\":"
 		out.RawString(prefix)
 		out.String(string(in.Model))
 	}
-	{
+	if in.Weights != "" {
 		const prefix string = ",\"weights\":"
 		out.RawString(prefix)
 		out.String(string(in.Weights))
@@ -584,11 +502,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v15, v16 := range in.Adapters {
-				if v15 > 0 {
+			for v9, v10 := range in.Adapters {
+				if v9 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v16))
+				out.String(string(v10))
 			}
 			out.RawByte(']')
 		}
@@ -600,11 +518,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v17, v18 := range in.Services {
-				if v17 > 0 {
+			for v11, v12 := range in.Services {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v18))
+				out.String(string(v12))
 			}
 			out.RawByte(']')
 		}
@@ -627,21 +545,7 @@
 	if len(in.Annotations) != 0 {
 		const prefix string = ",\"annotations\":"
 		out.RawString(prefix)
-		{
-			out.RawByte('{')
-			v19First := true
-			for v19Name, v19Value := range in.Annotations {
-				if v19First {
-					v19First = false
-				} else {
-					out.RawByte(',')
-				}
-				out.String(string(v19Name))
-				out.RawByte(':')
-				(v19Value).MarshalEasyJSON(out)
-			}
-			out.RawByte('}')
-		}
+		(in.Annotations).MarshalEasyJSON(out)
 	}
 	out.RawByte('}')
 }
@@ -865,13 +769,13 @@
 					out.Split = (out.Split)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v20 Share
+					var v13 Share
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v20).UnmarshalEasyJSON(in)
+						(v13).UnmarshalEasyJSON(in)
 					}
-					out.Split = append(out.Split, v20)
+					out.Split = append(out.Split, v13)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -910,25 +814,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				in.Delim('{')
-				if !in.IsDelim('}') {
-					out.Annotations = make(map[string]easyjson.RawMessage)
-				} else {
-					out.Annotations = nil
-				}
-				for !in.IsDelim('}') {
-					key := string(in.String())
-					in.WantColon()
-					var v21 easyjson.RawMessage
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						(v21).UnmarshalEasyJSON(in)
-					}
-					(out.Annotations)[key] = v21
-					in.WantComma()
-				}
-				in.Delim('}')
+				(out.Annotations).UnmarshalEasyJSON(in)
 			}
 		default:
 			in.AddError(&jlexer.LexerError{
@@ -953,7 +839,7 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Name))
 	}
-	{
+	if in.Pool != "" {
 		const prefix string = ",\"pool\":"
 		out.RawString(prefix)
 		out.String(string(in.Pool))
@@ -993,11 +879,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v22, v23 := range in.Split {
-				if v22 > 0 {
+			for v14, v15 := range in.Split {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				(v23).MarshalEasyJSON(out)
+				(v15).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1030,21 +916,7 @@
 	if len(in.Annotations) != 0 {
 		const prefix string = ",\"annotations\":"
 		out.RawString(prefix)
-		{
-			out.RawByte('{')
-			v24First := true
-			for v24Name, v24Value := range in.Annotations {
-				if v24First {
-					v24First = false
-				} else {
-					out.RawByte(',')
-				}
-				out.String(string(v24Name))
-				out.RawByte(':')
-				(v24Value).MarshalEasyJSON(out)
-			}
-			out.RawByte('}')
-		}
+		(in.Annotations).MarshalEasyJSON(out)
 	}
 	out.RawByte('}')
 }
--- a/epoch/spec/spec_test.go
+++ b/epoch/spec/spec_test.go
@@ -51,6 +51,126 @@
 	}
 }
 
+// with gives the good spec with one text in the place of another.
+func with(test *testing.T, old, fresh string) *Spec {
+	if !strings.Contains(good, old) {
+		test.Fatalf("%s is not in the good spec", old)
+	}
+	parsed, failure := Parse([]byte(strings.Replace(good, old, fresh, 1)))
+	if failure != nil {
+		test.Fatalf("%s: %v", fresh, failure)
+	}
+	return parsed
+}
+
+const (
+	lane   = `"worth":1,`
+	pool   = `"services":["s"]`
+	target = `"pool":"p"`
+	whole  = `"zones":`
+)
+
+// TestEveryFieldHasItsBounds breaks one field at a time; the path of the flaw names it.
+func TestEveryFieldHasItsBounds(test *testing.T) {
+	long := strings.Repeat("x", 257)
+	second := lane + `"patience":"1s","purse":1,"repeatable":false,"authority":"H.example:80","path_prefix":"/a/"},
+{"name":"m","pool":"p","authority":"h.EXAMPLE","path_prefix":"/a/",`
+	cases := []struct{ path, old, fresh string }{
+		{"lanes[0].authority", lane, lane + `"path_prefix":"/a/",`},
+		{"lanes[0].authority", lane, lane + `"authority":"a/b","path_prefix":"/a/",`},
+		{"lanes[0].authority", lane, lane + `"authority":"a b","path_prefix":"/a/",`},
+		{"lanes[0].authority", lane, lane + `"authority":"` + long + `","path_prefix":"/a/",`},
+		{"lanes[0].path_prefix", lane, lane + `"authority":"h",`},
+		{"lanes[0].path_prefix", lane, lane + `"authority":"h","path_prefix":"a/",`},
+		{"lanes[0].path_prefix", lane, lane + `"authority":"h","path_prefix":"/a",`},
+		{"lanes[0].path_prefix", lane, lane + `"authority":"h","path_prefix":"/a b/",`},
+		{"lanes[0].path_prefix", lane, lane + `"authority":"h","path_prefix":"/` + strings.Repeat("x", 1024) + `/",`},
+		{"lanes[1].path_prefix", lane, second},
+		{"lanes[0].pool", target, `"attempts":1`},
+		{"lanes[0].split", target, `"pool":"p","split":[{"pool":"p","weight":1}]`},
+		{"lanes[0].split", target, `"split":[]`},
+		{"lanes[0].split", target, `"split":[{"pool":"p","weight":0},{"pool":"p","weight":0}]`},
+		{"lanes[0].split[1].pool", target, `"split":[{"pool":"p","weight":1},{"pool":"q","weight":1}]`},
+		{"lanes[0].split[0].weight", target, `"split":[{"pool":"p","weight":-1},{"pool":"p","weight":3}]`},
+		{"lanes[0].split[0].weight", target, `"split":[{"pool":"p","weight":1000001}]`},
+		{"lanes[0].split", target, `"split":[` + strings.Repeat(`{"pool":"p","weight":1},`, 64) + `{"pool":"p","weight":1}]`},
+		{"lanes[0].deadline", lane, lane + `"deadline":"-1s",`},
+		{"lanes[0].deadline", lane, lane + `"deadline":"25h",`},
+		{"lanes[0].attempts", lane, lane + `"attempts":-1,`},
+		{"lanes[0].attempts", lane, lane + `"attempts":1001,`},
+		{"lanes[0].rank", lane, lane + `"rank":-1,`},
+		{"lanes[0].rank", lane, lane + `"rank":1001,`},
+		{"lanes[0].pause", lane, lane + `"pause":"-1ms",`},
+		{"lanes[0].pause", lane, lane + `"pause":"25h",`},
+		{"lanes[0].patience", `"1s"`, `"9ms"`},
+		{"lanes[0].patience", `"1s"`, `"61m"`},
+		{"lanes[0].worth", lane, `"worth":0,`},
+		{"lanes[0].worth", lane, `"worth":1001,`},
+		{"lanes[0].purse", `"purse":0.5`, `"purse":0`},
+		{"lanes[0].purse", `"purse":0.5`, `"purse":1.1`},
+		{"lanes[0].name", `"name":"l"`, `"name":"` + long + `"`},
+		{"lanes[0].name", `"name":"l"`, `"name":"a/b"`},
+		{"lanes[0].annotations", lane, lane + `"annotations":{"a":"` + strings.Repeat("x", 256<<10) + `"},`},
+		{"lanes[0].annotations." + long, lane, lane + `"annotations":{"` + long + `":1},`},
+		{"pools[0].model", `"model":"m",`, ``},
+		{"pools[0].weights", `"weights":"w",`, ``},
+		{"pools[0].connection_limit", pool, pool + `,"connection_limit":-1`},
+		{"pools[0].health_path", pool, pool + `,"health_path":"health"`},
+		{"pools[0].engine.slots", pool, pool + `,"engine":{"slots":-1}`},
+		{"pools[0].engine.memory_tokens", pool, pool + `,"engine":{"memory_tokens":-1}`},
+		{"pools[0].engine.event_tokens", pool, pool + `,"engine":{"event_tokens":-1}`},
+		{"pools[0].annotations", pool, pool + `,"annotations":{"a":"` + strings.Repeat("x", 256<<10) + `"}`},
+		{"limits.header_bytes", whole, `"limits":{"header_bytes":-1},` + whole},
+		{"limits.body_bytes", whole, `"limits":{"body_bytes":-1},` + whole},
+		{"limits.header_time", whole, `"limits":{"header_time":"-1s"},` + whole},
+		{"limits.idle_time", whole, `"limits":{"idle_time":"25h"},` + whole},
+		{"annotations", whole, `"annotations":{"a":"` + strings.Repeat("x", 256<<10) + `"},` + whole},
+	}
+	for _, broken := range cases {
+		flaws := with(test, broken.old, broken.fresh).Check()
+		if len(flaws) != 1 || flaws[0].Path != broken.path {
+			test.Errorf("%s: %v", broken.path, flaws)
+		}
+	}
+}
+
+func TestWhatIsLeftOutHasItsDefault(test *testing.T) {
+	parsed := with(test, `"worth":1,"patience":"1s","purse":0.5,`, `"patience":"1s",`)
+	if len(parsed.Check()) > 0 || parsed.Lanes[0].Worth != 1 || parsed.Lanes[0].Purse != 1 {
+		test.Fatalf("%v %+v", parsed.Check(), parsed.Lanes[0])
+	}
+	bare := with(test, `"model":"m","weights":"w",`, ``)
+	if len(bare.Check()) > 0 || !bare.Pools[0].Runs("any") {
+		test.Fatalf("a pool of any model: %v", bare.Check())
+	}
+	if named := with(test, whole, whole); named.Pools[0].Runs("any") || !named.Pools[0].Runs("m") {
+		test.Fatal("a pool of one model serves another")
+	}
+	empty, failure := Parse([]byte(`{"zones":[],"pools":[],"lanes":[]}`))
+	if failure != nil || len(empty.Check()) > 0 {
+		test.Fatalf("a spec that holds nothing on purpose: %v %v", failure, empty.Check())
+	}
+	if !NewBook(empty).Open("anywhere") || NewBook(parsed).Open("anywhere") || !NewBook(parsed).Open("a") {
+		test.Fatal("a spec without zones leaves all open, one with zones only those it names")
+	}
+}
+
+func TestAnnotationsComeBackAsTheyCame(test *testing.T) {
+	text := `{"z":1.50,"a":{"x":[1, 2],"b":null},"m":"é\u0041"}`
+	parsed := with(test, lane, lane+`"annotations":`+text+`,`)
+	for range 20 {
+		again, failure := Parse(parsed.Encode())
+		if failure != nil || string(again.Encode()) != string(parsed.Encode()) {
+			test.Fatalf("another form each time: %v", failure)
+		}
+		for name, want := range map[string]string{"z": "1.50", "a": `{"x":[1, 2],"b":null}`, "m": `"é\u0041"`} {
+			if got := string(again.Lanes[0].Annotations[name]); got != want {
+				test.Fatalf("%s is %s", name, got)
+			}
+		}
+	}
+}
+
 func FuzzParse(fuzz *testing.F) {
 	fuzz.Add([]byte(good))
 	fuzz.Add([]byte(`{"zones":[{"name":"a","closed":1}]}`))
