A registry of runners that call the cores themselves, known to every daemon

Cause: on the users' platform there is no list of runners; each runner calls a control process, and a runner that says it leaves must get no request two seconds after its acknowledgement.

Ruled out: a chain entry for each change (no majority would mean no registry, and beats would cost syncs); one rumor register for each core (112 lines sent whole for every change of one, epochs to be won back after a restart, and no answer to who owns the lines of a core that vanished).

The change: lines joined by one order (stage, then call) at cores and daemons alike; only changes travel, straight to all; sums in the ticks and digests that go anyway find what was missed. A leaving runner is acknowledged once every daemon has confirmed, or after 0.4 s with the news repeated. Cores tell each other which calls they heard, so that any of them knows who is silent.

--- a/process/core/node.go
+++ b/process/core/node.go
@@ -17,6 +17,7 @@
 	"wardtray/process/claim"
 	"wardtray/process/cohort"
 	"wardtray/process/machine"
+	"wardtray/process/registry"
 	"wardtray/process/rumor"
 )
 
@@ -42,6 +43,8 @@
 	Seeds   []string
 	// Founders are the addresses of the first disk machines; all must be there for the first view.
 	Founders []string
+	// Beat is how often runners call; 0 stands for the registry's own.
+	Beat time.Duration
 }
 
 // Counters are what a machine counts of its own work.
@@ -90,6 +93,10 @@
 	packedSpec  []byte
 	packedEpoch uint64
 
+	registrar *registry.Registrar
+	// The newest document that a rumor brought, without its spec.
+	rumored *wire.Document
+
 	head  headState
 	asks  map[string]*ask
 	nonce uint64
@@ -109,6 +116,7 @@
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
 	node.cohort = cohort.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
 	node.rumors = rumor.New(startup.Zone, node.outbox, random, node.partners, func(time.Time, *wire.Register) {})
+	node.rumored, node.registrar = &wire.Document{}, node.newRegistrar(now)
 	node.table()
 	if memory.Document != nil && memory.Document.Sequence > 0 {
 		node.publish(now)
@@ -160,6 +168,10 @@
 	for _, parcel := range parcels {
 		parcel.Envelope.From, parcel.Envelope.Sender, parcel.Envelope.Zone = node.self.Address, node.self.Id, node.self.Zone
 		parcel.Envelope.Epoch = node.agent.Current().Epoch
+		// Why: digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
+		if digest := parcel.Envelope.GetDigest(); digest != nil {
+			digest.Runners = node.registrar.Sum()
+		}
 	}
 	for _, write := range writes {
 		if write.Record != nil {
@@ -241,6 +253,19 @@
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_Digest) {
 		node.rumors.Digest(now, envelope.From, envelope.Zone, body.Digest)
+		node.registrar.Compare(now, envelope.From, body.Digest.Runners)
+	})
+	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_RunnerNews) {
+		node.registrar.News(now, envelope.From, body.RunnerNews)
+	})
+	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_RunnerNewsHeld) {
+		node.registrar.Held(now, envelope.From, body.RunnerNewsHeld)
+	})
+	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_RunnerDigest) {
+		node.registrar.Digest(now, envelope.From, body.RunnerDigest)
+	})
+	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_RunnersHeard) {
+		node.registrar.Heard(now, body.RunnersHeard)
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_Shuffle) {
 		node.cohort.Shuffle(now, envelope.From, body.Shuffle)
@@ -298,6 +323,7 @@
 		for _, peer := range node.peers {
 			peer.heard = now
 		}
+		node.registrar.Resume(now)
 	}
 	node.lastTick = now
 	node.tendDisk(now)
@@ -309,6 +335,7 @@
 	node.tendDirectory(now)
 	node.cohort.Tick(now)
 	node.rumors.Tick(now)
+	node.registrar.Tick(now)
 	node.answerWaiters(now)
 	node.tendAsks(now)
 }
--- a/process/core/orders.go
+++ b/process/core/orders.go
@@ -415,7 +415,7 @@
 
 // onTickAsk answers a data daemon: the head grants, everybody tells the view.
 func (node *Node) onTickAsk(now time.Time, envelope *wire.Envelope, message *wire.TickAsk) {
-	grant := &wire.TickGrant{Nonce: message.Nonce, View: node.agent.Current()}
+	grant := &wire.TickGrant{Nonce: message.Nonce, View: node.agent.Current(), Runners: node.registrar.Sum()}
 	if node.leading(now) {
 		known := node.head.daemons[envelope.From]
 		if known == nil && len(node.head.daemons) < MaximumDaemons {
--- /dev/null
+++ b/process/core/registry.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wardtray/connection/wire"
+	"wardtray/process/registry"
+)
+
+// newRegistrar makes the part of a core that takes runners' calls.
+func (node *Node) newRegistrar(now time.Time) *registry.Registrar {
+	return registry.NewRegistrar(now, node.startup.Beat, node.nonce, node.outbox, registry.Surroundings{
+		Daemons: node.daemonAddresses, Cores: node.coreAddresses, Joined: node.joined})
+}
+
+// Register takes a runner's call; answer is called once, within a second.
+func (node *Node) Register(now time.Time, line *wire.Runner, answer func(outcome registry.Outcome)) {
+	node.registrar.Register(now, line, answer)
+}
+
+// Deregister takes in that a runner's life is over; answer is called once, within a second.
+func (node *Node) Deregister(now time.Time, id string, answer func(outcome registry.Outcome)) {
+	node.registrar.Deregister(now, id, answer)
+}
+
+// Runners lists every registered runner, also those that are gone or silent.
+func (node *Node) Runners(now time.Time) []*wire.Runner { return node.registrar.All(now) }
+
+// Registry gives what was counted of the runners' calls.
+func (node *Node) Registry() registry.Counters { return node.registrar.Counters() }
+
+// daemonAddresses gives the data daemons that may award work: those of the directory, and those that hold a tick.
+func (node *Node) daemonAddresses(now time.Time) []string {
+	found := map[string]bool{}
+	for _, member := range node.directory() {
+		found[member.Address] = true
+	}
+	for address, known := range node.head.daemons {
+		if now.Sub(known.asked) < Staleness {
+			found[address] = true
+		}
+	}
+	addresses := make([]string, 0, len(found))
+	for address := range found {
+		addresses = append(addresses, address)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+// directory gives the newest directory that this machine knows, from its own history or from a rumor.
+func (node *Node) directory() []*wire.Member {
+	document := node.chain.Committed()
+	register := node.rumors.Get(DocumentKey)
+	if register == nil || register.Epoch <= document.Sequence {
+		return document.Directory
+	}
+	if node.rumored.Sequence != register.Epoch {
+		carried := &wire.Document{}
+		if proto.Unmarshal(register.Value, carried) != nil {
+			return document.Directory
+		}
+		node.rumored = &wire.Document{Sequence: register.Epoch, Directory: carried.Directory}
+	}
+	return node.rumored.Directory
+}
+
+// joined tells whether this machine hears most of the chain and the keepers, itself among them.
+func (node *Node) joined(now time.Time) bool {
+	current := node.agent.Current()
+	members := map[string]bool{}
+	for _, member := range append(append([]*wire.Member{}, current.Chain...), current.Keepers...) {
+		members[member.Id] = true
+	}
+	if len(members) == 0 {
+		return len(node.startup.Founders) <= 1 || len(node.peers) > 0
+	}
+	fresh := 0
+	for id := range members {
+		if node.fresh(now, id) {
+			fresh++
+		}
+	}
+	return 2*fresh > len(members)
+}
--- a/process/core/status.go
+++ b/process/core/status.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"wardtray/process/registry"
 )
 
 // Status is what a disk machine tells of itself.
@@ -21,6 +23,8 @@
 	Claim     bool           `json:"claim"`
 	Leading   bool           `json:"leading"`
 	Sick      bool           `json:"sick"`
+	// Runners counts the runners' calls.
+	Runners registry.Counters `json:"runners"`
 	// Warnings name what the fleet can no longer bear to lose.
 	Warnings []string `json:"warnings,omitempty"`
 }
@@ -41,7 +45,7 @@
 	current, document := node.agent.Current(), node.chain.Committed()
 	status := Status{ID: node.self.Id, View: current.Epoch, Fleet: current.Fleet, Place: node.placeName(), Synced: node.chain.Synced(),
 		Committed: document.Sequence, Epoch: document.SpecEpoch, Pending: len(node.chain.Pending()),
-		Claim: node.holder.Valid(now, current.Epoch), Leading: node.leading(now), Sick: node.sick(now)}
+		Claim: node.holder.Valid(now, current.Epoch), Leading: node.leading(now), Sick: node.sick(now), Runners: node.registrar.Counters()}
 	for _, member := range current.Chain {
 		line := MemberStatus{ID: member.Id, Address: node.addressOf(member), HTTP: member.Http, Zone: member.Zone, Heard: node.fresh(now, member.Id)}
 		if peer := node.peers[member.Id]; peer != nil {
--- a/process/corehost/host.go
+++ b/process/corehost/host.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/fasthttp/router"
+
 	"wardtray/connection/transport"
 	"wardtray/connection/wire"
 	"wardtray/process/core"
@@ -32,6 +34,8 @@
 
 // Host is the process.
 type Host struct {
+	// Mount, where it is set, opens further paths beside the product's own.
+	Mount     func(routes *router.Router, host *Host)
 	startup   *startup.Startup
 	log       *slog.Logger
 	mutex     sync.Mutex
--- a/process/corehost/http.go
+++ b/process/corehost/http.go
@@ -25,6 +25,10 @@
 	routes.POST("/v1/zones/{zone}/close", host.order("close"))
 	routes.POST("/v1/zones/{zone}/open", host.order("open"))
 	routes.GET("/v1/operations/{operation}", host.order("operation"))
+	host.mountRunners(routes)
+	if host.Mount != nil {
+		host.Mount(routes, host)
+	}
 	routes.GET("/v1/status", host.status)
 	routes.GET("/fitness", func(context *fasthttp.RequestCtx) { context.SetBodyString("fit\n") })
 	routes.NotFound = func(context *fasthttp.RequestCtx) {
--- /dev/null
+++ b/process/corehost/runners.go
@@ -0,0 +1,128 @@
+package corehost
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"wardtray/connection/wire"
+	"wardtray/process/core"
+	"wardtray/process/fault"
+	"wardtray/process/registry"
+)
+
+// Register takes a runner's call and waits, well under a second, until it may be acknowledged.
+func (host *Host) Register(line *wire.Runner) registry.Outcome {
+	return host.await(func(now time.Time, answer func(outcome registry.Outcome)) { host.node.Register(now, line, answer) })
+}
+
+// Deregister ends a runner's life in the registry and waits likewise.
+func (host *Host) Deregister(id string) registry.Outcome {
+	return host.await(func(now time.Time, answer func(outcome registry.Outcome)) { host.node.Deregister(now, id, answer) })
+}
+
+func (host *Host) await(do func(now time.Time, answer func(outcome registry.Outcome))) registry.Outcome {
+	outcomes := make(chan registry.Outcome, 1)
+	host.step(func(now time.Time) { do(now, func(outcome registry.Outcome) { outcomes <- outcome }) })
+	return <-outcomes
+}
+
+// refusals are the outcomes that acknowledge nothing.
+var refusals = map[registry.Outcome]core.Reply{
+	registry.Full:    {Outcome: "refused", Kind: string(fault.Busy), Detail: "more runners are registered than this core remembers"},
+	registry.Unheard: {Outcome: "refused", Kind: string(fault.CutOff), Detail: "no daemon has confirmed it"},
+}
+
+// RegistrationStatus gives the HTTP status of an outcome, and what to tell where it acknowledges nothing.
+func RegistrationStatus(outcome registry.Outcome) (status int, refusal core.Reply) {
+	if refusal, refused := refusals[outcome]; refused {
+		return 503, refusal
+	}
+	return 200, core.Reply{}
+}
+
+// mountRunners opens the runners' side.
+func (host *Host) mountRunners(routes *router.Router) {
+	routes.GET("/v1/runners", host.listRunners)
+	routes.PUT("/v1/runners/{id}", func(context *fasthttp.RequestCtx) {
+		id, _ := context.UserValue("id").(string)
+		line, failure := registry.Read(id, context.PostBody())
+		if failure != nil {
+			AnswerFault(context, failure)
+			return
+		}
+		answerRunner(context, host.Register(line))
+	})
+	routes.DELETE("/v1/runners/{id}", func(context *fasthttp.RequestCtx) {
+		id, _ := context.UserValue("id").(string)
+		if !registry.CheckID(id) {
+			AnswerFault(context, fault.New(fault.Malformed, "id: wants up to 128 letters without blanks or slashes"))
+			return
+		}
+		answerRunner(context, host.Deregister(id))
+	})
+}
+
+// AnswerFault refuses what can't be read.
+func AnswerFault(context *fasthttp.RequestCtx, failure error) {
+	found := fault.Of(failure)
+	statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413}
+	detail := found.Detail
+	if cause := found.Unwrap(); cause != nil {
+		detail += ": " + cause.Error()
+	}
+	Answer(context, statuses[found.Kind], core.Reply{Outcome: "refused", Kind: string(found.Kind), Detail: detail})
+}
+
+func answerRunner(context *fasthttp.RequestCtx, outcome registry.Outcome) {
+	status, refusal := RegistrationStatus(outcome)
+	if status != 200 {
+		context.Response.Header.Set("Retry-After", "1")
+		Answer(context, status, refusal)
+		return
+	}
+	context.SetContentType("application/json")
+	context.SetBodyString(`{"outcome":"` + string(outcome) + `"}`)
+}
+
+// RunnerLine is one runner as /v1/runners lists it.
+type RunnerLine struct {
+	Runner   string `json:"runner"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Service  string `json:"service"`
+	Revision string `json:"revision,omitempty"`
+	Slots    uint32 `json:"slots"`
+	State    string `json:"state"`
+	Cold     string `json:"cold,omitempty"`
+	Call     uint64 `json:"call"`
+}
+
+// Runners lists every registered runner, also those that are gone or silent.
+func (host *Host) Runners() []*wire.Runner {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	return host.node.Runners(time.Now())
+}
+
+func (host *Host) listRunners(context *fasthttp.RequestCtx) {
+	known := host.Runners()
+	lines := make([]RunnerLine, 0, len(known))
+	for _, runner := range known {
+		line := RunnerLine{Runner: runner.RunnerId, Address: runner.Address, Zone: runner.Zone, Service: runner.Service, Revision: runner.Revision,
+			Slots: runner.Slots, State: runner.State, Call: runner.Call}
+		if runner.ColdMilliseconds > 0 {
+			line.Cold = (time.Duration(runner.ColdMilliseconds) * time.Millisecond).String()
+		}
+		lines = append(lines, line)
+	}
+	content, failure := json.Marshal(map[string]any{"runners": lines})
+	if failure != nil {
+		Answer(context, 500, core.Reply{Outcome: "refused", Kind: string(fault.Internal), Detail: failure.Error()})
+		return
+	}
+	context.SetContentType("application/json")
+	context.SetBody(content)
+}
--- a/process/director/director.go
+++ b/process/director/director.go
@@ -23,6 +23,7 @@
 	"wardtray/process/core"
 	"wardtray/process/duty"
 	"wardtray/process/machine"
+	"wardtray/process/registry"
 	"wardtray/process/rumor"
 )
 
@@ -32,6 +33,8 @@
 	beatEvery    = 500 * time.Millisecond
 	pollEvery    = 400 * time.Millisecond
 	listBound    = 1600 * time.Millisecond
+	learnEvery   = 300 * time.Millisecond
+	learnBound   = 2 * time.Second
 	beatingCount = 3
 	// Staleness is for how long an answer is relied on, counted from its question.
 	Staleness = core.Staleness
@@ -43,6 +46,8 @@
 	HTTP    string
 	Zone    string
 	Seeds   []string
+	// Registered tells that runners register themselves; otherwise the platform's list is read.
+	Registered bool
 	// OnTaken hears what other daemons of the zone say of requests that run at most once.
 	OnTaken func(now time.Time, key []byte, dropped bool)
 }
@@ -53,6 +58,8 @@
 	SpecEpoch uint64
 	Book      *spec.Book
 	Runners   []*wire.Runner
+	// Registered tells that the runners registered themselves, so that an empty list says that none is left.
+	Registered bool
 	// Until is the moment up to which work may be awarded by this snapshot.
 	Until time.Time
 	// Daemons is how many daemons share the work.
@@ -101,6 +108,10 @@
 	counters    Counters
 	// WantsPoll is set when the driver should read the platform's list.
 	wantsPoll bool
+	registry  *registry.Exchange
+	// learned tells that somebody has told which runners there are, or that their list is the same as ours.
+	learned   bool
+	lastLearn time.Time
 }
 
 type contact struct {
@@ -116,6 +127,7 @@
 	director.cohort = cohort.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone}, startup.Seeds, director.outbox, random)
 	director.rumors = rumor.New(startup.Zone, director.outbox, random, director.partners, director.onRegister)
 	director.duty = duty.New(now, startup.Address)
+	director.registry = registry.NewExchange(director.outbox)
 	director.table()
 	return director
 }
@@ -130,6 +142,14 @@
 		},
 		reflect.TypeFor[*wire.Envelope_Digest](): func(now time.Time, envelope *wire.Envelope) {
 			director.rumors.Digest(now, envelope.From, envelope.Zone, envelope.GetDigest())
+			director.compareRunners(now, envelope.From, envelope.GetDigest().Runners)
+		},
+		reflect.TypeFor[*wire.Envelope_RunnerNews](): func(now time.Time, envelope *wire.Envelope) {
+			director.registry.News(now, envelope.From, envelope.GetRunnerNews())
+			director.learned = true
+		},
+		reflect.TypeFor[*wire.Envelope_RunnerDigest](): func(now time.Time, envelope *wire.Envelope) {
+			director.registry.Digest(now, envelope.From, envelope.GetRunnerDigest())
 		},
 		reflect.TypeFor[*wire.Envelope_TickGrant](): func(now time.Time, envelope *wire.Envelope) {
 			director.onTickGrant(now, envelope.From, envelope.GetTickGrant())
@@ -171,6 +191,10 @@
 	for _, parcel := range parcels {
 		parcel.Envelope.From, parcel.Envelope.Sender, parcel.Envelope.Zone = director.startup.Address, director.startup.Address, director.startup.Zone
 		parcel.Envelope.Epoch = director.sequence
+		// Why: digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
+		if digest := parcel.Envelope.GetDigest(); digest != nil {
+			digest.Runners = director.registry.Sum()
+		}
 	}
 	return parcels
 }
@@ -205,13 +229,18 @@
 
 // Snapshot gives what the request path needs to know.
 func (director *Director) Snapshot(now time.Time) Snapshot {
-	return Snapshot{Sequence: director.sequence, SpecEpoch: director.specEpoch, Book: director.book,
-		Runners: director.runners, Until: director.Until(now), Daemons: max(1, len(director.directory))}
+	runners := director.runners
+	if director.startup.Registered {
+		runners = director.registry.Runners(now)
+	}
+	return Snapshot{Sequence: director.sequence, SpecEpoch: director.specEpoch, Book: director.book, Registered: director.startup.Registered,
+		Runners: runners, Until: director.Until(now), Daemons: max(1, len(director.directory))}
 }
 
 // Until tells up to when this daemon may award work; a moment in the past means that it may not.
 func (director *Director) Until(now time.Time) time.Time {
-	if !director.ready {
+	// Why: a daemon that knows no runners yet would turn away what another could have run.
+	if !director.ready || director.startup.Registered && !director.learned && now.Sub(director.begun) < learnBound {
 		return time.Time{}
 	}
 	until := director.tickUntil
@@ -252,6 +281,7 @@
 	director.tendTicks(now)
 	director.tendContacts(now)
 	director.tendDuty(now)
+	director.tendRunners(now)
 	director.rumors.Tick(now)
 }
 
@@ -317,6 +347,7 @@
 
 func (director *Director) onTickGrant(now time.Time, from string, message *wire.TickGrant) {
 	director.learnView(message.View)
+	director.compareRunners(now, from, message.Runners)
 	asked, found := director.asks[message.Nonce]
 	delete(director.asks, message.Nonce)
 	// Why: a head of an older view may have been left behind by changes that it never heard of.
@@ -460,6 +491,9 @@
 // tendDuty gives signs of life where this daemon may be next, and has the platform's list read
 // where it is this daemon's duty or where nobody else seems to do it.
 func (director *Director) tendDuty(now time.Time) {
+	if director.startup.Registered {
+		return
+	}
 	if now.Sub(director.lastBeat) >= beatEvery && director.duty.Candidate(now, beatingCount) {
 		director.lastBeat = now
 		director.beats++
@@ -475,6 +509,30 @@
 	}
 }
 
+// tendRunners has a daemon that has just begun ask which runners there are, and forgets those long gone.
+func (director *Director) tendRunners(now time.Time) {
+	if !director.startup.Registered {
+		return
+	}
+	director.registry.Prune(now)
+	if director.learned || now.Sub(director.lastLearn) < learnEvery {
+		return
+	}
+	director.lastLearn = now
+	for _, seed := range director.startup.Seeds {
+		director.registry.Ask(now, seed)
+	}
+}
+
+// compareRunners asks for what is missing where another process knows other runners.
+func (director *Director) compareRunners(now time.Time, from string, sum uint64) {
+	if !director.startup.Registered {
+		return
+	}
+	director.learned = director.learned || sum != 0 && sum == director.registry.Sum()
+	director.registry.Compare(now, from, sum)
+}
+
 // WantsPoll tells the driver, once, to read the platform's list and hand it to Polled.
 func (director *Director) WantsPoll() bool {
 	wants := director.wantsPoll
--- a/process/fault/fault.go
+++ b/process/fault/fault.go
@@ -30,6 +30,7 @@
 	InvalidSpec    Kind = "invalid_spec"
 	NoMajority     Kind = "no_majority"
 	Busy           Kind = "busy"
+	CutOff         Kind = "cut_off"
 	NotFound       Kind = "not_found"
 	BadStartup     Kind = "bad_startup"
 	BadFrame       Kind = "bad_frame"
@@ -59,6 +60,7 @@
 	InvalidSpec:    "mend every fault listed and send the spec again",
 	NoMajority:     "wait until most keepers and a full chain are up (wtctl status chain)",
 	Busy:           "too many changes wait; send this one again a little later",
+	CutOff:         "ask another core; this one reaches neither daemons nor most cores",
 	NotFound:       "check the path or the id",
 	BadStartup:     "mend the startup file or flags as listed and start again",
 	BadFrame:       "the sender is no wardtray process of a known edition; check its address",
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -143,7 +143,7 @@
 
 // follow hands on what changed and logs changes of state.
 func (plane *Plane) follow(now time.Time, snapshot director.Snapshot) {
-	if len(snapshot.Runners) > 0 && !sameList(snapshot.Runners, plane.runners) {
+	if (len(snapshot.Runners) > 0 || snapshot.Registered) && !sameList(snapshot.Runners, plane.runners) {
 		plane.runners = snapshot.Runners
 		for _, gone := range plane.Yard.Book.List(now, snapshot.Runners) {
 			plane.Yard.Indexer.Pool.Add(kvblock.RunnerGone{Runner: gone})
--- /dev/null
+++ b/process/registry/exchange.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/process/machine"
+)
+
+// digestEvery is how often, at most, a process asks for what it may have missed.
+const digestEvery = 250 * time.Millisecond
+
+// Exchange keeps a book the same as those of others: news are joined, and where sums differ digests are
+// compared and what is missing goes both ways.
+type Exchange struct {
+	*Book
+	outbox   *machine.Outbox
+	digested time.Time
+}
+
+// NewExchange makes an exchange with an empty book.
+func NewExchange(outbox *machine.Outbox) *Exchange {
+	return &Exchange{Book: NewBook(), outbox: outbox}
+}
+
+func (exchange *Exchange) send(to string, news *wire.RunnerNews) {
+	exchange.outbox.Send(to, &wire.Envelope{Body: &wire.Envelope_RunnerNews{RunnerNews: news}})
+}
+
+// News joins what another process told, confirms it where that is wanted, and corrects a sender that is
+// behind. It gives the lines that changed our book.
+func (exchange *Exchange) News(now time.Time, from string, message *wire.RunnerNews) []*wire.Runner {
+	taken, newer := exchange.Take(now, message.Runners)
+	if message.Nonce != 0 {
+		exchange.outbox.Send(from, &wire.Envelope{Body: &wire.Envelope_RunnerNewsHeld{RunnerNewsHeld: &wire.RunnerNewsHeld{Nonce: message.Nonce}}})
+	}
+	if len(newer) > 0 {
+		exchange.send(from, &wire.RunnerNews{Runners: newer})
+	}
+	return taken
+}
+
+// Digest answers a digest with what its sender lacks, and with our own where the sender holds more.
+func (exchange *Exchange) Digest(now time.Time, from string, message *wire.RunnerDigest) {
+	news, lacking := exchange.compare(now, message)
+	// Why: an empty answer is one too; a process that has just begun waits for it.
+	if len(news) > 0 || message.AnswerWanted {
+		exchange.send(from, &wire.RunnerNews{Runners: news})
+	}
+	if lacking && message.AnswerWanted {
+		exchange.outbox.Send(from, &wire.Envelope{Body: &wire.Envelope_RunnerDigest{RunnerDigest: exchange.digest(false)}})
+	}
+}
+
+// Compare takes in the sum of another process's book; where ours differs, digests are exchanged.
+func (exchange *Exchange) Compare(now time.Time, from string, sum uint64) {
+	// Why: a process that keeps no book tells 0; one whose book is empty finds out by the sums of others.
+	if sum == 0 || sum == exchange.Sum() || now.Sub(exchange.digested) < digestEvery {
+		return
+	}
+	exchange.Ask(now, from)
+}
+
+// Ask asks a process for all that we lack.
+func (exchange *Exchange) Ask(now time.Time, to string) {
+	exchange.digested = now
+	exchange.outbox.Send(to, &wire.Envelope{Body: &wire.Envelope_RunnerDigest{RunnerDigest: exchange.digest(true)}})
+}
--- /dev/null
+++ b/process/registry/registrar_test.go
@@ -0,0 +1,343 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/process/fault"
+	"wardtray/process/machine"
+)
+
+const beat = time.Second
+
+// desk is a registrar with what it sends and is told.
+type desk struct {
+	test      *testing.T
+	outbox    *machine.Outbox
+	registrar *Registrar
+	daemons   []string
+	joined    bool
+	now       time.Time
+}
+
+func newDesk(test *testing.T) *desk {
+	made := &desk{test: test, outbox: machine.NewOutbox(), daemons: []string{"d0", "d1"}, joined: true, now: begun}
+	made.registrar = NewRegistrar(begun, beat, 7, made.outbox, Surroundings{Daemons: func(time.Time) []string { return made.daemons },
+		Cores: func() []string { return []string{"c1"} }, Joined: func(time.Time) bool { return made.joined }})
+	return made
+}
+
+func ready(id string, call uint64) *wire.Runner {
+	return &wire.Runner{RunnerId: id, Address: "10.0.0.1:" + id[1:], Zone: "a", Service: "s", Slots: 4, State: Ready, Call: call}
+}
+
+func draining(id string, call uint64) *wire.Runner {
+	line := ready(id, call)
+	line.State = Draining
+	return line
+}
+
+// call gives where the outcome of a call will stand.
+func (desk *desk) call(line *wire.Runner) *Outcome {
+	got := new(Outcome)
+	desk.registrar.Register(desk.now, line, func(outcome Outcome) {
+		if *got != "" {
+			desk.test.Error("answered twice")
+		}
+		*got = outcome
+	})
+	return got
+}
+
+// pass lets time go by, in ticks, without what is sent.
+func (desk *desk) pass(length time.Duration) {
+	for end := desk.now.Add(length); desk.now.Before(end); {
+		desk.now = desk.now.Add(50 * time.Millisecond)
+		desk.registrar.Tick(desk.now)
+	}
+}
+
+// news gives what was sent to each address since this was last asked.
+func (desk *desk) news() map[string][]*wire.RunnerNews {
+	news := map[string][]*wire.RunnerNews{}
+	parcels, _ := desk.outbox.Drain()
+	for _, parcel := range parcels {
+		if told := parcel.Envelope.GetRunnerNews(); told != nil {
+			news[parcel.To] = append(news[parcel.To], told)
+		}
+	}
+	return news
+}
+
+func (desk *desk) held(from string, nonce uint64) {
+	desk.registrar.Held(desk.now, from, &wire.RunnerNewsHeld{Nonce: nonce})
+}
+
+func (desk *desk) state(id string) string { return desk.registrar.Line(id).GetState() }
+
+func TestRepeatedCallsSendNothing(test *testing.T) {
+	desk := newDesk(test)
+	if got := desk.call(ready("r1", 1)); *got != Taken {
+		test.Fatal(*got)
+	}
+	desk.pass(50 * time.Millisecond)
+	if news := desk.news(); len(news["d0"]) != 1 || len(news["d1"]) != 1 || len(news["c1"]) != 1 {
+		test.Fatal(news)
+	}
+	for number := range 10 {
+		desk.pass(beat)
+		desk.call(ready("r1", uint64(number+2)))
+	}
+	if news := desk.news(); len(news) != 0 {
+		test.Fatal(news)
+	}
+	moved := ready("r1", 20)
+	moved.Slots = 9
+	desk.call(moved)
+	desk.pass(50 * time.Millisecond)
+	if news := desk.news(); len(news["d0"]) != 1 || news["d0"][0].Runners[0].Slots != 9 {
+		test.Fatal(news)
+	}
+}
+
+func TestLateCallsChangeNothing(test *testing.T) {
+	desk := newDesk(test)
+	desk.call(ready("r1", 5))
+	late := ready("r1", 5)
+	late.Address = "10.0.0.9:9"
+	if got := desk.call(late); *got != Late || desk.registrar.Line("r1").Address == late.Address {
+		test.Fatal(*got)
+	}
+	desk.daemons = nil
+	desk.call(draining("r1", 6))
+	for call := uint64(4); call < 9; call++ {
+		if got := desk.call(ready("r1", call)); *got == "" || desk.state("r1") != Draining {
+			test.Fatal(call, *got, desk.state("r1"))
+		}
+	}
+	desk.registrar.Deregister(desk.now, "r1", func(Outcome) {})
+	if got := desk.call(ready("r1", 100)); *got != Late || desk.state("r1") != Gone {
+		test.Fatal(*got, desk.state("r1"))
+	}
+}
+
+// The calm way: the acknowledgement comes with the last daemon's word, at once.
+func TestDrainingIsAcknowledgedOnceAllKnow(test *testing.T) {
+	desk := newDesk(test)
+	desk.call(ready("r1", 1))
+	desk.pass(50 * time.Millisecond)
+	desk.news()
+	got := desk.call(draining("r1", 2))
+	news := desk.news()
+	if *got != "" || len(news["d0"]) != 1 || len(news["d1"]) != 1 || news["c1"][0].Nonce != 0 {
+		test.Fatal(*got, news)
+	}
+	nonce := news["d0"][0].Nonce
+	desk.held("d0", nonce)
+	desk.held("d0", nonce)
+	desk.held("stranger", nonce)
+	if *got != "" {
+		test.Fatal("acknowledged before d1 knew")
+	}
+	desk.held("d1", nonce)
+	if *got != Taken || desk.registrar.Counters().Unconfirmed != 0 {
+		test.Fatal(*got)
+	}
+	// Its later calls are answered at once.
+	if again := desk.call(draining("r1", 3)); *again != Taken || len(desk.news()) != 0 {
+		test.Fatal(*again)
+	}
+}
+
+// A daemon that does not answer is told again and again; the runner is not kept waiting for it.
+func TestDrainingIsRepeatedToWhoDoesNotConfirm(test *testing.T) {
+	desk := newDesk(test)
+	got := desk.call(draining("r1", 1))
+	again := desk.call(draining("r1", 2))
+	nonce := desk.news()["d0"][0].Nonce
+	desk.held("d0", nonce)
+	desk.pass(confirmBound - 50*time.Millisecond)
+	if news := desk.news(); *got != "" || len(news["d0"]) != 0 || len(news["d1"]) < 3 {
+		test.Fatal(*got, news)
+	}
+	desk.pass(100 * time.Millisecond)
+	if *got != Taken || *again != Taken || desk.registrar.Counters().Unconfirmed != 1 {
+		test.Fatal(*got, *again)
+	}
+	desk.news()
+	desk.pass(repeatBound)
+	if told := len(desk.news()["d1"]); told < 4 || len(desk.registrar.rounds) != 0 {
+		test.Fatal(told, len(desk.registrar.rounds))
+	}
+}
+
+func TestCoreThatNobodyHearsAcknowledgesNoLeaving(test *testing.T) {
+	desk := newDesk(test)
+	desk.joined = false
+	got := desk.call(draining("r1", 1))
+	desk.pass(time.Second)
+	if *got != Unheard {
+		test.Fatal(*got)
+	}
+	if calm := desk.call(ready("r2", 1)); *calm != Taken {
+		test.Fatal(*calm)
+	}
+}
+
+// A core that knows only by another's news that a runner drains asks the daemons itself before it
+// acknowledges: the other may have died in the middle.
+func TestDrainingHeardOfIsSpreadAnew(test *testing.T) {
+	desk := newDesk(test)
+	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{draining("r1", 3)}})
+	got := desk.call(draining("r1", 4))
+	nonce := desk.news()["d0"][0].Nonce
+	if *got != "" {
+		test.Fatal("acknowledged on another's word")
+	}
+	desk.held("d0", nonce)
+	desk.held("d1", nonce)
+	if *got != Taken {
+		test.Fatal(*got)
+	}
+}
+
+// calls has some runners call for a length of time.
+func (desk *desk) calls(length time.Duration, call *uint64, ids ...string) {
+	for end := desk.now.Add(length); desk.now.Before(end); {
+		*call++
+		for _, id := range ids {
+			desk.call(ready(id, *call))
+		}
+		desk.pass(beat)
+	}
+}
+
+func TestSilenceAndComingBack(test *testing.T) {
+	desk, call := newDesk(test), uint64(0)
+	desk.calls(8*time.Second, &call, "r1", "r2", "r3")
+	desk.calls(2*time.Second, &call, "r1", "r2")
+	if desk.state("r3") != Ready {
+		test.Fatal("silent too early")
+	}
+	desk.calls(2*time.Second, &call, "r1", "r2")
+	if desk.state("r3") != Silent || desk.state("r1") != Ready || desk.registrar.Counters().Silent != 1 {
+		test.Fatal(desk.state("r3"), desk.state("r1"))
+	}
+	desk.calls(time.Second, &call, "r1", "r2", "r3")
+	if desk.state("r3") != Ready || desk.registrar.Counters().Revived != 1 {
+		test.Fatal(desk.state("r3"))
+	}
+}
+
+// Nobody is called silent by a core that has just begun, that stood still, or that hears neither the other
+// cores nor most runners; nor most runners at once before long.
+func TestSilenceIsNotCalledByWhoCannotKnow(test *testing.T) {
+	lines := []*wire.Runner{ready("r1", 1), ready("r2", 1), ready("r3", 1)}
+	fresh := newDesk(test)
+	fresh.registrar.News(fresh.now, "c1", &wire.RunnerNews{Runners: lines})
+	fresh.pass(graceBeats*beat - 100*time.Millisecond)
+	if fresh.state("r1") != Ready {
+		test.Error("silent by a core that has just begun")
+	}
+	still, call := newDesk(test), uint64(0)
+	still.calls(8*time.Second, &call, "r1", "r2", "r3")
+	still.now = still.now.Add(time.Minute)
+	still.registrar.Resume(still.now)
+	still.pass(3 * time.Second)
+	if still.state("r1") != Ready {
+		test.Error("silent by a core that stood still")
+	}
+	alone, call := newDesk(test), uint64(0)
+	alone.calls(8*time.Second, &call, "r1", "r2", "r3")
+	alone.joined = false
+	alone.pass(time.Minute)
+	if alone.state("r1") != Ready {
+		test.Error("silent by a core that is cut off")
+	}
+	crowd, call := newDesk(test), uint64(0)
+	ids := []string{}
+	for number := range 8 {
+		ids = append(ids, fmt.Sprint("r", number))
+	}
+	crowd.calls(8*time.Second, &call, ids...)
+	crowd.calls(8*time.Second, &call, ids[:2]...)
+	if crowd.state("r7") != Ready {
+		test.Error("most are silent at once")
+	}
+	crowd.calls(6*time.Second, &call, ids[:2]...)
+	if crowd.state("r7") != Silent || crowd.state("r0") != Ready {
+		test.Error("never silent", crowd.state("r7"))
+	}
+}
+
+// A core that no runner calls learns from the others who calls them; and where one of them was wrong, who
+// hears the runner says so at once.
+func TestOtherCoresHearToo(test *testing.T) {
+	desk := newDesk(test)
+	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{ready("r1", 1), ready("r2", 1)}})
+	for call := uint64(2); call < 14; call++ {
+		desk.registrar.Heard(desk.now, &wire.RunnersHeard{Calls: []*wire.RunnerVersion{{RunnerId: "r1", Call: call}}})
+		desk.pass(beat)
+	}
+	if desk.state("r1") != Ready || desk.state("r2") != Silent {
+		test.Fatal(desk.state("r1"), desk.state("r2"))
+	}
+	desk.news()
+	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{changed(ready("r1", 1), Silent, 10)}})
+	desk.pass(50 * time.Millisecond)
+	if news := desk.news(); desk.state("r1") != Ready || len(news["d0"]) != 1 || news["d0"][0].Runners[0].Call != 13 {
+		test.Fatal(desk.state("r1"), news)
+	}
+}
+
+func TestAddressBelongsToTheLastThatCalled(test *testing.T) {
+	desk := newDesk(test)
+	desk.call(ready("r1", 5))
+	taker := ready("r2", 1)
+	taker.Address = ready("r1", 1).Address
+	desk.call(taker)
+	if desk.state("r1") != Silent || desk.state("r2") != Ready {
+		test.Fatal(desk.state("r1"), desk.state("r2"))
+	}
+	// A call of the former one that was long on its way displaces the present one until that calls again.
+	desk.call(ready("r1", 6))
+	again := ready("r2", 2)
+	again.Address = taker.Address
+	desk.call(again)
+	if desk.state("r1") != Silent || desk.state("r2") != Ready {
+		test.Fatal(desk.state("r1"), desk.state("r2"))
+	}
+}
+
+func TestCallsAreReadStrictly(test *testing.T) {
+	good := `{"address":"10.0.0.1:80","zone":"a","service":"s","slots":4,"state":"ready","cold":"1.5s","call":3}`
+	if line, failure := Read("r", []byte(good)); failure != nil || line.State != Cold || line.ColdMilliseconds != 1500 {
+		test.Fatal(line, failure)
+	}
+	for bad, named := range map[string]string{
+		`{"address":"here","zone":"","service":"a/b","slots":0,"state":"gone","cold":"-1s","call":1}`: "address: zone: service: slots: state: cold:",
+		`{"address":"10.0.0.1:80","address":"10.0.0.1:80"}`:                                           "address",
+		`{"adress":"10.0.0.1:80"}`:              "adress",
+		`{"call":-1}`:                           "call",
+		`[]`:                                    "",
+		good + good:                             "after the end",
+		strings.Repeat(" ", MaximumCall) + good: "at most",
+	} {
+		_, failure := Read("r", []byte(bad))
+		if failure == nil || !fault.Is(failure, fault.Malformed) && !fault.Is(failure, fault.TooLarge) {
+			test.Errorf("%s: %v", bad, failure)
+			continue
+		}
+		for _, word := range strings.Fields(named) {
+			if !strings.Contains(failure.Error(), word) {
+				test.Errorf("%s: %q is not named in %v", bad, word, failure)
+			}
+		}
+	}
+	if _, failure := Read("a b", []byte(good)); failure == nil {
+		test.Error("an id with a blank")
+	}
+}
