--- a/cmd/wtcore/main.go
+++ b/cmd/wtcore/main.go
@@ -2,7 +2,7 @@
 package main
 
 import (
-	"wardtray/process/corehost"
+	"wardtray/platform"
 	"wardtray/process/daemon"
 	"wardtray/process/startup"
 )
@@ -14,4 +14,6 @@
   wtcore --address 127.0.1.1:7100 --http 127.0.1.1:8100 --zone a --folder data \
          --seed 127.0.1.1:7100 --seed 127.0.2.1:7100 --seed 127.0.3.1:7100`
 
-func main() { daemon.Main("wtcore", help, startup.Needs{Folder: true}, corehost.New) }
+func main() {
+	daemon.Main("wtcore", help, startup.Needs{Folder: true, Adapters: platform.Settings("wtcore")}, platform.Core)
+}
--- a/cmd/wtdata/main.go
+++ b/cmd/wtdata/main.go
@@ -2,8 +2,8 @@
 package main
 
 import (
+	"wardtray/platform"
 	"wardtray/process/daemon"
-	"wardtray/process/datahost"
 	"wardtray/process/startup"
 )
 
@@ -14,4 +14,6 @@
   wtdata --address 127.0.1.1:7200 --http 127.0.1.1:8200 --zone a --platform http://127.0.9.1:9000/runners \
          --seed 127.0.1.1:7100 --seed 127.0.2.1:7100 --seed 127.0.3.1:7100`
 
-func main() { daemon.Main("wtdata", help, startup.Needs{Platform: true}, datahost.New) }
+func main() {
+	daemon.Main("wtdata", help, startup.Needs{Platform: true, Adapters: platform.Settings("wtdata")}, platform.Data)
+}
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -22,6 +22,7 @@
 	identityBound = 500 * time.Millisecond
 	idleBound     = 15 * time.Second
 	idleCount     = 16
+	keepMargin    = 500 * time.Millisecond
 	maximumBody   = 64 << 10
 )
 
@@ -42,6 +43,10 @@
 	links    *Links
 	address  string
 	idle     time.Time
+	// keep is how long the runner lets it stay idle; 0: not told.
+	keep time.Duration
+	// Used tells that it carried a request before.
+	Used bool
 }
 
 // Counters are what the links count.
@@ -58,13 +63,16 @@
 
 // Links holds the connections of all runners.
 type Links struct {
-	world    seam.World
+	world seam.World
+	// identity is the path at which runners say who they are; empty: they are not asked.
+	identity string
 	shelves  sync.Map
 	Counters Counters
 }
 
-// New makes an empty set of connections into a world.
-func New(world seam.World) *Links { return &Links{world: world} }
+// New makes an empty set of connections into a world, on which runners are asked at a path who they are.
+// With no path every request has to state whom it means.
+func New(world seam.World, identity string) *Links { return &Links{world: world, identity: identity} }
 
 func (links *Links) shelf(runner string) *shelf {
 	found, _ := links.shelves.LoadOrStore(runner, &shelf{})
@@ -81,10 +89,11 @@
 		connection := shelf.idle[last]
 		shelf.idle = shelf.idle[:last]
 		// Why: a connection that the other side has closed would leave us in doubt about work sent over it.
-		if connection.address == address && links.world.Now().Sub(connection.idle) < idleBound && connection.Quiet() {
+		if connection.address == address && links.world.Now().Sub(connection.idle) < connection.idleBound() && connection.Quiet() {
 			shelf.busy = append(shelf.busy, connection)
 			shelf.mutex.Unlock()
 			links.Counters.Reused.Add(1)
+			connection.Used = true
 			return connection, nil
 		}
 		_ = connection.Conn.Close()
@@ -102,6 +111,16 @@
 	return connection, nil
 }
 
+// idleBound is how long the connection may have been idle to be used again.
+func (connection *Connection) idleBound() time.Duration {
+	if connection.keep == 0 {
+		return idleBound
+	}
+	// Why: the runner counts from its own last byte and closes a little before or after; a request sent at that
+	// moment would be in doubt.
+	return min(idleBound, connection.keep-keepMargin)
+}
+
 func (links *Links) dial(runner, address string) (*Connection, error) {
 	links.Counters.Dials.Add(1)
 	raw, failure := links.world.Dial(address, seam.Terms{Dial: dialBound, Untaken: untakenBound})
@@ -110,7 +129,11 @@
 		return nil, fault.Wrap(failure, fault.Unreachable, "runner %s at %s", runner, address)
 	}
 	connection := &Connection{Conn: raw, Reader: bufio.NewReaderSize(raw, 16<<10), links: links, address: address}
-	content, failure := connection.Get("/identity", identityBound)
+	if links.identity == "" {
+		connection.Identity = Identity{RunnerID: runner}
+		return connection, nil
+	}
+	content, failure := connection.Get(links.identity, identityBound)
 	if failure == nil {
 		failure = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
 	}
@@ -127,9 +150,11 @@
 	return connection, nil
 }
 
-// Keep puts a connection back whose last answer has been read whole.
-func (links *Links) Keep(connection *Connection) {
+// Keep puts a connection back whose last answer has been read whole; the runner lets it stay idle for so
+// long (0: not told).
+func (links *Links) Keep(connection *Connection, idle time.Duration) {
 	_ = connection.SetDeadline(time.Time{})
+	connection.keep = idle
 	connection.idle = links.world.Now()
 	shelf := links.shelf(connection.Identity.RunnerID)
 	shelf.mutex.Lock()
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -34,16 +34,16 @@
 func TestReusedAddressGetsNobodyElsesWork(test *testing.T) {
 	address := free(test)
 	former := runner(test, "old", address)
-	links := New(seam.Real(nil))
+	links := New(seam.Real(nil), "/identity")
 	connection, failure := links.Take("old", address)
 	if failure != nil || connection.Identity.Service != "s" {
 		test.Fatalf("%v", failure)
 	}
-	links.Keep(connection)
+	links.Keep(connection, 0)
 	if again, failure := links.Take("old", address); failure != nil || again != connection {
 		test.Fatalf("a kept connection was not used again: %v", failure)
 	}
-	links.Keep(connection)
+	links.Keep(connection, 0)
 	former.Crash()
 	// The end of the connection reaches this side a moment after the crash; reading waits for it.
 	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -63,7 +63,7 @@
 }
 
 func TestNobodyThere(test *testing.T) {
-	if _, failure := New(seam.Real(nil)).Take("r", free(test)); !fault.Is(failure, fault.Unreachable) {
+	if _, failure := New(seam.Real(nil), "/identity").Take("r", free(test)); !fault.Is(failure, fault.Unreachable) {
 		test.Fatal(failure)
 	}
 }
--- a/connection/seam/real.go
+++ b/connection/seam/real.go
@@ -1,7 +1,7 @@
 package seam
 
 import (
-	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -66,6 +66,15 @@
 // FromHTTP is the requester behind one HTTP request.
 func FromHTTP(context *fasthttp.RequestCtx) Requester { return fromHTTP{context} }
 
+func (requester fromHTTP) Method() string { return string(requester.context.Method()) }
+
+func (requester fromHTTP) Authority() string { return string(requester.context.Request.Header.Host()) }
+
+// Target gives the bytes as they came: cleaning them up would change what was asked.
+func (requester fromHTTP) Target() string {
+	return string(requester.context.Request.Header.RequestURI())
+}
+
 func (requester fromHTTP) Header(name string) []string {
 	var values []string
 	for _, value := range requester.context.Request.Header.PeekAll(name) {
@@ -74,6 +83,12 @@
 	return values
 }
 
+func (requester fromHTTP) Headers(each func(name, value string)) {
+	for name, value := range requester.context.Request.Header.All() {
+		each(string(name), string(value))
+	}
+}
+
 func (requester fromHTTP) Body() []byte { return requester.context.PostBody() }
 
 func (requester fromHTTP) Last() { requester.context.SetConnectionClose() }
@@ -91,7 +106,9 @@
 	requester.context.SetBody(body)
 }
 
-func (requester fromHTTP) Stream(headers []Header, write func(writer *bufio.Writer)) {
-	requester.head(200, headers)
-	requester.context.SetBodyStreamWriter(write)
+// Stream hands the source to the server, which reads it and writes out each piece at once: without a
+// thread or a pipe between, an event costs one write.
+func (requester fromHTTP) Stream(status int, headers []Header, source io.ReadCloser) {
+	requester.head(status, headers)
+	requester.context.SetBodyStream(source, -1)
 }
--- a/connection/seam/seam.go
+++ b/connection/seam/seam.go
@@ -4,7 +4,7 @@
 package seam
 
 import (
-	"bufio"
+	"io"
 	"net"
 	"time"
 )
@@ -41,13 +41,21 @@
 
 // Requester is the side of a request that asked.
 type Requester interface {
+	Method() string
+	// Authority is the host that the request names.
+	Authority() string
+	// Target is the path with its query, as sent.
+	Target() string
 	// Header gives every value of a header, in order.
 	Header(name string) []string
+	// Headers gives every header, in order.
+	Headers(each func(name, value string))
 	Body() []byte
 	// Answer gives a whole answer at once.
 	Answer(status int, headers []Header, body []byte)
-	// Stream begins an answer of events; write is called once, then the answer ends.
-	Stream(headers []Header, write func(writer *bufio.Writer))
+	// Stream begins an answer whose body is read from a source and passed on as it comes. A source that
+	// fails ends the answer so that it does not look whole; it is closed at the end, whatever that is.
+	Stream(status int, headers []Header, source io.ReadCloser)
 	// Last says that no other request should come over this connection.
 	Last()
 }
--- /dev/null
+++ b/connection/transport/listen.go
@@ -0,0 +1,28 @@
+package transport
+
+import (
+	"net"
+	"time"
+
+	"wardtray/process/fault"
+)
+
+const (
+	listenAgain = 100 * time.Millisecond
+	listenBound = 3 * time.Second
+)
+
+// ListenTCP opens a port. One that an earlier life still holds is tried again for a moment.
+func ListenTCP(address string) (net.Listener, error) {
+	begun := time.Now()
+	for {
+		listener, failure := net.Listen("tcp", address)
+		if failure == nil {
+			return listener, nil
+		}
+		if time.Since(begun) > listenBound {
+			return nil, fault.Wrap(failure, fault.BadStartup, "listening on %s", address)
+		}
+		time.Sleep(listenAgain)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"go.uber.org/dig"
@@ -22,11 +23,23 @@
 	Run(running context.Context) error
 }
 
+// Reloader is a host that takes changed settings while it runs.
+type Reloader interface {
+	Reload(settings *startup.Startup)
+}
+
+// memoryShare is the part of the memory given that the runtime's own limit leaves to itself; the rest is for
+// stacks, sockets and what has arrived but is not read yet.
+const memoryShare = 0.7
+
 // Main is the whole of a daemon's program.
 func Main[Made Host](name, help string, needs startup.Needs, construct func(*startup.Startup, *slog.Logger) (Made, error)) {
 	settings := startup.FromCommandLine(name, help, needs)
 	running, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if settings.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes<<20)))
+	}
 	container := dig.New()
 	for _, provide := range []any{
 		func() *startup.Startup { return settings },
@@ -37,11 +50,36 @@
 			end(name, failure)
 		}
 	}
-	if failure := container.Invoke(func(host Made) error { return host.Run(running) }); failure != nil {
+	if failure := container.Invoke(func(host Made, log *slog.Logger) error {
+		go reload(running, any(host), log, func() (*startup.Startup, error) { return startup.Parse(name, help, needs, os.Args[1:], os.Exit) })
+		return host.Run(running)
+	}); failure != nil {
 		end(name, dig.RootCause(failure))
 	}
 }
 
+// reload reads the settings again at each SIGHUP. Wrong ones are named and change nothing.
+func reload(running context.Context, host any, log *slog.Logger, read func() (*startup.Startup, error)) {
+	changes := make(chan os.Signal, 1)
+	signal.Notify(changes, syscall.SIGHUP)
+	for {
+		select {
+		case <-running.Done():
+			return
+		case <-changes:
+		}
+		settings, failure := read()
+		if failure != nil {
+			log.Error("the changed settings are wrong; the former ones go on", "cause", failure.Error())
+			continue
+		}
+		if reloader, able := host.(Reloader); able {
+			reloader.Reload(settings)
+		}
+		log.Info("settings read again")
+	}
+}
+
 var codes = map[fault.Kind]int{fault.BadStartup: startup.ExitBadStartup}
 
 func end(name string, failure error) {
--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -26,37 +26,63 @@
 	"wardtray/process/startup"
 	"wardtray/process/tally"
 	"wardtray/request/award"
-	"wardtray/request/course"
 	"wardtray/request/intake"
+	"wardtray/request/speech"
 )
 
 const (
 	pollBound   = time.Second
 	finishBound = 2 * time.Minute
+	leastFinish = 200 * time.Millisecond
 	// streamBound ends streams whose requester has stopped reading.
 	streamBound = 10 * time.Minute
 	maximumList = 4 << 20
 	headerBound = 128 << 10
+	readBound   = 10 * time.Second
+	// The bounds of what a requester may send on a platform, where the spec has limits of its own.
+	adaptedHeaderBound = 32 << 10
+	maximumAdaptedBody = 16 << 20
 )
 
+// Adapter puts the data plane onto a platform that fixes how requesters, runners and the machines' keepers speak.
+type Adapter struct {
+	Speech speech.Speech
+	// Fitness is the path at which fitness is asked for, over the startup's own address for it.
+	Fitness string
+}
+
 // Host is the process.
 type Host struct {
 	*plane.Plane
 	startup   *startup.Startup
+	adapter   *Adapter
 	log       *slog.Logger
 	transport *transport.Transport
 	platform  *fasthttp.Client
 }
 
-// New makes the process; nothing listens yet.
+// New makes the process with the product's own speech; nothing listens yet.
 func New(startup *startup.Startup, log *slog.Logger) (*Host, error) {
-	host := &Host{startup: startup, log: log,
+	return NewAdapted(nil)(startup, log)
+}
+
+// NewAdapted gives what makes the process on a platform; with a nil adapter everything is the product's own.
+func NewAdapted(adapter *Adapter) func(startup *startup.Startup, log *slog.Logger) (*Host, error) {
+	return func(startup *startup.Startup, log *slog.Logger) (*Host, error) { return build(startup, adapter, log) }
+}
+
+func build(startup *startup.Startup, adapter *Adapter, log *slog.Logger) (*Host, error) {
+	host := &Host{startup: startup, adapter: adapter, log: log,
 		platform: &fasthttp.Client{ReadTimeout: pollBound, WriteTimeout: pollBound, MaxResponseBodySize: maximumList, MaxConnsPerHost: 4}}
 	var local net.Addr
 	if place, _, failure := net.SplitHostPort(startup.Address); failure == nil {
 		local = &net.TCPAddr{IP: net.ParseIP(place)}
 	}
-	made, failure := plane.New(seam.Real(local), plane.Startup{Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds},
+	var spoken speech.Speech = speech.Own{}
+	if adapter != nil {
+		spoken = adapter.Speech
+	}
+	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds},
 		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Send: func(parcels []machine.Parcel) { host.transport.Send(parcels) }, Poll: func() { go host.poll() }, Log: log})
 	if failure != nil {
@@ -122,43 +148,79 @@
 	ticker := time.NewTicker(plane.SettleEvery)
 	defer ticker.Stop()
 	begun := time.Now()
-	for !host.Drained(length) && time.Since(begun) < length+finishBound {
+	finish := host.startup.FinishTime(finishBound)
+	for !host.Drained(length) && time.Since(begun) < length+finish {
 		<-ticker.C
 	}
-	finishing, stop := context.WithTimeout(context.Background(), finishBound)
+	finishing, stop := context.WithTimeout(context.Background(), max(leastFinish, length+finish-time.Since(begun)))
 	defer stop()
 	failure := server.ShutdownWithContext(finishing)
 	host.log.Info("stopped", "left_unfinished", host.Yard.InFlight.Load())
 	return fault.Wrap(failure, fault.Internal, "closing the HTTP side")
 }
 
-// serve opens the requesters' side.
-func (host *Host) serve() (*fasthttp.Server, error) {
+// handler gives who answers requesters: the product's own paths, or on a platform every path.
+func (host *Host) handler() fasthttp.RequestHandler {
+	serve := func(context *fasthttp.RequestCtx) { host.Yard.Serve(seam.FromHTTP(context)) }
+	if host.adapter != nil {
+		return serve
+	}
 	routes := router.New()
-	routes.POST("/v1/stream", func(context *fasthttp.RequestCtx) { host.Yard.Serve(seam.FromHTTP(context)) })
+	routes.POST("/v1/stream", serve)
 	routes.POST("/v1/explain", func(context *fasthttp.RequestCtx) { host.Yard.Explain(seam.FromHTTP(context)) })
 	routes.GET("/fitness", host.fitness)
 	routes.GET("/v1/status", host.status)
-	routes.NotFound = func(context *fasthttp.RequestCtx) {
-		course.Refuse(seam.FromHTTP(context), fault.NotFound, string(context.Path()), award.DidNotRun, 0)
-	}
-	server := &fasthttp.Server{Handler: routes.Handler, Name: "wtdata", ReadTimeout: 10 * time.Second, WriteTimeout: streamBound, IdleTimeout: time.Minute,
+	routes.NotFound = func(context *fasthttp.RequestCtx) { host.refuse(context, fault.NotFound, string(context.Path())) }
+	return routes.Handler
+}
+
+// serve opens the requesters' side, and where it has an address of its own the side for who asks for fitness.
+func (host *Host) serve() (*fasthttp.Server, error) {
+	server := &fasthttp.Server{Handler: host.handler(), Name: "wtdata", ReadTimeout: readBound, WriteTimeout: streamBound, IdleTimeout: time.Minute,
 		MaxRequestBodySize: intake.MaximumBody, ReadBufferSize: headerBound, Concurrency: 16384, CloseOnShutdown: true,
-		ErrorHandler: malformed}
-	listener, failure := net.Listen("tcp", host.startup.HTTP)
+		ErrorHandler: host.malformed}
+	if host.adapter != nil {
+		// Why: the name and the date are the runner's to give, and a buffer for the longest header a connection would take too much memory.
+		server.NoDefaultServerHeader, server.NoDefaultDate, server.NoDefaultContentType = true, true, true
+		server.ReadBufferSize, server.MaxRequestBodySize = adaptedHeaderBound, maximumAdaptedBody
+		server.DisablePreParseMultipartForm = true
+	}
+	if failure := host.listen(server, host.startup.HTTP); failure != nil {
+		return nil, failure
+	}
+	if host.startup.Fitness == "" {
+		return server, nil
+	}
+	routes := router.New()
+	path := "/fitness"
+	if host.adapter != nil {
+		path = host.adapter.Fitness
+	}
+	routes.GET(path, host.fitness)
+	routes.GET("/v1/status", host.status)
+	return server, host.listen(&fasthttp.Server{Handler: routes.Handler, Name: "wtdata", ReadTimeout: readBound, WriteTimeout: readBound, IdleTimeout: time.Minute}, host.startup.Fitness)
+}
+
+func (host *Host) listen(server *fasthttp.Server, address string) error {
+	listener, failure := transport.ListenTCP(address)
 	if failure != nil {
-		return nil, fault.Wrap(failure, fault.BadStartup, "listening on %s", host.startup.HTTP)
+		return failure
 	}
 	go func() {
 		if failure := server.Serve(listener); failure != nil {
-			host.log.Error("the HTTP side ended", "cause", failure.Error())
+			host.log.Error("the HTTP side ended", "address", address, "cause", failure.Error())
 		}
 	}()
-	return server, nil
+	return nil
+}
+
+// refuse gives a refusal to what never became a request.
+func (host *Host) refuse(context *fasthttp.RequestCtx, kind fault.Kind, detail string) {
+	host.Yard.Speech.Refuse(seam.FromHTTP(context), nil, speech.Refusal{Kind: kind, Detail: detail, Ran: award.DidNotRun, DidNotRun: true})
 }
 
 // malformed answers what could not be read as a request at all.
-func malformed(context *fasthttp.RequestCtx, failure error) {
+func (host *Host) malformed(context *fasthttp.RequestCtx, failure error) {
 	kind := fault.Malformed
 	if failure == fasthttp.ErrBodyTooLarge {
 		kind = fault.TooLarge
@@ -166,7 +228,7 @@
 	if _, tooSmall := failure.(*fasthttp.ErrSmallBuffer); tooSmall {
 		kind = fault.TooLarge
 	}
-	course.Refuse(seam.FromHTTP(context), kind, failure.Error(), award.DidNotRun, 0)
+	host.refuse(context, kind, failure.Error())
 	context.SetConnectionClose()
 }
 
@@ -176,8 +238,8 @@
 		context.Error("draining\n", 503)
 		return
 	}
-	if !time.Now().Before(host.Snapshot().Until) {
-		context.Error("no present spec\n", 503)
+	if !host.Fit() {
+		context.Error("no present spec, or no runner known\n", 503)
 		return
 	}
 	context.SetBodyString("fit\n")
@@ -233,7 +295,7 @@
 	})
 	content, failure := json.Marshal(status)
 	if failure != nil {
-		course.Refuse(seam.FromHTTP(context), fault.Internal, failure.Error(), award.DidNotRun, 0)
+		host.refuse(context, fault.Internal, failure.Error())
 		return
 	}
 	context.SetContentType("application/json")
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -26,6 +26,7 @@
 	"wardtray/process/tally"
 	"wardtray/request/award"
 	"wardtray/request/course"
+	"wardtray/request/speech"
 )
 
 // How often a driver calls Tick, Settle, AskPressures and Age.
@@ -42,8 +43,10 @@
 	director.Startup
 	// Workers are the index's; without any, events are applied at once.
 	Workers int
-	Random  *rand.Rand
-	Await   func(steps <-chan award.Step) award.Step
+	// Speech is how requesters and runners speak; the product's own if it is not given.
+	Speech speech.Speech
+	Random *rand.Rand
+	Await  func(steps <-chan award.Step) award.Step
 	// Send carries messages out; Poll begins to read the platform's list, whose outcome goes to Listed.
 	Send func(parcels []machine.Parcel)
 	Poll func()
@@ -84,6 +87,9 @@
 		return nil, fault.Wrap(failure, fault.Internal, "making the index")
 	}
 	plane := &Plane{world: world, log: startup.Log, send: startup.Send, poll: startup.Poll, address: startup.Address, begun: now, random: startup.Random, desks: map[string]*award.Desk{}}
+	if startup.Speech == nil {
+		startup.Speech = speech.Own{}
+	}
 	memory := once.New()
 	startup.OnTaken = func(now time.Time, key []byte, dropped bool) {
 		if len(key) == len(once.Key{}) {
@@ -93,9 +99,9 @@
 	plane.director = director.New(now, startup.Startup, rand.New(rand.NewSource(startup.Random.Int63())))
 	plane.snapshot.Store(&director.Snapshot{})
 	plane.daemons.Store(&[]string{startup.Address})
-	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Await: startup.Await, Snapshot: plane.snapshot.Load,
+	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Speech: startup.Speech, Await: startup.Await, Snapshot: plane.snapshot.Load,
 		Daemons: func() []string { return *plane.daemons.Load() }, Book: pressure.NewBook(now, startup.Address), Indexer: indexer,
-		Links: link.New(world), Tally: tally.New(), Desk: plane.desk,
+		Links: link.New(world, startup.Speech.Identity()), Tally: tally.New(), Desk: plane.desk,
 		Once: memory, Tell: func(key once.Key, dropped bool) {
 			plane.Step(func(_ time.Time, director *director.Director) { director.TellTaken(key[:], dropped) })
 		}}
@@ -132,7 +138,9 @@
 
 // Fit tells whether requesters should be sent here.
 func (plane *Plane) Fit() bool {
-	return !plane.Yard.Draining.Load() && plane.world.Now().Before(plane.Snapshot().Until)
+	snapshot := plane.Snapshot()
+	// Why: who knows no runner serves nobody; requesters do better elsewhere until it has heard of some.
+	return !plane.Yard.Draining.Load() && plane.world.Now().Before(snapshot.Until) && (len(snapshot.Runners) > 0 || len(snapshot.Book.Lanes) == 0)
 }
 
 // Listed takes what the platform answered.
@@ -290,17 +298,17 @@
 		plane.missed(runner.ID, fault.Of(failure))
 		return
 	}
-	content, failure := connection.Get("/pressure", pressureBound)
+	content, failure := connection.Get(plane.Yard.Speech.Probe(), pressureBound)
 	report := pressure.Report{}
 	if failure == nil {
-		failure = fault.Wrap(json.Unmarshal(content, &report), fault.Unreachable, "its pressure is no JSON")
+		report, failure = plane.Yard.Speech.Report(content)
 	}
 	if failure != nil {
 		_ = connection.Close()
 		plane.missed(runner.ID, fault.Of(failure))
 		return
 	}
-	plane.Yard.Links.Keep(connection)
+	plane.Yard.Links.Keep(connection, 0)
 	plane.Yard.Book.Reported(plane.world.Now(), runner.ID, report)
 }
 
--- a/process/startup/flags.go
+++ b/process/startup/flags.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -37,6 +40,30 @@
 	return length
 }
 
+// span gives a checked length of time, or what holds by default.
+func span(text string, otherwise time.Duration) time.Duration {
+	if length, failure := time.ParseDuration(text); failure == nil {
+		return length
+	}
+	return otherwise
+}
+
+// FinishTime gives the checked finish setting, or what holds by default.
+func (startup *Startup) FinishTime(otherwise time.Duration) time.Duration {
+	return span(startup.Finish, otherwise)
+}
+
+// BeatTime gives how often runners call.
+func (startup *Startup) BeatTime() time.Duration { return span(startup.Beat, time.Second) }
+
+// ApplyTime gives within what time a change must be in force.
+func (startup *Startup) ApplyTime() time.Duration { return span(startup.Apply, 2*time.Second) }
+
+// RepeatsWindow gives the window of the repeats.
+func (startup *Startup) RepeatsWindow() time.Duration {
+	return span(startup.Repeats.Window, 10*time.Second)
+}
+
 // FromCommandLine reads flags and file of a daemon, checks them, and gives the startup. On a fault
 // it prints every flaw and ends the process with ExitBadStartup.
 func FromCommandLine(name, help string, needs Needs) *Startup {
@@ -53,6 +80,11 @@
 	application := kingpin.New(name, help).UsageWriter(os.Stdout).ErrorWriter(io.Discard).Terminate(terminate)
 	application.HelpFlag.Short('h')
 	file := application.Flag("startup", "Startup file (JSON). Flags go over what it says.").Short('s').String()
+	adapter := ""
+	if len(needs.Adapters) > 0 {
+		application.Flag("adapter", "The platform whose settings file is read in the place of a startup file: "+strings.Join(slices.Sorted(maps.Keys(needs.Adapters)), ", ")+".").
+			EnumVar(&adapter, slices.Sorted(maps.Keys(needs.Adapters))...)
+	}
 	given := &Startup{}
 	application.Flag("address", "Where other processes reach this one, ip:port.").StringVar(&given.Address)
 	application.Flag("http", "Where callers reach this one, ip:port.").StringVar(&given.HTTP)
@@ -70,10 +102,15 @@
 	if _, failure := application.Parse(arguments); failure != nil {
 		return nil, fault.Wrap(failure, fault.BadStartup, "flags")
 	}
-	startup, failure := Read(*file)
+	read := func() (*Startup, error) { return Read(*file) }
+	if adapter != "" {
+		read = needs.Adapters[adapter]
+	}
+	startup, failure := read()
 	if failure != nil {
 		return nil, failure
 	}
+	startup.Adapter = adapter
 	for _, pair := range []struct{ to, from *string }{
 		{&startup.Address, &given.Address}, {&startup.HTTP, &given.HTTP}, {&startup.Zone, &given.Zone}, {&startup.Log, &given.Log},
 		{&startup.Folder, &given.Folder}, {&startup.Platform, &given.Platform}, {&startup.Drain, &given.Drain},
@@ -88,7 +125,7 @@
 	if len(given.Founders) > 0 {
 		startup.Founders = given.Founders
 	}
-	if len(startup.Founders) == 0 {
+	if len(startup.Founders) == 0 && !startup.Joins {
 		startup.Founders = startup.Seeds
 	}
 	return startup, startup.Check(needs)
--- a/process/startup/startup.go
+++ b/process/startup/startup.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/mailru/easyjson"
 
@@ -35,10 +36,39 @@
 	Platform string `json:"platform,omitempty"`
 	// Drain is how long wtdata still takes requests after it was told to stop.
 	Drain string `json:"drain,omitempty"`
+	// Finish is how long after that what was taken may still take; by default two minutes.
+	Finish string `json:"finish,omitempty"`
+	// Fitness is where fitness is told, as ip:port, if not at http.
+	Fitness string `json:"fitness,omitempty"`
+	// MemoryMegabytes is what the process may take; 0: whatever it needs.
+	MemoryMegabytes int `json:"memory_megabytes,omitempty"`
+	// Faults is how many disk machines may be lost at once; by default one.
+	Faults int `json:"faults,omitempty"`
+	// Joins says that this machine must not found a fleet, only join one: its disk may have been wiped.
+	Joins bool `json:"joins,omitempty"`
+	// Beat is how often runners call; by default 1s.
+	Beat string `json:"beat,omitempty"`
+	// Apply is within what time after its acknowledgement a change must be in force; by default 2s.
+	Apply string `json:"apply,omitempty"`
+	// Repeats bound what is sent to a second runner, over all daemons.
+	Repeats Repeats `json:"repeats,omitempty"`
+	// Registered says that runners register themselves, so that there is no platform's list.
+	Registered bool `json:"registered,omitempty"`
+	// Adapter is the name of the platform that the settings came from; empty: none.
+	Adapter string `json:"-"`
 	// Log is debug, info, warn or error.
 	Log string `json:"log,omitempty"`
 }
 
+// Repeats bound the requests sent again in every window: so large a share of a pool's requests, and so many more.
+//
+//easyjson:json
+type Repeats struct {
+	Window string  `json:"window,omitempty"`
+	Share  float64 `json:"share,omitempty"`
+	Slack  int     `json:"slack,omitempty"`
+}
+
 // Read reads a file strictly; an empty path gives an empty startup.
 func Read(path string) (*Startup, error) {
 	startup := &Startup{}
@@ -62,8 +92,15 @@
 type Needs struct {
 	Folder   bool
 	Platform bool
+	// Adapters read the settings of platforms, by the name that --adapter gives.
+	Adapters map[string]func() (*Startup, error)
 }
 
+const (
+	leastMegabytes = 32
+	mostFaults     = 4
+)
+
 var logLevels = map[string]bool{"": true, "debug": true, "info": true, "warn": true, "error": true}
 
 // Check gives one BadStartup fault that names every flaw.
@@ -109,7 +146,7 @@
 			flaw("folder: %q is no folder", startup.Folder)
 		}
 	}
-	if needs.Platform {
+	if needs.Platform && !(startup.Registered && startup.Platform == "") {
 		if parsed, failure := url.Parse(startup.Platform); failure != nil || parsed.Scheme != "http" || parsed.Host == "" {
 			flaw("platform: %q is no http URL", startup.Platform)
 		}
@@ -121,6 +158,26 @@
 			flaw("drain: %q is no length of time from 0s to 10m", startup.Drain)
 		}
 	}
+	for _, length := range []struct{ name, text string }{{"finish", startup.Finish}, {"beat", startup.Beat}, {"apply", startup.Apply}, {"repeats.window", startup.Repeats.Window}} {
+		if length.text == "" {
+			continue
+		}
+		if parsed, failure := time.ParseDuration(length.text); failure != nil || parsed <= 0 || parsed > time.Hour {
+			flaw("%s: %q is no length of time up to 1h", length.name, length.text)
+		}
+	}
+	if startup.Fitness != "" {
+		place("fitness", startup.Fitness)
+	}
+	if startup.MemoryMegabytes < 0 || startup.MemoryMegabytes > 0 && startup.MemoryMegabytes < leastMegabytes {
+		flaw("memory_megabytes: wants at least %d", leastMegabytes)
+	}
+	if startup.Faults < 0 || startup.Faults > mostFaults {
+		flaw("faults: wants 0 to %d", mostFaults)
+	}
+	if startup.Repeats.Share < 0 || startup.Repeats.Share > 1 || startup.Repeats.Slack < 0 {
+		flaw("repeats: wants a share from 0 to 1 and a slack of 0 or more")
+	}
 	if !logLevels[startup.Log] {
 		flaw("log: %q is none of debug, info, warn, error", startup.Log)
 	}
--- a/process/startup/startup_easyjson.go
+++ b/process/startup/startup_easyjson.go
@@ -121,6 +121,60 @@
 			} else {
 				out.Drain = string(in.String())
 			}
+		case "finish":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Finish = string(in.String())
+			}
+		case "fitness":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Fitness = string(in.String())
+			}
+		case "memory_megabytes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.MemoryMegabytes = int(in.Int())
+			}
+		case "faults":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Faults = int(in.Int())
+			}
+		case "joins":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Joins = bool(in.Bool())
+			}
+		case "beat":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Beat = string(in.String())
+			}
+		case "apply":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Apply = string(in.String())
+			}
+		case "repeats":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Repeats).UnmarshalEasyJSON(in)
+			}
+		case "registered":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Registered = bool(in.Bool())
+			}
 		case "log":
 			if in.IsNull() {
 				in.Skip()
@@ -205,6 +259,51 @@
 		out.RawString(prefix)
 		out.String(string(in.Drain))
 	}
+	if in.Finish != "" {
+		const prefix string = ",\"finish\":"
+		out.RawString(prefix)
+		out.String(string(in.Finish))
+	}
+	if in.Fitness != "" {
+		const prefix string = ",\"fitness\":"
+		out.RawString(prefix)
+		out.String(string(in.Fitness))
+	}
+	if in.MemoryMegabytes != 0 {
+		const prefix string = ",\"memory_megabytes\":"
+		out.RawString(prefix)
+		out.Int(int(in.MemoryMegabytes))
+	}
+	if in.Faults != 0 {
+		const prefix string = ",\"faults\":"
+		out.RawString(prefix)
+		out.Int(int(in.Faults))
+	}
+	if in.Joins {
+		const prefix string = ",\"joins\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Joins))
+	}
+	if in.Beat != "" {
+		const prefix string = ",\"beat\":"
+		out.RawString(prefix)
+		out.String(string(in.Beat))
+	}
+	if in.Apply != "" {
+		const prefix string = ",\"apply\":"
+		out.RawString(prefix)
+		out.String(string(in.Apply))
+	}
+	if true {
+		const prefix string = ",\"repeats\":"
+		out.RawString(prefix)
+		(in.Repeats).MarshalEasyJSON(out)
+	}
+	if in.Registered {
+		const prefix string = ",\"registered\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Registered))
+	}
 	if in.Log != "" {
 		const prefix string = ",\"log\":"
 		out.RawString(prefix)
@@ -236,3 +335,105 @@
 func (v *Startup) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson9e48c2f1DecodeWardtrayProcessStartup(l, v)
 }
+func easyjson9e48c2f1DecodeWardtrayProcessStartup1(in *jlexer.Lexer, out *Repeats) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "window":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Window = string(in.String())
+			}
+		case "share":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Share = float64(in.Float64())
+			}
+		case "slack":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Slack = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson9e48c2f1EncodeWardtrayProcessStartup1(out *jwriter.Writer, in Repeats) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Window != "" {
+		const prefix string = ",\"window\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.String(string(in.Window))
+	}
+	if in.Share != 0 {
+		const prefix string = ",\"share\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.Share))
+	}
+	if in.Slack != 0 {
+		const prefix string = ",\"slack\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.Slack))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Repeats) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson9e48c2f1EncodeWardtrayProcessStartup1(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Repeats) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson9e48c2f1EncodeWardtrayProcessStartup1(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Repeats) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson9e48c2f1DecodeWardtrayProcessStartup1(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Repeats) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson9e48c2f1DecodeWardtrayProcessStartup1(l, v)
+}
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -25,6 +25,8 @@
 	FirstEvents  map[string]uint64 `json:"first_events,omitempty"`
 	OtherZone    uint64            `json:"passed_to_other_zone"`
 	BytesAcross  uint64            `json:"bytes_other_zone"`
+	// Resumed counts streams that went on at another runner.
+	Resumed uint64 `json:"resumed"`
 }
 
 // Tally holds the counts of a process.
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -1,10 +1,12 @@
 package sim
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand"
+	"slices"
 	"strings"
 	"time"
 
@@ -295,6 +297,20 @@
 
 func (asker *asker) Header(name string) []string { return asker.headers[name] }
 
+func (asker *asker) Method() string { return "POST" }
+
+func (asker *asker) Authority() string { return "sim" }
+
+func (asker *asker) Target() string { return "/v1/stream" }
+
+func (asker *asker) Headers(each func(name, value string)) {
+	for _, name := range slices.Sorted(maps.Keys(asker.headers)) {
+		for _, value := range asker.headers[name] {
+			each(name, value)
+		}
+	}
+}
+
 func (asker *asker) Body() []byte { return asker.drawn.Body() }
 
 func (asker *asker) Last() {}
@@ -316,9 +332,20 @@
 	}
 }
 
-func (asker *asker) Stream(headers []seam.Header, write func(writer *bufio.Writer)) {
-	asker.head(200, headers)
-	write(bufio.NewWriterSize(asker, 4<<10))
+func (asker *asker) Stream(status int, headers []seam.Header, source io.ReadCloser) {
+	asker.head(status, headers)
+	defer source.Close()
+	for buffer := make([]byte, 4<<10); ; {
+		count, failure := source.Read(buffer)
+		if count > 0 {
+			if _, gone := asker.Write(buffer[:count]); gone != nil {
+				return
+			}
+		}
+		if failure != nil {
+			return
+		}
+	}
 }
 
 // answerBound is how long a decided answer may take, which is nothing but the daemon's own work.
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -1,19 +1,19 @@
 // Package course is the executor: it takes a request through its states and does what the decision
 // object says. A course is reading, bidding, passing, sent, relaying or ended; each change of state
-// has its one function.
+// has its one function. What it reads and writes is in the words of a speech.
 package course
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"math"
-	"strconv"
+	"io"
+	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"wardtray/connection/link"
@@ -28,6 +28,7 @@
 	"wardtray/process/tally"
 	"wardtray/request/award"
 	"wardtray/request/intake"
+	"wardtray/request/speech"
 	"wardtray/request/stream"
 )
 
@@ -43,6 +44,10 @@
 	silenceBound = 15 * time.Second
 	leastBound   = time.Second
 	tailBound    = 500 * time.Millisecond
+	// strayBound is how many answers to other requests may come before the one that is due.
+	strayBound = 4
+	// maximumAnswer bounds an answer that is no stream.
+	maximumAnswer = 8 << 20
 )
 
 // Yard is what lives as long as the process and every course uses.
@@ -50,6 +55,8 @@
 	Name  string
 	Zone  string
 	World seam.World
+	// Speech is how requesters and runners speak.
+	Speech speech.Speech
 	// Await waits for the next step of a ticket.
 	Await    func(steps <-chan award.Step) award.Step
 	Snapshot func() *director.Snapshot
@@ -101,7 +108,7 @@
 	{bidding, passing}: true, {bidding, ended}: true,
 	{passing, bidding}: true, {passing, sent}: true, {passing, ended}: true,
 	{sent, bidding}: true, {sent, relaying}: true, {sent, ended}: true,
-	{relaying, ended}: true,
+	{relaying, bidding}: true, {relaying, ended}: true,
 }
 
 // Course is one request on its way.
@@ -122,8 +129,17 @@
 	sends      int
 	connection *link.Connection
 	response   *fasthttp.Response
+	word       speech.Word
 	reader     *stream.Reader
 	first      stream.Event
+	// body is an answer that is no stream; across counts what was relayed of one that is.
+	body   []byte
+	across int
+	// after is the id of the last event that the requester has, relayed that any of the answer was passed on.
+	after   int
+	relayed bool
+	// until is the moment at which nobody waits for the answer any more; zero: not told.
+	until time.Time
 	// epoch is the spec's, as last looked at before the request went out.
 	epoch  uint64
 	sentAt time.Time
@@ -146,35 +162,6 @@
 	course.state = next
 }
 
-// Refusal is the body of every answer that is not a stream.
-type Refusal struct {
-	Kind    fault.Kind `json:"kind"`
-	Detail  string     `json:"detail"`
-	Remedy  string     `json:"remedy"`
-	Ran     string     `json:"ran"`
-	RetryMS int64      `json:"retry_after_ms,omitempty"`
-}
-
-var statuses = map[fault.Kind]int{
-	fault.Malformed: 400, fault.TooLarge: 413, fault.UnknownLane: 404, fault.UnknownModel: 404, fault.UnknownAdapter: 404,
-	fault.PurseSpent: 429, fault.PatienceShort: 429, fault.WaitlistFull: 429, fault.NoRunner: 503, fault.NotServing: 503,
-	fault.OutcomeUnknown: 504, fault.RunFailed: 502, fault.AlreadyTaken: 409, fault.NotFound: 404, fault.Internal: 500,
-}
-
-// Refuse writes a refusal.
-func Refuse(requester seam.Requester, kind fault.Kind, detail, ran string, retry time.Duration) {
-	refusal := Refusal{Kind: kind, Detail: detail, Remedy: (&fault.Fault{Kind: kind}).Remedy(), Ran: ran, RetryMS: retry.Milliseconds()}
-	content, failure := json.Marshal(refusal)
-	if failure != nil {
-		content = []byte(`{"kind":"internal"}`)
-	}
-	headers := []seam.Header{{Name: "Content-Type", Value: "application/json"}}
-	if retry > 0 {
-		headers = append(headers, seam.Header{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(retry.Seconds())))})
-	}
-	requester.Answer(statuses[kind], headers, content)
-}
-
 // Serve takes one request that has been read whole.
 func (yard *Yard) Serve(requester seam.Requester) {
 	course := &Course{yard: yard, requester: requester, state: reading, begun: yard.World.Now()}
@@ -183,12 +170,15 @@
 		requester.Last()
 	}
 	if failure := course.read(); failure != nil {
-		found := fault.Of(failure)
-		course.refuse(found.Kind, found.Detail, course.ran(award.DidNotRun), course.comeback(found.Kind))
+		course.refuse(course.refusalOf(failure))
 		return
 	}
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Requests++ })
-	course.bid(award.NotSent)
+	if refusal := course.obtain(award.NotSent); refusal != nil {
+		course.refuse(*refusal)
+		return
+	}
+	course.relay()
 }
 
 // ranWords are what is said of the work of a request that was sent before.
@@ -197,12 +187,18 @@
 // take notes a request that must run at most once, before anything else can be said of it; it gives what
 // is known if it was sent before.
 func (course *Course) take() once.State {
+	if course.request.Fresh {
+		return ""
+	}
 	key := once.KeyOf(course.request.Lane, course.request.ID)
 	if course.said = course.yard.Once.Look(key); course.said != "" {
 		return course.said
 	}
 	book := course.yard.Snapshot().Book
-	if book == nil || book.Lanes[course.request.Lane] == nil || book.Lanes[course.request.Lane].Repeatable {
+	if book == nil {
+		return ""
+	}
+	if lane := laneOf(book, course.request); lane == nil || lane.Repeatable {
 		return ""
 	}
 	known, fresh := course.yard.Once.Begin(course.now(), key)
@@ -268,13 +264,13 @@
 	course := &Course{yard: yard, requester: requester, state: reading, begun: yard.World.Now()}
 	if failure := course.read(); failure != nil {
 		found := fault.Of(failure)
-		Refuse(requester, found.Kind, found.Detail, award.DidNotRun, 0)
+		yard.Speech.Refuse(requester, course.request, speech.Refusal{Kind: found.Kind, Detail: found.Detail, Ran: award.DidNotRun, DidNotRun: true})
 		return
 	}
 	quotes, step := course.desk.Explain(course.begun, course.ticket)
 	content, failure := json.Marshal(map[string]any{"step": step, "quotes": quotes, "prices": course.desk.Prices(), "bid": course.ticket.Bid})
 	if failure != nil {
-		Refuse(requester, fault.Internal, failure.Error(), award.DidNotRun, 0)
+		yard.Speech.Refuse(requester, course.request, speech.Refusal{Kind: fault.Internal, Detail: failure.Error(), Ran: award.DidNotRun, DidNotRun: true})
 		return
 	}
 	requester.Answer(200, []seam.Header{{Name: "Content-Type", Value: "application/json"}}, content)
@@ -288,82 +284,145 @@
 		return fault.New(fault.NotServing, "this daemon does not know for sure that its spec is the present one")
 	}
 	book, request := course.yard.Snapshot().Book, course.request
-	lane, found := book.Lanes[request.Lane]
-	if !found {
-		return fault.New(fault.UnknownLane, "there is no lane %q", request.Lane)
+	lane := laneOf(book, request)
+	if lane == nil {
+		return fault.New(fault.UnknownLane, "there is no lane %q", request.Lane+request.Authority+request.Target)
+	}
+	pool := poolOf(book, lane, request)
+	if pool == nil {
+		return fault.New(fault.UnknownLane, "lane %q has no pool", lane.Name)
 	}
-	pool := book.Pools[lane.Pool]
-	if pool.Model != request.Model {
+	if pool.Model != "" && pool.Model != request.Model {
 		return fault.New(fault.UnknownModel, "lane %q serves model %q, not %q", lane.Name, pool.Model, request.Model)
 	}
 	if !pool.Serves(request.Adapter) {
 		return fault.New(fault.UnknownAdapter, "pool %q has no adapter %q", pool.Name, request.Adapter)
 	}
-	if course.desk != nil && pool.Name != course.pool.Name {
+	// Why: a request that was relayed in part belongs to the pool that began it.
+	if course.relayed && pool.Name != course.pool.Name {
 		return fault.New(fault.UnknownLane, "lane %q now belongs to pool %q", lane.Name, pool.Name)
 	}
+	moved := course.desk != nil && pool.Name != course.pool.Name
 	course.lane, course.pool = *lane, *pool
+	course.until = course.given()
+	if moved || course.desk == nil {
+		course.draw()
+	}
 	return nil
 }
 
+// laneOf finds the lane that a request names, or the one that its host and path choose.
+func laneOf(book *spec.Book, request *intake.Request) *spec.Lane {
+	if request.Lane != "" || request.Target == "" {
+		return book.Lanes[request.Lane]
+	}
+	path, _, _ := strings.Cut(request.Target, "?")
+	return book.Route(request.Authority, path)
+}
+
+// poolOf gives the lane's pool, or the one of its split that falls to this request.
+//
+// Why by its id: the draw is then the same at every look and needs no memory.
+func poolOf(book *spec.Book, lane *spec.Lane, request *intake.Request) *spec.Pool {
+	return book.PoolAt(lane, float64(xxhash.Sum64String(request.ID)>>11)/(1<<53))
+}
+
+// given tells up to when an answer is any use: the sooner of what the requester and the lane give.
+func (course *Course) given() time.Time {
+	least := course.request.Wait
+	if own := time.Duration(course.lane.Deadline); own > 0 && (least == 0 || own < least) {
+		least = own
+	}
+	if least == 0 {
+		return time.Time{}
+	}
+	return course.begun.Add(least)
+}
+
+// left is how long that still is; 0: not told.
+func (course *Course) left() time.Duration {
+	if course.until.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, course.until.Sub(course.now()))
+}
+
+// over tells whether nobody waits any more.
+func (course *Course) over() bool {
+	return !course.until.IsZero() && !course.now().Before(course.until)
+}
+
+// repeatable tells whether a second run does no harm.
+func (course *Course) repeatable() bool { return course.lane.Repeatable }
+
 // read checks the request against the newest spec.
 func (course *Course) read() error {
-	request, failure := intake.Parse(course.requester.Header, course.requester.Body())
+	request, failure := course.yard.Speech.Read(course.requester)
 	if failure != nil {
 		return failure
 	}
-	course.request = request
+	course.request, course.after = request, request.After
 	if known := course.take(); known != "" {
 		return fault.New(fault.AlreadyTaken, "the request with this id %s", known)
 	}
-	if failure := course.proper(); failure != nil {
-		return failure
-	}
-	lane, pool := &course.lane, &course.pool
+	return course.proper()
+}
+
+// draw enters the request with the desk of its pool.
+func (course *Course) draw() {
+	lane, pool, request := &course.lane, &course.pool, course.request
 	course.desk = course.yard.Desk(pool.Name)
 	course.ticket = &award.Ticket{Lane: lane.Name, Purse: lane.Purse, PartTokens: request.PartTokens, Steps: make(chan award.Step, 1),
-		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: pool.Model, Weights: pool.Weights, Adapter: request.Adapter}),
-		Bid: award.Bid{Worth: lane.Worth, Patience: time.Duration(lane.Patience), PromptTokens: request.PromptTokens, Zone: course.yard.Zone,
+		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: request.Model, Weights: pool.Weights, Adapter: request.Adapter}),
+		Bid: award.Bid{Worth: lane.Worth, Patience: course.patience(), PromptTokens: request.PromptTokens, Zone: course.yard.Zone,
 			Shut: map[string]bool{}}}
-	return nil
 }
 
-// bid asks for an award and obeys, until the request is relayed, refused or given up.
-func (course *Course) bid(last award.End) {
+// patience is the time in which the first event should come, as far as there is that much.
+func (course *Course) patience() time.Duration {
+	patience := time.Duration(course.lane.Patience)
+	if left := course.left(); left > 0 && left < patience {
+		return left
+	}
+	return patience
+}
+
+// mayTry tells whether the request may be sent to one more runner.
+func (course *Course) mayTry() bool {
+	return course.attempts < maximumAttempts && (course.lane.Attempts == 0 || course.sends < course.lane.Attempts)
+}
+
+// obtain asks for an award and obeys, until a runner's answer may be relayed; otherwise it gives what to tell.
+func (course *Course) obtain(last award.End) *speech.Refusal {
 	for {
 		course.to(bidding)
-		if course.attempts >= maximumAttempts {
-			verdict := award.After(last, course.lane.Repeatable)
-			course.refuse(verdict.Otherwise, "every attempt failed", course.ran(verdict.Ran), course.comeback(verdict.Otherwise))
-			return
+		if !course.mayTry() || course.over() {
+			verdict := course.following(last)
+			return course.refusal(verdict.Otherwise, "every attempt failed", verdict.Ran, course.comeback(verdict.Otherwise))
 		}
 		// Why: the spec may have taken the lane or its pool away since the last attempt.
 		if failure := course.proper(); failure != nil {
-			found := fault.Of(failure)
-			course.refuse(found.Kind, found.Detail, course.ran(award.DidNotRun), course.comeback(found.Kind))
-			return
+			refusal := course.refusalOf(failure)
+			return &refusal
 		}
 		course.desk.Enter(course.now(), course.ticket)
 		course.step = course.yard.Await(course.ticket.Steps)
 		if course.step.Kind == award.Refuse {
-			course.refuseStep()
-			return
+			return course.refusedStep()
 		}
 		course.to(passing)
 		course.attempts++
 		end := course.pass()
 		if end == "" {
-			course.relay()
-			return
+			return nil
 		}
 		course.drop()
 		if end == award.Doubt {
 			course.doubted = true
 		}
-		verdict := award.After(end, course.lane.Repeatable)
+		verdict := course.following(end)
 		if !verdict.Again {
-			course.refuse(verdict.Otherwise, fmt.Sprintf("runner %s gave no answer", course.step.Runner.ID), course.ran(verdict.Ran), course.comeback(verdict.Otherwise))
-			return
+			return course.refusal(verdict.Otherwise, fmt.Sprintf("runner %s gave no answer", course.step.Runner.ID), verdict.Ran, course.comeback(verdict.Otherwise))
 		}
 		// Why: a runner is not at fault where this daemon was not sure of its spec.
 		if end != award.NotSent || course.yard.Snapshot().Until.After(course.now()) {
@@ -373,6 +432,16 @@
 	}
 }
 
+// after_ gives what may follow an attempt that ended so.
+func (course *Course) following(end award.End) award.Verdict {
+	verdict := award.After(end, course.repeatable())
+	// Why: what was relayed stands; a stream that may be resumed goes on behind it at another runner.
+	if end == award.Broken && course.lane.Resumable {
+		verdict.Again, verdict.Spends = true, true
+	}
+	return verdict
+}
+
 // ran keeps a doubt once there is one, and what is known of the request from before.
 func (course *Course) ran(said string) string {
 	if word := ranWords[course.said]; word != "" {
@@ -384,7 +453,8 @@
 	return said
 }
 
-func (course *Course) refuseStep() {
+// refusedStep counts and tells what the desk decided.
+func (course *Course) refusedStep() *speech.Refusal {
 	late := course.now().Sub(course.begun) > 50*time.Millisecond
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
 		if late {
@@ -393,21 +463,33 @@
 			lane.Early++
 		}
 	})
-	course.refuse(course.step.Fault, course.step.Reason, course.ran(award.DidNotRun), course.step.RetryAfter)
+	return course.refusal(course.step.Fault, course.step.Reason, award.DidNotRun, course.step.RetryAfter)
 }
 
-// refuse ends a course without a stream.
-func (course *Course) refuse(kind fault.Kind, detail, ran string, retry time.Duration) {
-	course.to(ended)
+// refusalOf tells what a fault means for the requester.
+func (course *Course) refusalOf(failure error) speech.Refusal {
+	found := fault.Of(failure)
+	return *course.refusal(found.Kind, found.Detail, award.DidNotRun, course.comeback(found.Kind))
+}
+
+// refusal gives what to tell of a request that gets no stream, or no more of one.
+func (course *Course) refusal(kind fault.Kind, detail, ran string, retry time.Duration) *speech.Refusal {
+	ran = course.ran(ran)
 	// Why: whatever ended this attempt, an earlier one may have run, and that is what the requester must know.
 	if course.doubted {
 		kind = fault.OutcomeUnknown
 	}
-	course.settle(map[bool]once.State{true: "", false: once.Unknown}[ran == award.DidNotRun])
+	return &speech.Refusal{Kind: kind, Detail: detail, Ran: ran, Retry: retry, DidNotRun: ran == award.DidNotRun, Late: course.over()}
+}
+
+// refuse ends a course without a stream.
+func (course *Course) refuse(refusal speech.Refusal) {
+	course.to(ended)
+	course.settle(map[bool]once.State{true: "", false: once.Unknown}[refusal.DidNotRun])
 	if course.desk != nil {
-		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(kind)]++ })
+		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(refusal.Kind)]++ })
 	}
-	Refuse(course.requester, kind, detail, ran, retry)
+	course.yard.Speech.Refuse(course.requester, course.request, refusal)
 	course.yard.InFlight.Add(-1)
 }
 
@@ -426,12 +508,12 @@
 	if !now.Before(snapshot.Until) || snapshot.Book == nil {
 		return false
 	}
-	lane, found := snapshot.Book.Lanes[course.lane.Name]
-	if !found || lane.Pool != course.pool.Name {
+	lane := laneOf(snapshot.Book, course.request)
+	if lane == nil || lane.Name != course.lane.Name {
 		return false
 	}
-	pool, found := snapshot.Book.Pools[lane.Pool]
-	if !found || pool.Model != course.request.Model || !pool.Serves(course.request.Adapter) {
+	pool := poolOf(snapshot.Book, lane, course.request)
+	if pool == nil || pool.Name != course.pool.Name || pool.Model != "" && pool.Model != course.request.Model || !pool.Serves(course.request.Adapter) {
 		return false
 	}
 	runner, known := course.yard.Book.One(now, course.step.Runner.ID, course.yard.Daemons())
@@ -439,6 +521,10 @@
 		return false
 	}
 	course.epoch = snapshot.SpecEpoch
+	// Why: where runners are not asked who they are, every request states whom it means, and another one turns it away.
+	if course.yard.Speech.Identity() == "" {
+		return true
+	}
 	return identity.RunnerID == runner.ID && pool.Allows(identity.Service) && identity.Model == pool.Model && identity.Weights == pool.Weights
 }
 
@@ -459,7 +545,7 @@
 	}
 	course.connection = connection
 	if !course.allowed(connection.Identity) {
-		if !course.pool.Allows(connection.Identity.Service) || connection.Identity.Weights != course.pool.Weights {
+		if course.yard.Speech.Identity() != "" && (!course.pool.Allows(connection.Identity.Service) || connection.Identity.Weights != course.pool.Weights) {
 			course.yard.Book.Failed(course.now(), runner.ID, "serves something else than listed")
 		}
 		course.countFree()
@@ -505,41 +591,21 @@
 	return true
 }
 
-// outgoing gives the request's bytes.
-func (course *Course) outgoing() []byte {
-	runner, request := course.step.Runner, course.request
-	outgoing := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(outgoing)
-	outgoing.Header.SetMethod("POST")
-	outgoing.SetRequestURI("/run")
-	outgoing.Header.SetHost(runner.Address)
-	outgoing.Header.SetContentType("application/json")
-	for _, header := range []seam.Header{{Name: intake.HeaderLane, Value: request.Lane}, {Name: intake.HeaderModel, Value: request.Model},
-		{Name: intake.HeaderAdapter, Value: request.Adapter}, {Name: intake.HeaderRequest, Value: request.ID}, {Name: intake.HeaderRunner, Value: runner.ID},
-		{Name: intake.HeaderDaemon, Value: course.yard.Name}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(course.epoch, 10)},
-		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerToken)}} {
-		if header.Value != "" {
-			outgoing.Header.Set(header.Name, header.Value)
-		}
-	}
-	for place, part := range request.Parts {
-		outgoing.Header.Add(intake.HeaderPrefix, part+"="+strconv.Itoa(request.PartTokens[place]))
-	}
-	outgoing.SetBodyRaw(request.Body)
-	content := &bytes.Buffer{}
-	// Why: writing to memory can't fail.
-	writer := bufio.NewWriter(content)
-	_ = outgoing.Write(writer)
-	_ = writer.Flush()
-	return content.Bytes()
+// run is this attempt in the words of a speech.
+func (course *Course) run() speech.Run {
+	return speech.Run{Runner: course.step.Runner, Daemon: course.yard.Name, Epoch: course.epoch, Left: course.left(), After: course.after,
+		Urgency: plainUrgency, Weights: course.pool.Weights}
 }
 
+// plainUrgency is that of a request of which nothing special is known.
+const plainUrgency = 5
+
 // send writes the request out. A long one takes its time on the way, so that the last look comes again
 // before its last part: without that the runner has no request. It tells whether the whole went out.
 func (course *Course) send() bool {
 	course.to(sent)
 	course.sentAt = course.now()
-	content := course.outgoing()
+	content := course.yard.Speech.Outgoing(course.request, course.run())
 	if course.key != nil && !course.told {
 		course.told = true
 		course.yard.Tell(*course.key, false)
@@ -551,64 +617,169 @@
 		}
 		content = content[len(content)-lastPart:]
 	}
-	// Why: a failure to write tells nothing of what the runner got, so reading the answer decides.
-	_, _ = course.connection.Write(content)
+	// Why: what was not even taken over whole by our own system no runner can have read whole. After that a failure
+	// to write tells nothing of what the runner got, and reading the answer decides.
+	if written, failure := course.connection.Write(content); failure != nil && written < len(content) {
+		return false
+	}
 	course.sends++
 	course.desk.Sent(course.sentAt, course.ticket, course.step)
 	return true
 }
 
-type putBack struct {
-	Started *bool `json:"started"`
+// firstBound is how long the first event is waited for.
+func (course *Course) firstBound() time.Duration {
+	patience, left := time.Duration(course.lane.Patience), course.left()
+	if left > 0 {
+		// Why: a run that can't be repeated is worth something up to the requester's own deadline, and a silent runner
+		// may yet answer. One that can be is better begun anew at another runner while that is in time.
+		if !course.repeatable() || !course.mayTry() {
+			return left
+		}
+		return min(left, patience)
+	}
+	// Why: a run that can't be repeated is given its patience once more before its outcome is called unknown;
+	// one that can be is better begun anew. Longer than that nobody waits for a runner that seems well.
+	if !course.repeatable() {
+		return max(patience+leastBound, 2*patience)
+	}
+	return patience + leastBound
+}
+
+// pauseBound is how long the next event is waited for.
+func (course *Course) pauseBound() time.Duration {
+	left := course.left()
+	if left == 0 {
+		return silenceBound
+	}
+	if course.lane.Resumable && course.lane.Pause > 0 && course.mayTry() {
+		return min(left, 2*time.Duration(course.lane.Pause))
+	}
+	return left
 }
 
 // answer reads up to the first event and gives "" when there is one.
 func (course *Course) answer() award.End {
 	runner := course.step.Runner
-	// Why: a run that can't be repeated is given its patience once more before its outcome is called unknown;
-	// one that can be is better begun anew. Longer than that nobody waits for a runner that seems well.
-	bound := time.Duration(course.lane.Patience) + leastBound
-	if !course.lane.Repeatable {
-		bound = max(bound, 2*time.Duration(course.lane.Patience))
-	}
-	_ = course.connection.SetDeadline(course.now().Add(bound))
-	course.response = &fasthttp.Response{StreamBody: true}
-	if failure := course.response.ReadLimitBody(course.connection.Reader, -1); failure != nil {
+	_ = course.connection.SetDeadline(course.now().Add(course.firstBound()))
+	if failure := course.head(); failure != nil {
 		course.yard.Book.Failed(course.now(), runner.ID, "gave no answer")
 		return award.Doubt
 	}
-	if course.response.StatusCode() != 200 {
-		return course.refused()
+	if course.word.Report != nil {
+		course.yard.Book.Reported(course.now(), runner.ID, *course.word.Report)
 	}
-	course.reader = stream.NewReader(course.response.BodyStream())
+	said := map[speech.Said]func() award.End{
+		speech.Runs: course.begin, speech.Ended: course.whole, speech.Failed: course.failed,
+		speech.PutBack: func() award.End {
+			course.keep()
+			course.desk.PutBack(course.now(), course.ticket, course.step)
+			return award.PutBack
+		},
+		speech.Elsewhere: func() award.End {
+			// Why: the address has gone over to another runner; whoever waits for the former one waits in vain.
+			course.yard.Book.Failed(course.now(), runner.ID, "another runner answers at its address")
+			return award.PutBack
+		},
+	}
+	if follow := said[course.word.Said]; follow != nil {
+		return follow()
+	}
+	course.yard.Book.Failed(course.now(), runner.ID, "gave an answer that tells nothing")
+	return award.Doubt
+}
+
+// head reads the head of the answer that belongs to this request; what is late for another is read and dropped.
+func (course *Course) head() error {
+	for range strayBound {
+		course.response = &fasthttp.Response{StreamBody: true}
+		if failure := course.response.ReadLimitBody(course.connection.Reader, -1); failure != nil {
+			return fault.Wrap(failure, fault.RunFailed, "reading the head of an answer")
+		}
+		course.word = course.yard.Speech.Judge(course.response, course.request, course.run())
+		if course.word.Said != speech.Stray {
+			return nil
+		}
+		if _, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), maximumAnswer)); failure != nil {
+			return fault.Wrap(failure, fault.RunFailed, "reading an answer to another request")
+		}
+	}
+	return fault.New(fault.RunFailed, "only answers to other requests came")
+}
+
+// rest is what is still to be read of an answer's body: nothing where it has none, or where its head was judged by it.
+func (course *Course) rest() io.Reader {
+	if body := course.response.BodyStream(); body != nil {
+		return body
+	}
+	return http.NoBody
+}
+
+// begin reads the first event of a stream.
+func (course *Course) begin() award.End {
+	course.reader = stream.NewReader(course.rest(), course.yard.Speech.Rules(), course.after)
 	first, failure := course.reader.Next()
 	if failure != nil {
-		course.yard.Book.Failed(course.now(), runner.ID, "gave no first event")
+		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "gave no first event")
 		return award.Doubt
 	}
 	course.first = first
 	return ""
 }
 
-// refused reads a runner's refusal; only its own word that it did not start counts as that.
-func (course *Course) refused() award.End {
-	said := putBack{}
-	failure := json.Unmarshal(course.response.Body(), &said)
-	if failure == nil && said.Started != nil && !*said.Started {
-		course.desk.PutBack(course.now(), course.ticket, course.step)
-		return award.PutBack
+// whole reads an answer that is no stream.
+func (course *Course) whole() award.End {
+	// Why: a body of unknown length that ends with its connection can't be told from one that was cut.
+	if course.response.Header.ContentLength() < -1 {
+		return award.Doubt
 	}
-	return award.Doubt
+	body, failure := io.ReadAll(io.LimitReader(course.rest(), maximumAnswer))
+	if failure != nil || len(body) == maximumAnswer {
+		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off an answer")
+		return award.Doubt
+	}
+	course.reader, course.response.StreamBody = nil, false
+	course.body = body
+	return ""
 }
 
-// relay streams the run on, beginning with the event that showed that it runs.
+// failed takes a failure of the runner's own: the run has ended and may be begun anew only where that does no harm.
+func (course *Course) failed() award.End {
+	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "failed a run")
+	// Why: nothing of a resumed stream's later failure may be passed on; the answer has its head already.
+	if course.repeatable() && course.mayTry() || course.relayed {
+		return award.Doubt
+	}
+	return course.whole()
+}
+
+// keep puts the connection back after an answer that was read whole.
+func (course *Course) keep() {
+	if course.word.Closes || course.connection == nil {
+		return
+	}
+	_ = course.connection.SetDeadline(course.now().Add(tailBound))
+	if _, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), lastPart)); failure != nil {
+		return
+	}
+	course.yard.Links.Keep(course.connection, course.word.Keep)
+	course.connection = nil
+}
+
+// relay passes the run on, beginning with the event that showed that it runs.
 func (course *Course) relay() {
 	course.firstSeen()
 	if course.yard.Draining.Load() {
 		course.requester.Last()
 	}
-	course.requester.Stream([]seam.Header{{Name: "Content-Type", Value: "text/event-stream"}, {Name: "Cache-Control", Value: "no-store"},
-		{Name: intake.HeaderRunner, Value: course.step.Runner.ID}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(course.epoch, 10)}}, course.rest)
+	status, headers := course.yard.Speech.Head(course.response, course.request, course.run())
+	if course.reader == nil {
+		course.requester.Answer(status, headers, course.body)
+		course.finish("done", true)
+		return
+	}
+	course.relayed = true
+	course.requester.Stream(status, headers, &relay{course: course})
 }
 
 func (course *Course) firstSeen() {
@@ -626,63 +797,29 @@
 	})
 }
 
-// rest relays every event in its order, and success only after the runner's own last event.
-func (course *Course) rest(writer *bufio.Writer) {
-	event, end, whole := course.first, string(fault.RunFailed), false
-	across := 0
-	for {
-		if failure := event.Write(writer); failure != nil {
-			end = "requester_gone"
-			break
-		}
-		across += len(event.Data)
-		if event.Done() {
-			end, whole = "done", true
-			break
-		}
-		_ = course.connection.SetDeadline(course.now().Add(silenceBound))
-		next, failure := course.reader.Next()
-		if failure != nil {
-			course.breakOff(writer, event.ID, failure)
-			break
-		}
-		event = next
-	}
-	course.finish(end, whole, across)
-}
-
-// breakOff tells the requester that the stream is not whole.
-func (course *Course) breakOff(writer *bufio.Writer, last int, failure error) {
-	verdict := award.After(award.Broken, course.lane.Repeatable)
-	content, encoding := json.Marshal(Refusal{Kind: verdict.Otherwise, Detail: fault.Of(failure).Detail,
-		Remedy: (&fault.Fault{Kind: verdict.Otherwise}).Remedy(), Ran: verdict.Ran})
-	if encoding == nil {
-		// Why: the requester may be gone as well; there is nobody else to tell.
-		_ = stream.Event{ID: last + 1, Name: "error", Data: content}.Write(writer)
-	}
-	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off a stream")
-}
-
 // finish ends a course that was relayed.
-func (course *Course) finish(end string, whole bool, across int) {
+func (course *Course) finish(end string, whole bool) {
 	course.to(ended)
 	if whole {
-		_ = course.connection.SetDeadline(course.now().Add(tailBound))
-		if course.reader.End() {
-			course.yard.Links.Keep(course.connection)
+		if course.reader != nil && course.yard.Speech.Rules().Counted {
+			_ = course.connection.SetDeadline(course.now().Add(tailBound))
+			whole = course.reader.End()
+		}
+		if whole && !course.word.Closes {
+			course.yard.Links.Keep(course.connection, course.word.Keep)
 			course.connection = nil
 		}
 		course.desk.Learn(0, 0, course.now().Sub(course.sentAt))
 	}
-	course.settle(map[bool]once.State{true: once.Ran, false: once.Unknown}[whole])
+	course.settle(map[bool]once.State{true: once.Ran, false: once.Unknown}[end == "done"])
 	course.drop()
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
 		lane.Ends[end]++
-		if whole {
+		if end == "done" {
 			lane.Done++
 		}
 		if course.step.Runner.Zone != course.yard.Zone {
-			lane.BytesAcross += uint64(across)
+			lane.BytesAcross += uint64(course.across)
 		}
 	})
 	course.yard.InFlight.Add(-1)
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -25,6 +25,7 @@
 	"wardtray/process/tally"
 	"wardtray/request/award"
 	"wardtray/request/intake"
+	"wardtray/request/speech"
 )
 
 // scripted is a runner that answers each run by the next line of its script.
@@ -137,7 +138,7 @@
 	made.Yard = &Yard{Name: "d", Zone: "a", Snapshot: func() *director.Snapshot { return made.snapshot }, Daemons: daemons, Book: book,
 		World: seam.Real(nil), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Once: once.New(), Tell: func(key once.Key, dropped bool) { made.told = append(made.told, dropped) },
-		Indexer: indexer, Links: link.New(seam.Real(nil)), Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
+		Indexer: indexer, Links: link.New(seam.Real(nil), speech.Own{}.Identity()), Speech: speech.Own{}, Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
 	listener, failure := net.Listen("tcp", "127.0.0.1:0")
 	if failure != nil {
 		test.Fatal(failure)
--- /dev/null
+++ b/request/course/relay.go
@@ -0,0 +1,137 @@
+package course
+
+import (
+	"errors"
+	"io"
+
+	"wardtray/process/fault"
+	"wardtray/process/once"
+	"wardtray/process/tally"
+	"wardtray/request/award"
+	"wardtray/request/speech"
+)
+
+// pieceSize is how much of what is there already is passed on in one piece.
+const pieceSize = 16 << 10
+
+// errBrokenOff ends an answer that is not whole.
+var errBrokenOff = errors.New("the run broke off")
+
+// relay is the body of an answer: whole events, each passed on as it comes, out of one run or, where the lane
+// may be resumed, out of several that go on behind one another.
+type relay struct {
+	course  *Course
+	pending []byte
+	// ending is what follows when pending is through: nil while the run goes on; conclude then ends the course, once.
+	ending    error
+	conclude  func()
+	concluded bool
+}
+
+// Read gives at least one whole event, and whatever else is there already.
+func (relay *relay) Read(into []byte) (int, error) {
+	if len(relay.pending) == 0 && relay.ending == nil {
+		relay.fetch()
+	}
+	if len(relay.pending) == 0 {
+		relay.end()
+		return 0, relay.ending
+	}
+	count := copy(into, relay.pending)
+	relay.pending = relay.pending[count:]
+	return count, nil
+}
+
+// Close is called when the answer is through, or its requester gone.
+func (relay *relay) Close() error {
+	if relay.ending == nil {
+		relay.conclude = func() { relay.course.finish("requester_gone", false) }
+	}
+	relay.end()
+	return nil
+}
+
+func (relay *relay) end() {
+	if !relay.concluded {
+		relay.concluded = true
+		relay.conclude()
+	}
+}
+
+// fetch takes the next event, and those that wait behind it.
+func (relay *relay) fetch() {
+	course := relay.course
+	relay.pending = relay.pending[:0]
+	for event := course.first; ; course.first.Raw = nil {
+		if event = course.first; event.Raw == nil {
+			_ = course.connection.SetDeadline(course.now().Add(course.pauseBound()))
+			next, failure := course.reader.Next()
+			if failure != nil {
+				relay.stopped(failure)
+				return
+			}
+			event = next
+		}
+		relay.pending = append(relay.pending, event.Raw...)
+		course.after = event.ID
+		course.across += len(event.Raw)
+		if event.Done() && course.yard.Speech.Rules().Counted {
+			relay.whole()
+			return
+		}
+		if len(relay.pending) >= pieceSize || !course.reader.Ready() {
+			course.first.Raw = nil
+			return
+		}
+	}
+}
+
+// whole ends a run that gave its own end.
+func (relay *relay) whole() {
+	relay.ending, relay.conclude = io.EOF, func() { relay.course.finish("done", true) }
+}
+
+// stopped looks what may follow a run that gives no more events.
+func (relay *relay) stopped(failure error) {
+	course := relay.course
+	if failure == io.EOF {
+		relay.whole()
+		return
+	}
+	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off a stream")
+	verdict := course.following(award.Broken)
+	refusal := &speech.Refusal{Kind: verdict.Otherwise, Detail: fault.Of(failure).Detail, Ran: verdict.Ran}
+	relay.conclude = func() { course.finish(string(fault.RunFailed), false) }
+	if verdict.Again && course.mayTry() && !course.over() {
+		refusal = course.resume()
+		if refusal == nil {
+			return
+		}
+		relay.conclude = course.abandon
+	}
+	relay.ending = errBrokenOff
+	// Why: a speech that tells in its own words that the stream is not whole ends it in order.
+	if told := course.yard.Speech.Broken(course.after, *refusal); len(told) > 0 {
+		relay.pending, relay.ending = append(relay.pending, told...), io.EOF
+	}
+}
+
+// resume has the run go on at another runner behind the last whole event that was relayed; otherwise it tells why not.
+func (course *Course) resume() *speech.Refusal {
+	course.drop()
+	course.ticket.Bid.Shut[course.step.Runner.ID] = true
+	refusal := course.obtain(award.Broken)
+	if refusal == nil {
+		course.firstSeen()
+		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Resumed++ })
+	}
+	return refusal
+}
+
+// abandon ends a course that was relayed in part and holds no runner any more.
+func (course *Course) abandon() {
+	course.to(ended)
+	course.settle(once.Unknown)
+	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(fault.RunFailed)]++ })
+	course.yard.InFlight.Add(-1)
+}
--- a/request/intake/intake.go
+++ b/request/intake/intake.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/mailru/easyjson"
 
+	"wardtray/connection/seam"
 	"wardtray/process/fault"
 	"wardtray/process/strict"
 )
@@ -47,11 +49,22 @@
 
 // Request is a checked request.
 type Request struct {
-	ID, Lane, Model, Adapter  string
-	PromptTokens, AnswerToken int
-	Parts                     []string
-	PartTokens                []int
-	Body                      []byte
+	ID, Lane, Model, Adapter   string
+	PromptTokens, AnswerTokens int
+	Parts                      []string
+	PartTokens                 []int
+	Body                       []byte
+	// Authority and Target choose the lane where Lane is empty; Target is the path with its query, as sent.
+	Authority, Target string
+	Method            string
+	// Passed are the headers that go on to the runner as they came.
+	Passed []seam.Header
+	// Wait is how long the requester waits for the whole answer; 0: not told.
+	Wait time.Duration
+	// After is the id of the last event that the requester has of this stream already; 0: none.
+	After int
+	// Fresh says that the id stands for this try alone, so that nothing needs to be remembered of it.
+	Fresh bool
 }
 
 // Header gives one header's value; found more than once, it gives all.
@@ -77,7 +90,7 @@
 	for _, count := range []struct {
 		name string
 		to   *int
-	}{{HeaderPrompt, &request.PromptTokens}, {HeaderAnswer, &request.AnswerToken}} {
+	}{{HeaderPrompt, &request.PromptTokens}, {HeaderAnswer, &request.AnswerTokens}} {
 		value, failure := one(header, count.name, true)
 		if failure != nil {
 			return nil, failure
--- /dev/null
+++ b/request/speech/speech.go
@@ -0,0 +1,199 @@
+// Package speech is how one kind of requesters and runners speak: how a request is read, how an answer is
+// given, what goes out to a runner and what its answer says. The executor knows no protocol; it is given a
+// speech. The product's own is Own.
+package speech
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wardtray/connection/seam"
+	"wardtray/process/fault"
+	"wardtray/process/pressure"
+	"wardtray/request/intake"
+	"wardtray/request/stream"
+)
+
+// Refusal is every answer that is not a stream.
+type Refusal struct {
+	Kind    fault.Kind `json:"kind"`
+	Detail  string     `json:"detail"`
+	Remedy  string     `json:"remedy"`
+	Ran     string     `json:"ran"`
+	RetryMS int64      `json:"retry_after_ms,omitempty"`
+	// Retry is when another try may help; DidNotRun is the promise that nothing ran and nothing will.
+	Retry     time.Duration `json:"-"`
+	DidNotRun bool          `json:"-"`
+	// Late says that the time for an answer has passed.
+	Late bool `json:"-"`
+}
+
+// Run is one attempt at one runner.
+type Run struct {
+	Runner pressure.Runner
+	Daemon string
+	Epoch  uint64
+	// Left is how long the requester still waits; 0: not told.
+	Left time.Duration
+	// After is the id of the last event that the requester has; 0: none.
+	After int
+	// Urgency is from 0, the most urgent, to 9; 5 is nothing special.
+	Urgency int
+	Weights string
+}
+
+// Said is what the head of a runner's answer says.
+type Said string
+
+// What a head may say.
+const (
+	// Runs: a stream of events follows.
+	Runs Said = "runs"
+	// Ended: the run has ended, in an answer that is no stream and is passed on whole.
+	Ended Said = "ended"
+	// Failed: the run has ended in a failure of the runner's own.
+	Failed Said = "failed"
+	// PutBack: the request did not run and will not.
+	PutBack Said = "put back"
+	// Elsewhere: another runner answers at this address; the request did not run.
+	Elsewhere Said = "elsewhere"
+	// Stray: the answer belongs to another request.
+	Stray Said = "stray"
+	// Unclear: nothing can be told from it.
+	Unclear Said = "unclear"
+)
+
+// Word is all that a head tells.
+type Word struct {
+	Said Said
+	// Report is what it tells of the runner's load, if it does.
+	Report *pressure.Report
+	// Keep is how long the connection may stay idle; 0: not told. Closes says that it may not.
+	Keep   time.Duration
+	Closes bool
+}
+
+// Speech is how one kind of requesters and runners speak. It keeps no state and decides nothing.
+type Speech interface {
+	// Read reads a request and gives the first fault found.
+	Read(requester seam.Requester) (*intake.Request, error)
+	// Refuse gives the final answer to a request that has no stream; request is nil where none could be read.
+	Refuse(requester seam.Requester, request *intake.Request, refusal Refusal)
+	// Head gives the status and the headers with which a runner's answer is passed on.
+	Head(response *fasthttp.Response, request *intake.Request, run Run) (int, []seam.Header)
+	// Broken gives what ends a stream that is not whole; nothing: it is only broken off.
+	Broken(last int, refusal Refusal) []byte
+	// Outgoing gives the bytes of a request to a runner.
+	Outgoing(request *intake.Request, run Run) []byte
+	// Judge tells what the head of a runner's answer says.
+	Judge(response *fasthttp.Response, request *intake.Request, run Run) Word
+	// Rules are what the events of a run keep to.
+	Rules() stream.Rules
+	// Identity is the path at which a runner says who it is, asked on each new connection; empty: who is
+	// meant is stated with every request instead.
+	Identity() string
+	// Probe is the path at which a runner tells its load, and Report reads what it answers.
+	Probe() string
+	Report(content []byte) (pressure.Report, error)
+}
+
+// Own is wardtray's own speech; docs/interface.md.
+type Own struct{}
+
+var statuses = map[fault.Kind]int{
+	fault.Malformed: 400, fault.TooLarge: 413, fault.UnknownLane: 404, fault.UnknownModel: 404, fault.UnknownAdapter: 404,
+	fault.PurseSpent: 429, fault.PatienceShort: 429, fault.WaitlistFull: 429, fault.NoRunner: 503, fault.NotServing: 503,
+	fault.OutcomeUnknown: 504, fault.RunFailed: 502, fault.AlreadyTaken: 409, fault.NotFound: 404, fault.Internal: 500,
+}
+
+// Read reads headers and body.
+func (Own) Read(requester seam.Requester) (*intake.Request, error) {
+	return intake.Parse(requester.Header, requester.Body())
+}
+
+// Refuse writes a refusal.
+func (Own) Refuse(requester seam.Requester, _ *intake.Request, refusal Refusal) {
+	headers := []seam.Header{{Name: "Content-Type", Value: "application/json"}}
+	if refusal.Retry > 0 {
+		headers = append(headers, seam.Header{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(refusal.Retry.Seconds())))})
+	}
+	requester.Answer(statuses[refusal.Kind], headers, refusal.encode())
+}
+
+func (refusal Refusal) encode() []byte {
+	refusal.RetryMS, refusal.Remedy = refusal.Retry.Milliseconds(), (&fault.Fault{Kind: refusal.Kind}).Remedy()
+	content, failure := json.Marshal(refusal)
+	if failure != nil {
+		return []byte(`{"kind":"internal"}`)
+	}
+	return content
+}
+
+// Head names the runner and the epoch.
+func (Own) Head(_ *fasthttp.Response, _ *intake.Request, run Run) (int, []seam.Header) {
+	return 200, []seam.Header{{Name: "Content-Type", Value: "text/event-stream"}, {Name: "Cache-Control", Value: "no-store"},
+		{Name: intake.HeaderRunner, Value: run.Runner.ID}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(run.Epoch, 10)}}
+}
+
+// Broken gives an error event.
+func (Own) Broken(last int, refusal Refusal) []byte {
+	return stream.Event{ID: last + 1, Name: "error", Data: refusal.encode()}.Bytes()
+}
+
+// Outgoing gives the request as docs/interface.md says.
+func (Own) Outgoing(request *intake.Request, run Run) []byte {
+	outgoing := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(outgoing)
+	outgoing.Header.SetMethod("POST")
+	outgoing.SetRequestURI("/run")
+	outgoing.Header.SetHost(run.Runner.Address)
+	outgoing.Header.SetContentType("application/json")
+	for _, header := range []seam.Header{{Name: intake.HeaderLane, Value: request.Lane}, {Name: intake.HeaderModel, Value: request.Model},
+		{Name: intake.HeaderAdapter, Value: request.Adapter}, {Name: intake.HeaderRequest, Value: request.ID}, {Name: intake.HeaderRunner, Value: run.Runner.ID},
+		{Name: intake.HeaderDaemon, Value: run.Daemon}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(run.Epoch, 10)},
+		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerTokens)}} {
+		if header.Value != "" {
+			outgoing.Header.Set(header.Name, header.Value)
+		}
+	}
+	for place, part := range request.Parts {
+		outgoing.Header.Add(intake.HeaderPrefix, part+"="+strconv.Itoa(request.PartTokens[place]))
+	}
+	outgoing.SetBodyRaw(request.Body)
+	return Bytes(outgoing)
+}
+
+type putBack struct {
+	Started *bool `json:"started"`
+}
+
+// Judge takes only the runner's own word that it did not start as that.
+func (Own) Judge(response *fasthttp.Response, _ *intake.Request, _ Run) Word {
+	if response.StatusCode() == 200 {
+		return Word{Said: Runs}
+	}
+	said := putBack{}
+	if failure := json.Unmarshal(response.Body(), &said); failure == nil && said.Started != nil && !*said.Started {
+		return Word{Said: PutBack}
+	}
+	return Word{Said: Unclear}
+}
+
+// Rules are counted events.
+func (Own) Rules() stream.Rules { return stream.Rules{Counted: true} }
+
+// Identity is asked on each connection.
+func (Own) Identity() string { return "/identity" }
+
+// Probe is where a runner tells its pressure.
+func (Own) Probe() string { return "/pressure" }
+
+// Report reads it.
+func (Own) Report(content []byte) (pressure.Report, error) {
+	report := pressure.Report{}
+	return report, fault.Wrap(json.Unmarshal(content, &report), fault.Unreachable, "its pressure is no JSON")
+}
--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -1,5 +1,5 @@
-// Package stream reads a runner's server-sent events one by one and holds them to their order: ids
-// count up from 1, and only a done event that names the right count ends a run.
+// Package stream reads a runner's server-sent events one by one and holds them to their order. What is
+// read is kept byte for byte, so that a whole event can be passed on unchanged.
 package stream
 
 import (
@@ -12,69 +12,111 @@
 	"wardtray/process/fault"
 )
 
-// MaximumEvent bounds one event.
-const MaximumEvent = 1 << 20
+const (
+	// MaximumEvent bounds one event.
+	MaximumEvent = 1 << 20
+	readerSize   = 8 << 10
+)
+
+// Rules are what a kind of runner keeps to.
+type Rules struct {
+	// Counted says that ids count up from 1 one by one, that every event has a name, and that only a done
+	// event with the right count ends a run. Otherwise ids only rise, and the end of the body ends it.
+	Counted bool
+}
 
 // Event is one event as it came.
 type Event struct {
 	ID   int
 	Name string
 	Data []byte
+	// Raw are the event's own bytes, with the blank line that ends it.
+	Raw []byte
 }
 
 // Done tells whether this is a run's own last event.
 func (event Event) Done() bool { return event.Name == "done" }
 
-// Write puts the event on a writer and flushes it.
-func (event Event) Write(writer *bufio.Writer) error {
+// Bytes gives a new event as it is sent.
+func (event Event) Bytes() []byte {
 	content := append([]byte("id: "), strconv.Itoa(event.ID)...)
 	content = append(append(content, "\nevent: "...), event.Name...)
-	content = append(append(append(content, "\ndata: "...), event.Data...), "\n\n"...)
-	if _, failure := writer.Write(content); failure != nil {
-		return fault.Wrap(failure, fault.Unreachable, "writing to the requester")
-	}
-	return fault.Wrap(writer.Flush(), fault.Unreachable, "writing to the requester")
+	return append(append(append(content, "\ndata: "...), event.Data...), "\n\n"...)
 }
 
 // Reader reads the events of one run.
 type Reader struct {
 	source *bufio.Reader
+	rules  Rules
 	last   int
 	ended  bool
 }
 
-// NewReader reads from the body of a runner's answer.
-func NewReader(source io.Reader) *Reader { return &Reader{source: bufio.NewReaderSize(source, 8<<10)} }
+// NewReader reads from the body of a runner's answer; last is the id after which it begins.
+func NewReader(source io.Reader, rules Rules, last int) *Reader {
+	return &Reader{source: bufio.NewReaderSize(source, readerSize), rules: rules, last: last}
+}
 
 type closing struct {
 	Events int `json:"events"`
 }
 
-// Next gives the next event. Anything out of order, unnamed, too long or cut short is a RunFailed fault.
+var blankLine = []byte("\n\n")
+
+// Ready tells whether a whole event is here already, so that taking it makes nobody wait.
+func (reader *Reader) Ready() bool {
+	if reader.ended || reader.source.Buffered() == 0 {
+		return false
+	}
+	held, _ := reader.source.Peek(reader.source.Buffered())
+	return bytes.Contains(held, blankLine)
+}
+
+// Next gives the next event, or io.EOF after a run that ended whole. Anything out of order, too long or cut
+// short is a RunFailed fault.
 func (reader *Reader) Next() (Event, error) {
 	if reader.ended {
-		return Event{}, fault.New(fault.RunFailed, "something follows the last event")
+		if reader.rules.Counted {
+			return Event{}, fault.New(fault.RunFailed, "something follows the last event")
+		}
+		return Event{}, io.EOF
 	}
-	event, size, id := Event{}, 0, ""
+	event, id, named := Event{}, "", false
 	for {
 		line, failure := reader.line()
+		event.Raw = append(event.Raw, line...)
+		if failure == io.EOF && !reader.rules.Counted {
+			reader.ended = true
+			// Why: what follows the last blank line belongs to the body and is passed on with it.
+			if len(event.Raw) > 0 {
+				event.ID = reader.last
+				return event, nil
+			}
+			return Event{}, io.EOF
+		}
 		if failure != nil {
-			return Event{}, failure
+			return Event{}, fault.Wrap(failure, fault.RunFailed, "the stream broke off after event %d", reader.last)
 		}
-		size += len(line)
-		if size > MaximumEvent {
+		if len(event.Raw) > MaximumEvent {
 			return Event{}, fault.New(fault.RunFailed, "an event of more than %d bytes", MaximumEvent)
 		}
+		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if id == "" && event.Name == "" && event.Data == nil {
-				continue
+				if reader.rules.Counted {
+					event.Raw = nil
+					continue
+				}
+				// Why: a comment, or a line of the runner's own, is passed on and counts for nothing.
+				event.ID = reader.last
+				return event, nil
 			}
 			break
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		fields := map[string]func(){
-			"id":    func() { id = string(value) },
+			"id":    func() { id, named = string(value), true },
 			"event": func() { event.Name = string(value) },
 			"data":  func() { event.Data = append([]byte{}, value...) },
 		}
@@ -82,44 +124,61 @@
 			take()
 		}
 	}
+	if !named && !reader.rules.Counted {
+		event.ID = reader.last
+		return event, nil
+	}
 	number, failure := strconv.Atoi(id)
-	if failure != nil || number != reader.last+1 {
+	if failure != nil || number <= reader.last || reader.rules.Counted && number != reader.last+1 {
 		return Event{}, fault.New(fault.RunFailed, "event %q follows event %d", id, reader.last)
 	}
 	event.ID = number
-	if event.Name != "token" && event.Name != "done" {
-		return Event{}, fault.New(fault.RunFailed, "event %d is a %q", number, event.Name)
+	if reader.rules.Counted {
+		return reader.counted(event)
 	}
 	reader.last = number
+	return event, nil
+}
+
+// counted holds an event to the rules of runs that count their events.
+func (reader *Reader) counted(event Event) (Event, error) {
+	if event.Name != "token" && event.Name != "done" {
+		return Event{}, fault.New(fault.RunFailed, "event %d is a %q", event.ID, event.Name)
+	}
+	reader.last = event.ID
 	if event.Done() {
 		said := closing{}
-		if failure := json.Unmarshal(event.Data, &said); failure != nil || said.Events != number-1 {
-			return Event{}, fault.New(fault.RunFailed, "the last event speaks of %d events; %d came", said.Events, number-1)
+		if failure := json.Unmarshal(event.Data, &said); failure != nil || said.Events != event.ID-1 {
+			return Event{}, fault.New(fault.RunFailed, "the last event speaks of %d events; %d came", said.Events, event.ID-1)
 		}
 		reader.ended = true
 	}
 	return event, nil
 }
 
+// Last gives the id of the last event that was read.
+func (reader *Reader) Last() int { return reader.last }
+
+// Ended tells whether the run's own end was read.
+func (reader *Reader) Ended() bool { return reader.ended }
+
 // End reads on to the end of the body, so that the connection can be used again.
 func (reader *Reader) End() bool {
 	_, failure := reader.source.ReadByte()
 	return failure == io.EOF
 }
 
+// line gives the next line with its end.
 func (reader *Reader) line() ([]byte, error) {
 	var line []byte
 	for {
 		part, failure := reader.source.ReadSlice('\n')
 		line = append(line, part...)
-		if failure == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
-		}
 		if failure != bufio.ErrBufferFull {
-			return nil, fault.Wrap(failure, fault.RunFailed, "the stream broke off after event %d", reader.last)
+			return line, failure
 		}
 		if len(line) > MaximumEvent {
-			return nil, fault.New(fault.RunFailed, "a line of more than %d bytes", MaximumEvent)
+			return line, fault.New(fault.RunFailed, "a line of more than %d bytes", MaximumEvent)
 		}
 	}
 }
