--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -82,7 +82,7 @@
 	if adapter != nil {
 		spoken = adapter.Speech
 	}
-	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds},
+	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Registered: startup.Registered},
 		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Send: func(parcels []machine.Parcel) { host.transport.Send(parcels) }, Poll: func() { go host.poll() }, Log: log})
 	if failure != nil {
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -140,7 +140,7 @@
 func (plane *Plane) Fit() bool {
 	snapshot := plane.Snapshot()
 	// Why: who knows no runner serves nobody; requesters do better elsewhere until it has heard of some.
-	return !plane.Yard.Draining.Load() && plane.world.Now().Before(snapshot.Until) && (len(snapshot.Runners) > 0 || len(snapshot.Book.Lanes) == 0)
+	return !plane.Yard.Draining.Load() && plane.world.Now().Before(snapshot.Until) && snapshot.Book != nil && (len(snapshot.Runners) > 0 || len(snapshot.Book.Lanes) == 0)
 }
 
 // Listed takes what the platform answered.
