Runners are asked only when their word is old; budgets and bids take the settings; no time of day

Change: Book.Stale decides who is asked; a repeatable run's first event is waited for up to half of the time left; cells are counted from the budget's first use; deadlines, ranks and settings reach desks and budgets.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -51,11 +51,18 @@
 	return &Budget{settings: settings, daemons: daemons, cell: settings.Window / cells}
 }
 
-func (budget *Budget) place(now time.Time) int {
+// since gives the nanoseconds since this budget was first used.
+//
+// Why not the time of day: it jumps by seconds, and a window would count twice or not at all.
+func (budget *Budget) since(now time.Time) int64 {
 	if budget.begun.IsZero() {
 		budget.begun = now
 	}
-	number := now.UnixNano() / int64(budget.cell)
+	return int64(now.Sub(budget.begun))
+}
+
+func (budget *Budget) place(now time.Time) int {
+	number := budget.since(now) / int64(budget.cell)
 	place := int(number % (cells + 1))
 	if budget.numbers[place] != number {
 		budget.numbers[place], budget.requests[place], budget.repeats[place] = number, 0, 0
@@ -65,7 +72,7 @@
 
 // sums counts what lies in the last so many cells.
 func (budget *Budget) sums(now time.Time, length int64) (requests, repeats int) {
-	oldest := now.UnixNano()/int64(budget.cell) - length
+	oldest := budget.since(now)/int64(budget.cell) - length
 	for place, number := range budget.numbers {
 		// Why: the cell that is leaving the window counts for repeats but not for requests, so that no window, however it lies, breaks the bound.
 		if number >= oldest {
@@ -82,7 +89,7 @@
 //
 // Why the most: one that has just gone may have spent its part, and one that is cut off sees nobody.
 func (budget *Budget) sharers(now time.Time) int {
-	number := now.UnixNano() / int64(budget.settings.Window)
+	number := budget.since(now) / int64(budget.settings.Window)
 	place := int(number % (remembered + 1))
 	if budget.mostNumbers[place] != number {
 		budget.mostNumbers[place], budget.most[place] = number, 0
--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -16,6 +16,7 @@
 	"wardtray/connection/seam"
 	"wardtray/connection/transport"
 	"wardtray/connection/wire"
+	"wardtray/process/budget"
 	"wardtray/process/corehost"
 	"wardtray/process/director"
 	"wardtray/process/fault"
@@ -82,7 +83,7 @@
 	if adapter != nil {
 		spoken = adapter.Speech
 	}
-	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Registered: startup.Registered},
+	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Repeats: repeats(startup), Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Registered: startup.Registered},
 		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Send: func(parcels []machine.Parcel) { host.transport.Send(parcels) }, Poll: func() { go host.poll() }, Log: log})
 	if failure != nil {
@@ -95,6 +96,14 @@
 	return host, nil
 }
 
+// repeats gives the bound on what is sent again, as far as the settings name one.
+func repeats(startup *startup.Startup) budget.Settings {
+	if startup.Repeats.Share == 0 && startup.Repeats.Slack == 0 {
+		return budget.Settings{}
+	}
+	return budget.Settings{Window: startup.RepeatsWindow(), Ratio: startup.Repeats.Share, Slack: float64(startup.Repeats.Slack)}
+}
+
 // poll reads the platform's list.
 func (host *Host) poll() {
 	status, content, failure := host.platform.GetTimeout(nil, host.startup.Platform, pollBound)
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -17,6 +17,7 @@
 	"wardtray/connection/link"
 	"wardtray/connection/seam"
 	"wardtray/connection/wire"
+	"wardtray/process/budget"
 	"wardtray/process/director"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
@@ -43,6 +44,8 @@
 	director.Startup
 	// Workers are the index's; without any, events are applied at once.
 	Workers int
+	// Repeats bounds what is sent again, over all daemons; the zero value stands for budget.Default.
+	Repeats budget.Settings
 	// Speech is how requesters and runners speak; the product's own if it is not given.
 	Speech speech.Speech
 	Random *rand.Rand
@@ -99,7 +102,7 @@
 	plane.director = director.New(now, startup.Startup, rand.New(rand.NewSource(startup.Random.Int63())))
 	plane.snapshot.Store(&director.Snapshot{})
 	plane.daemons.Store(&[]string{startup.Address})
-	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Speech: startup.Speech, Await: startup.Await, Snapshot: plane.snapshot.Load,
+	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Speech: startup.Speech, Repeats: startup.Repeats, Await: startup.Await, Snapshot: plane.snapshot.Load,
 		Daemons: func() []string { return *plane.daemons.Load() }, Book: pressure.NewBook(now, startup.Address), Indexer: indexer,
 		Links: link.New(world, startup.Speech.Identity()), Tally: tally.New(), Desk: plane.desk,
 		Once: memory, Tell: func(key once.Key, dropped bool) {
@@ -243,7 +246,11 @@
 
 // Settle looks at everybody who waits.
 func (plane *Plane) Settle() {
-	plane.Desks(func(_ string, desk *award.Desk) { desk.Settle(plane.world.Now()) })
+	plane.Desks(func(_ string, desk *award.Desk) {
+		if desk.Waiting() {
+			desk.Settle(plane.world.Now())
+		}
+	})
 }
 
 // Age lets the index forget what was not used for long.
@@ -279,9 +286,9 @@
 	return runners, true
 }
 
-// AskPressures asks every runner for its pressure, none twice at once.
+// AskPressures asks every runner for its pressure whose word is no longer fresh, none twice at once.
 func (plane *Plane) AskPressures() {
-	for _, runner := range plane.Yard.Book.All(plane.world.Now(), nil) {
+	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.Yard.Speech.Fresh()) {
 		if _, already := plane.asking.LoadOrStore(runner.ID, true); already {
 			continue
 		}
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -339,6 +339,14 @@
 	return course.begun.Add(least)
 }
 
+// waits is how long the requester waits at all; 0: not told.
+func (course *Course) waits() time.Duration {
+	if course.until.IsZero() {
+		return 0
+	}
+	return course.until.Sub(course.begun)
+}
+
 // left is how long that still is; 0: not told.
 func (course *Course) left() time.Duration {
 	if course.until.IsZero() {
@@ -374,7 +382,8 @@
 	course.desk = course.yard.Desk(pool.Name)
 	course.ticket = &award.Ticket{Lane: lane.Name, Purse: lane.Purse, PartTokens: request.PartTokens, Steps: make(chan award.Step, 1),
 		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: request.Model, Weights: pool.Weights, Adapter: request.Adapter}),
-		Bid: award.Bid{Worth: lane.Worth, Patience: course.patience(), PromptTokens: request.PromptTokens, Zone: course.yard.Zone,
+		Bid: award.Bid{Worth: lane.Worth, Patience: course.patience(), Deadline: course.waits(), PromptTokens: request.PromptTokens,
+			AnswerTokens: request.AnswerTokens, Rank: lane.Rank, Resumed: course.relayed, Zone: course.yard.Zone,
 			Shut: map[string]bool{}}}
 }
 
@@ -636,7 +645,7 @@
 		if !course.repeatable() || !course.mayTry() {
 			return left
 		}
-		return min(left, patience)
+		return min(left, max(patience, left/2))
 	}
 	// Why: a run that can't be repeated is given its patience once more before its outcome is called unknown;
 	// one that can be is better begun anew. Longer than that nobody waits for a runner that seems well.
--- a/request/speech/speech.go
+++ b/request/speech/speech.go
@@ -98,6 +98,8 @@
 	Identity() string
 	// Probe is the path at which a runner tells its load, and Report reads what it answers.
 	Probe() string
+	// Fresh is for how long a runner's word of its load is good, so that it is not asked again.
+	Fresh() time.Duration
 	Report(content []byte) (pressure.Report, error)
 }
 
@@ -192,6 +194,9 @@
 // Probe is where a runner tells its pressure.
 func (Own) Probe() string { return "/pressure" }
 
+// Fresh is no time at all: nothing but a probe tells a runner's pressure.
+func (Own) Fresh() time.Duration { return 0 }
+
 // Report reads it.
 func (Own) Report(content []byte) (pressure.Report, error) {
 	report := pressure.Report{}
