--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -169,6 +169,10 @@
 // Reported takes a runner's word of its pressure.
 func (book *Book) Reported(now time.Time, runner string, report Report) {
 	book.change(runner, func(known *entry) {
+		// Why: a runner that registered told its slots then, and its reports need not say them again.
+		if report.Slots == 0 {
+			report.Slots = max(known.report.Slots, int(known.line.Slots))
+		}
 		if report.Slots < 1 || report.Slots > 4096 || report.Running < 0 || report.Waiting < 0 {
 			return
 		}
@@ -277,6 +281,9 @@
 func (book *Book) view(now time.Time, known *entry, daemons []string) Runner {
 	runner := Runner{ID: known.line.RunnerId, Address: known.line.Address, Zone: known.line.Zone, Service: known.line.Service,
 		State: known.line.State, Slots: initialSlots, InFlight: known.inFlight, Usable: true}
+	if known.line.Slots > 0 {
+		runner.Slots = int(known.line.Slots)
+	}
 	if known.report.Slots > 0 {
 		runner.Slots = known.report.Slots
 	}
