Faults from a budget: f+1 copies, 2f+1 keepers, and founding only at the first start

The floor of two copies and the three keepers were fixed.

Startup.Faults gives floor f+1 and 2f+1 keepers; several keepers and members come in by one view, from the least crowded zones; a zone with most keepers no longer blocks growth where zones are few. Nothing is acknowledged while keepers could still be added, or by a chain below its floor. Startup.Founding keeps wiped machines from founding; a founder killed before the first view remembers that it is one. A machine that has just begun suspects nobody.

--- a/process/core/mend.go
+++ b/process/core/mend.go
@@ -12,10 +12,16 @@
 const (
 	brokenAfter = 700 * time.Millisecond
 	stagger     = 400 * time.Millisecond
-	chainLimit  = 5
-	keeperCount = 3
+	// leastChain is how long a chain may always grow.
+	leastChain = 5
 )
 
+// keeperCount is how many keepers there should be: most of them are left when Faults disks are lost.
+func (node *Node) keeperCount() int { return 2*node.startup.Faults + 1 }
+
+// ChainLimit bounds the chain, so that no change has to be synced by every disk of a large fleet.
+func (node *Node) ChainLimit() int { return max(leastChain, 2*node.startup.Faults+1) }
+
 // tendView founds the first view, finishes a vote left open, or proposes a view that mends the
 // present one.
 func (node *Node) tendView(now time.Time) {
@@ -42,6 +48,10 @@
 		return
 	}
 	node.votedSince = time.Time{}
+	// Why: whoever has just begun has heard nobody yet, which says nothing about them.
+	if now.Sub(node.begun) < suspicion {
+		return
+	}
 	wanted := node.mended(now)
 	if wanted == nil {
 		node.wantSince = time.Time{}
@@ -72,7 +82,7 @@
 
 // tendFounding proposes the first view once every founder is there and blank.
 func (node *Node) tendFounding(now time.Time) {
-	if !node.founder(node.self.Address) || now.Sub(node.lastMend) < stagger {
+	if !node.acceptor() || now.Sub(node.lastMend) < stagger {
 		return
 	}
 	founders := []*wire.Member{node.self}
@@ -97,12 +107,14 @@
 	for place := range fleet {
 		fleet[place] = byte(node.random.Intn(256))
 	}
-	floor := uint32(1)
-	if len(founders) >= 3 {
-		floor = 2
-	}
 	node.agent.Found(now, &wire.View{Epoch: 1, Fleet: hex.EncodeToString(fleet), Chain: founders,
-		Keepers: founders[:min(len(founders), keeperCount)], Floor: floor}, founders)
+		Keepers: founders[:min(len(founders), node.keeperCount())], Floor: node.floor(0, len(founders))}, founders)
+}
+
+// floor gives the fewest copies that a change needs: one more than may be lost, but not more than there
+// ever were. It only rises.
+func (node *Node) floor(present uint32, members int) uint32 {
+	return max(present, uint32(min(node.startup.Faults+1, members)))
 }
 
 // fresh tells whether a member was heard of late; this machine always hears itself.
@@ -173,10 +185,11 @@
 	}
 	next.Chain = node.withoutBroken(now, next.Chain)
 	changed := len(next.Chain) != len(current.Chain)
-	if joiner := node.joiner(now, next.Chain); joiner != nil {
+	for joiner := node.joiner(now, next.Chain); joiner != nil; joiner = node.joiner(now, next.Chain) {
 		next.Chain = append(next.Chain, joiner)
 		changed = true
 	}
+	next.Floor = node.floor(current.Floor, len(next.Chain))
 	// Why: whoever is left holds all that was acknowledged. A chain below its floor takes no changes, but
 	// it teaches those who come back; waiting for a lost member instead would stop it for good.
 	if len(next.Chain) == 0 {
@@ -212,7 +225,7 @@
 
 // joiner gives a machine outside the chain that has learned everything and can talk to the tail.
 func (node *Node) joiner(now time.Time, members []*wire.Member) *wire.Member {
-	if len(members) == 0 || len(members) >= chainLimit {
+	if len(members) == 0 || len(members) >= node.ChainLimit() {
 		return nil
 	}
 	current, tail := node.agent.Current(), members[len(members)-1].Id
@@ -221,6 +234,8 @@
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
+	crowds := crowds(members)
+	var chosen *wire.Member
 	for _, id := range append(ids, node.self.Id) {
 		if holds(members, id) || holds(current.Chain, id) || node.unfit(now, id) || !node.fresh(now, id) {
 			continue
@@ -229,44 +244,120 @@
 		if id != node.self.Id {
 			member, learned = node.peers[id].member, node.peers[id].beat.LearnedView
 		}
-		if learned == current.Epoch && node.hears(now, id, tail) && node.hears(now, tail, id) {
-			return member
+		// Why: copies in many zones outlive the loss of one.
+		if learned == current.Epoch && node.hears(now, id, tail) && node.hears(now, tail, id) &&
+			(chosen == nil || crowds[member.Zone] < crowds[chosen.Zone]) {
+			chosen = member
 		}
 	}
-	return nil
+	return chosen
+}
+
+// crowds counts members by zone.
+func crowds(members []*wire.Member) map[string]int {
+	crowds := map[string]int{}
+	for _, member := range members {
+		crowds[member.Zone]++
+	}
+	return crowds
 }
 
-// mendedKeepers replaces at most one keeper that is gone, or adds one where there are too few.
+// mendedKeepers puts live machines in the places of keepers that are gone, adds some where there are too
+// few, and moves one where most stand in one zone for no need.
 func (node *Node) mendedKeepers(now time.Time, members []*wire.Member) ([]*wire.Member, bool) {
-	keepers := node.agent.Current().Keepers
-	gone := -1
-	for place, keeper := range keepers {
-		peer, quiet := node.peers[keeper.Id], now.Sub(node.begun)
-		if peer != nil {
-			quiet = now.Sub(peer.heard)
+	present := node.agent.Current().Keepers
+	candidates := node.keeperCandidates(now, members)
+	next, changed := append([]*wire.Member{}, present...), false
+	for place, keeper := range present {
+		if !node.keeperGone(now, keeper) {
+			continue
 		}
-		if keeper.Id != node.self.Id && quiet > keeperBound && node.silentTo(now, keeper.Id) && gone < 0 {
-			gone = place
+		if taken := take(&candidates, append(append([]*wire.Member{}, next[:place]...), next[place+1:]...)); taken != nil {
+			next[place], changed = taken, true
 		}
 	}
-	if gone < 0 && len(keepers) >= keeperCount {
-		return keepers, false
+	for len(next) < node.keeperCount() {
+		taken := take(&candidates, next)
+		if taken == nil {
+			break
+		}
+		next, changed = append(next, taken), true
 	}
-	for _, member := range members {
-		if holds(keepers, member.Id) || !node.fresh(now, member.Id) {
-			continue
+	if changed || spread(next) {
+		return next, changed
+	}
+	for place := len(next) - 1; place >= 0; place-- {
+		moved := append(append([]*wire.Member{}, next[:place]...), next[place+1:]...)
+		left := append([]*wire.Member{}, candidates...)
+		if taken := take(&left, moved); taken != nil && spread(append(moved, taken)) {
+			return append(moved, taken), true
+		}
+	}
+	return next, false
+}
+
+// keeperGone tells whether a keeper will hardly come back: it was silent for long, or its address has another disk now.
+func (node *Node) keeperGone(now time.Time, keeper *wire.Member) bool {
+	if keeper.Id == node.self.Id {
+		return false
+	}
+	peer, quiet := node.peers[keeper.Id], now.Sub(node.begun)
+	if peer != nil {
+		quiet = now.Sub(peer.heard)
+	}
+	return (quiet > keeperBound || node.replacedAt(keeper)) && node.silentTo(now, keeper.Id)
+}
+
+// replacedAt tells whether another identity speaks from a member's address.
+func (node *Node) replacedAt(member *wire.Member) bool {
+	for id, peer := range node.peers {
+		if id != member.Id && peer.member.Address == member.Address {
+			return true
 		}
-		next := append([]*wire.Member{}, keepers...)
-		if gone >= 0 {
-			next[gone] = member
-		} else {
-			next = append(next, member)
+	}
+	return false
+}
+
+// keeperCandidates lists live machines that know the present view and keep none: those of the chain first.
+func (node *Node) keeperCandidates(now time.Time, members []*wire.Member) []*wire.Member {
+	current := node.agent.Current()
+	var others []*wire.Member
+	for id, peer := range node.peers {
+		if !holds(members, id) && node.fresh(now, id) && peer.beat.View == current.Epoch && !peer.beat.Leaving && !peer.beat.Sick {
+			others = append(others, peer.member)
 		}
-		if spread(next) {
-			return next, true
+	}
+	sort.Slice(others, func(left, right int) bool { return others[left].Id < others[right].Id })
+	var candidates []*wire.Member
+	for _, member := range append(append([]*wire.Member{}, members...), others...) {
+		if !keeps(current, member.Id) && node.fresh(now, member.Id) {
+			candidates = append(candidates, member)
+		}
+	}
+	return candidates
+}
+
+// take gives, and takes out of the candidates, the first from a zone with the fewest keepers.
+func take(candidates *[]*wire.Member, keepers []*wire.Member) *wire.Member {
+	crowds, best := crowds(keepers), -1
+	for place, candidate := range *candidates {
+		if best < 0 || crowds[candidate.Zone] < crowds[(*candidates)[best].Zone] {
+			best = place
 		}
 	}
-	return keepers, false
+	if best < 0 {
+		return nil
+	}
+	taken := (*candidates)[best]
+	*candidates = append(append([]*wire.Member{}, (*candidates)[:best]...), (*candidates)[best+1:]...)
+	return taken
+}
+
+// growing tells whether machines are there that could be keepers and are not yet. While it grows, the loss
+// of Faults disks could still take most keepers, so nothing is acknowledged.
+func (node *Node) growing(now time.Time) bool {
+	current := node.agent.Current()
+	return len(current.Keepers) < node.keeperCount() && len(node.keeperCandidates(now, current.Chain)) > 0
 }
 
 // spread tells whether no zone has most of the keepers.
--- a/process/core/node.go
+++ b/process/core/node.go
@@ -45,6 +45,11 @@
 	Founders []string
 	// Beat is how often runners call; 0 stands for the registry's own.
 	Beat time.Duration
+	// Founding tells that this is the very first start of the whole fleet. A machine whose disk was lost later
+	// starts without it and never founds anything.
+	Founding bool
+	// Faults is how many machines may lose their disks at the same time; 1 if not told.
+	Faults int
 }
 
 // Counters are what a machine counts of its own work.
@@ -85,6 +90,7 @@
 	logged     int64
 	swept      time.Time
 	replacing  bool
+	founding   bool
 	diskFailed bool
 	retryDisk  time.Time
 	leaving    bool
@@ -105,6 +111,7 @@
 // New restores a machine from its memory; memory.Id must be set.
 func New(now time.Time, startup Startup, memory *wire.Memory, records []*wire.Record, random *rand.Rand) *Node {
 	memory = proto.Clone(memory).(*wire.Memory)
+	startup.Faults = max(1, startup.Faults)
 	for _, record := range records {
 		Replay(memory, record)
 	}
@@ -121,6 +128,12 @@
 	if memory.Document != nil && memory.Document.Sequence > 0 {
 		node.publish(now)
 	}
+	node.founding = memory.Founding
+	if startup.Founding && !memory.Founding && node.agent.Current().Epoch == 0 {
+		// Why: a founder that is killed before there is a view must still be one when it starts again.
+		node.founding, node.replacing = true, true
+		node.outbox.Replace(now, node.Memory(), func(time.Time) { node.replacing, node.diskFailed = false, false })
+	}
 	if current := node.agent.Current(); current.Epoch > 0 {
 		node.chain.Adopt(now, current)
 	}
@@ -142,7 +155,7 @@
 
 // Memory gives all that this machine must not forget.
 func (node *Node) Memory() *wire.Memory {
-	memory := &wire.Memory{Id: node.self.Id, View: node.agent.Current(), Vote: node.agent.Vote()}
+	memory := &wire.Memory{Id: node.self.Id, View: node.agent.Current(), Vote: node.agent.Vote(), Founding: node.founding}
 	node.chain.Memory(memory)
 	return memory
 }
@@ -466,7 +479,7 @@
 // acceptor tells whether this machine may vote on the next view.
 func (node *Node) acceptor() bool {
 	current := node.agent.Current()
-	return current.Epoch == 0 && node.founder(node.self.Address) || keeps(current, node.self.Id)
+	return current.Epoch == 0 && node.founding && node.founder(node.self.Address) || keeps(current, node.self.Id)
 }
 
 func (node *Node) founder(address string) bool {
--- a/process/core/orders.go
+++ b/process/core/orders.go
@@ -392,6 +392,10 @@
 	if document.Sequence < sequence || now.Sub(node.head.begun) < Staleness+leaseMargin {
 		return false
 	}
+	// Why: a chain that shrank since the change came in has fewer copies than a change needs.
+	if current := node.agent.Current(); len(current.Chain) < int(current.Floor) || node.growing(now) {
+		return false
+	}
 	confirmed := 0
 	for _, member := range document.Directory {
 		if daemon := node.head.daemons[member.Address]; daemon != nil && daemon.sequence >= sequence {
--- a/process/core/status.go
+++ b/process/core/status.go
@@ -105,10 +105,10 @@
 			keepers++
 		}
 	}
-	if keepers < len(current.Keepers) || len(current.Keepers) < keeperCount {
+	if keepers < len(current.Keepers) || len(current.Keepers) < node.keeperCount() {
 		warnings = append(warnings, "not all keepers are live: the loss of one more stops the mending of the chain")
 	}
-	if len(current.Keepers) >= keeperCount && !spread(current.Keepers) {
+	if !spread(current.Keepers) {
 		warnings = append(warnings, "most keepers stand in one zone")
 	}
 	sort.Strings(warnings)
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -38,6 +38,24 @@
 func TestSingleFaultsOnTheGuild(test *testing.T)   { seeds(test, Guild, 16, FaultNames(), 1) }
 func TestSingleFaultsOnTheFerries(test *testing.T) { seeds(test, Ferries, 16, FaultNames(), 1) }
 
+// As many machines as may lose their disks lose them, a moment after a change was acknowledged, while all
+// others lose their power.
+func TestDisksLostInTheDark(test *testing.T) {
+	for name, shape := range map[string]Shape{"guild": Guild, "ferries": Ferries, "grown": Grown, "narrow": Narrow} {
+		test.Run(name, func(test *testing.T) { seeds(test, shape, 6, []string{"disks lost in the dark"}, 1) })
+	}
+}
+
+// Fewer disks than seeds should be, and many in one zone.
+func TestFewDisksAndFewZones(test *testing.T) {
+	kinds := []string{"core killed", "core without power", "core frozen", "data killed", "data frozen", "disk stalled", "all down"}
+	for name, shape := range map[string]Shape{"single": Single, "pair": Pair, "narrow": Narrow} {
+		test.Run(name, func(test *testing.T) { seeds(test, shape, 4, kinds, 1) })
+	}
+}
+
+func TestSingleFaultsOnTheGrown(test *testing.T) { seeds(test, Grown, 6, FaultNames(), 1) }
+
 // More at once may stop service, but must break no rule, and service comes back.
 func TestManyFaultsAtOnce(test *testing.T) { seeds(test, Guild, 12, FaultNames(), 3) }
 
