--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -17,6 +17,7 @@
 
 	"wardtray/proof/fleet"
 	"wardtray/proof/history"
+	"wardtray/proof/hollow"
 	"wardtray/proof/place"
 	"wardtray/proof/sim"
 )
@@ -67,6 +68,7 @@
 	sizes := spreading.Flag("daemons", "Size of a cohort; may be given several times.").Default("12", "100", "1000").Ints()
 	lanes := spreading.Flag("lanes", "Lanes of the spec that is sent.").Default("10").Int()
 	list := application.Command("scenarios", "List the scenarios.")
+	hollows := hollow.Register(application)
 	commands := map[string]func(){
 		list.FullCommand(): func() {
 			for _, name := range names {
@@ -146,10 +148,17 @@
 			}
 		},
 	}
-	if run := commands[kingpin.MustParse(application.Parse(os.Args[1:]))]; run != nil {
+	called := kingpin.MustParse(application.Parse(os.Args[1:]))
+	if run := commands[called]; run != nil {
 		run()
 		return
 	}
+	if run := hollows[called]; run != nil {
+		if failure := run(); failure != nil {
+			end(failure)
+		}
+		return
+	}
 	if *binaries == "" {
 		self, failure := os.Executable()
 		if failure != nil {
--- /dev/null
+++ b/proof/hollow/command.go
@@ -0,0 +1,89 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"wardtray/process/fault"
+)
+
+// Register adds the commands to an application; what it gives runs them by their full names.
+func Register(application *kingpin.Application) map[string]func() error {
+	carry := application.Command(Hidden, "Carries hollow daemons for another process.").Hidden()
+	command := application.Command("hollow", "Measures the control plane at size: hollow daemons, many in one process, against real wtcores.")
+	run := command.Command("run", "Run hollow fleets of several sizes. Phases are "+PhaseHelp()+".\n\nExample:\n  wtproof hollow run --daemons 12 --daemons 100 --json results.json --plot results.svg").Default()
+	daemons := run.Flag("daemons", "Size of a fleet; may be given several times.").Default("12", "100", "500").Ints()
+	runners := run.Flag("runners", "Runners known to each fleet; may be given several times, each with each size.").Default("0").Ints()
+	cores := run.Flag("cores", "How many wtcores, each in a region of its own.").Default("3").Int()
+	lanes := run.Flag("lanes", "Lanes of the spec, one a tenant.").Default("320").Int()
+	pools := run.Flag("pools", "Pools of the spec, one a model.").Default("36").Int()
+	names := run.Flag("phase", "What is done after the quiet; may be given several times, or all, or none.").Default("all").Enums(append(PhaseNames(), "all", "none")...)
+	quiet := run.Flag("quiet", "For how long each fleet is left alone.").Default("8s").Duration()
+	founding := run.Flag("founding", "How long a fleet may take to come up.").Default("40s").Duration()
+	silent := run.Flag("silent", "The greatest size at which the head falls silent in a phase.").Default("120").Int()
+	processors := run.Flag("processors", "Processors for all hollow daemons together.").Default("4").Int()
+	coreProcessors := run.Flag("core-processors", "Processors for each wtcore.").Default("2").Int()
+	memory := run.Flag("memory", "MiB that all processes together may hold; a run that takes more is ended.").Default("12288").Uint64()
+	seed := run.Flag("seed", "Seed.").Default("1").Int64()
+	network := run.Flag("network", "Second byte of the loopback addresses.").Default("60").Int()
+	binaries := run.Flag("binaries", "Where wtcore is; beside wtproof if empty.").String()
+	output := run.Flag("json", "Where the results go as JSON.").String()
+	plot := run.Flag("plot", "Where a plot of the results goes as SVG.").String()
+	table := command.Command("table", "Write the tables of the capacity page from results.\n\nExample:\n  wtproof hollow table --page docs/CAPACITY.md")
+	page := table.Flag("page", "The page whose tables are written anew; standard output if empty.").String()
+	folder := table.Flag("results", "Folder with the results.").Default(ResultsFolder).String()
+	return map[string]func() error{
+		carry.FullCommand(): func() error { return Carry(os.Stdin, os.Stdout) },
+		table.FullCommand(): func() error { return writePage(*folder, *page) },
+		run.FullCommand(): func() error {
+			self, failure := os.Executable()
+			if failure != nil {
+				return fault.Wrap(failure, fault.Internal, "this program's own path")
+			}
+			if *binaries == "" {
+				*binaries = filepath.Dir(self)
+			}
+			chosen := *names
+			sets := map[string][]string{"all": PhaseNames(), "none": nil}
+			if phases, found := sets[chosen[0]]; found {
+				chosen = phases
+			}
+			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
+			for _, count := range *runners {
+				for _, size := range *daemons {
+					measured, failure := Measure(Options{Daemons: size, Runners: count, Cores: *cores, Lanes: *lanes, Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
+						Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Binaries: *binaries, Program: self, Output: os.Stderr})
+					if failure != nil {
+						return failure
+					}
+					results.Runs = append(results.Runs, measured)
+					// Why: a later size may fail, and what was measured so far should not be lost with it.
+					if failure := results.write(*output); failure != nil {
+						return failure
+					}
+				}
+			}
+			fmt.Print(results.Table())
+			if *plot != "" {
+				return results.Plot(*plot)
+			}
+			return nil
+		},
+	}
+}
+
+func (results Results) write(path string) error {
+	if path == "" {
+		return nil
+	}
+	content, failure := json.MarshalIndent(results, "", " ")
+	if failure == nil {
+		failure = os.WriteFile(path, append(content, '\n'), 0o644)
+	}
+	return fault.Wrap(failure, fault.Internal, "writing the results")
+}
--- /dev/null
+++ b/proof/hollow/daemon.go
@@ -0,0 +1,310 @@
+package hollow
+
+import (
+	"bufio"
+	"bytes"
+	"math/rand"
+	"reflect"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wardtray/connection/frame"
+	"wardtray/connection/transport"
+	"wardtray/connection/wire"
+	"wardtray/process/director"
+	"wardtray/process/machine"
+	"wardtray/process/plane"
+)
+
+const (
+	// queueBound is how many messages wait for one daemon at most, as in the transport's waitlist.
+	queueBound = 512
+	turnEvery  = 5 * time.Millisecond
+	frameHead  = 8
+)
+
+// daemon is a hollow one: a real director with a real transport towards the cores.
+type daemon struct {
+	place    *Place
+	worker   *worker
+	director *director.Director
+	wire     *transport.Transport
+	up       bool
+	life     int
+	due      time.Time
+	queued   int
+	// documents and epoch are what this life has taken in.
+	documents uint64
+	epoch     uint64
+	// witness daemons also pay for the snapshot that the request path takes after each step.
+	witness bool
+}
+
+// item is one piece of a worker's work: a frame or an envelope for a daemon, or something to do.
+type item struct {
+	daemon *daemon
+	// life is that of the connection that an envelope came by.
+	life     int
+	frame    []byte
+	envelope *wire.Envelope
+	do       func()
+}
+
+// worker owns some daemons and runs all their steps on one thread, so that none needs a lock.
+type worker struct {
+	host    *host
+	daemons []*daemon
+	mutex   sync.Mutex
+	queue   []item
+	wake    chan struct{}
+	random  *rand.Rand
+	bytes   bytes.Reader
+	reader  *bufio.Reader
+
+	flows    map[Flow]*Count
+	spent    map[string]*Spent
+	late     *lateness
+	dropped  atomic.Uint64
+	arrivals map[uint64][]time.Duration
+}
+
+func newWorker(host *host, seed int64) *worker {
+	worker := &worker{host: host, wake: make(chan struct{}, 1), random: rand.New(rand.NewSource(seed)), reader: bufio.NewReaderSize(nil, 4<<10),
+		flows: map[Flow]*Count{}, spent: map[string]*Spent{}, late: &lateness{}, arrivals: map[uint64][]time.Duration{}}
+	return worker
+}
+
+// put hands something to the worker; what a daemon can't take in any more is dropped.
+func (worker *worker) put(work item) {
+	worker.mutex.Lock()
+	if work.daemon != nil {
+		if work.daemon.queued >= queueBound {
+			worker.dropped.Add(1)
+			worker.mutex.Unlock()
+			return
+		}
+		work.daemon.queued++
+	}
+	worker.queue = append(worker.queue, work)
+	worker.mutex.Unlock()
+	select {
+	case worker.wake <- struct{}{}:
+	default:
+	}
+}
+
+// call runs something on the worker's thread and waits for its end.
+func (worker *worker) call(do func()) {
+	done := make(chan struct{})
+	worker.put(item{do: func() {
+		defer close(done)
+		do()
+	}})
+	<-done
+}
+
+func (worker *worker) run() {
+	runtime.LockOSThread()
+	ticker := time.NewTicker(turnEvery)
+	defer ticker.Stop()
+	var batch []item
+	for {
+		select {
+		case <-worker.wake:
+		case <-ticker.C:
+		case <-worker.host.stopped:
+			return
+		}
+		worker.mutex.Lock()
+		batch, worker.queue = worker.queue, batch[:0]
+		for _, work := range batch {
+			if work.daemon != nil {
+				work.daemon.queued--
+			}
+		}
+		worker.mutex.Unlock()
+		for place, work := range batch {
+			worker.take(work)
+			batch[place] = item{}
+			// Why: a long batch must not keep the ticks waiting, which a process of its own would not do either.
+			if place%64 == 63 {
+				worker.ticks()
+			}
+		}
+		worker.ticks()
+	}
+}
+
+func (worker *worker) take(work item) {
+	if work.do != nil {
+		work.do()
+		return
+	}
+	if !work.daemon.up || work.envelope != nil && work.daemon.life != work.life {
+		return
+	}
+	begun := threadTime()
+	envelope := work.envelope
+	if envelope == nil {
+		worker.bytes.Reset(work.frame)
+		worker.reader.Reset(&worker.bytes)
+		decoded, _, failure := frame.Decode(worker.reader)
+		if failure != nil {
+			worker.dropped.Add(1)
+			return
+		}
+		envelope = decoded
+	}
+	worker.step(work.daemon, kindOf(envelope), begun, func(now time.Time) { work.daemon.director.Receive(now, envelope) })
+}
+
+// ticks lets every daemon whose time has come do what is due.
+func (worker *worker) ticks() {
+	now := time.Now()
+	for _, daemon := range worker.daemons {
+		if !daemon.up || now.Before(daemon.due) {
+			continue
+		}
+		worker.late.add(now.Sub(daemon.due))
+		// Why: a ticker that is behind leaves rounds out; it does not make up for them.
+		for !now.Before(daemon.due) {
+			daemon.due = daemon.due.Add(plane.TickEvery)
+		}
+		worker.step(daemon, "tick", threadTime(), daemon.director.Tick)
+		now = time.Now()
+	}
+}
+
+// step runs one step of a daemon, carries out what it asks for and books the processor time.
+func (worker *worker) step(daemon *daemon, kind string, begun time.Duration, do func(now time.Time)) {
+	now := time.Now()
+	do(now)
+	worker.send(daemon, daemon.director.Drain())
+	if daemon.director.WantsPoll() {
+		worker.host.poll(now, daemon)
+		worker.send(daemon, daemon.director.Drain())
+	}
+	ended := threadTime()
+	worker.book(kind, ended-begun)
+	if documents := daemon.director.Counters().Documents; documents != daemon.documents {
+		daemon.documents = documents
+		if epoch := daemon.director.Snapshot(now).SpecEpoch; epoch != daemon.epoch {
+			daemon.epoch = epoch
+			worker.arrivals[epoch] = append(worker.arrivals[epoch], monotonic())
+		}
+	}
+	if daemon.witness {
+		begun = threadTime()
+		daemon.director.Snapshot(now)
+		worker.book("snapshot", threadTime()-begun)
+	}
+}
+
+func (worker *worker) book(kind string, length time.Duration) {
+	spent := worker.spent[kind]
+	if spent == nil {
+		spent = &Spent{}
+		worker.spent[kind] = spent
+	}
+	spent.Steps++
+	spent.Time += length
+}
+
+func (worker *worker) count(kind, way string, border int, size int) {
+	flow := Flow{Kind: kind, Way: way, Border: borders[border]}
+	count := worker.flows[flow]
+	if count == nil {
+		count = &Count{}
+		worker.flows[flow] = count
+	}
+	count.Messages++
+	count.Bytes += uint64(size)
+}
+
+func (worker *worker) send(daemon *daemon, parcels []machine.Parcel) {
+	var toCores []machine.Parcel
+	for _, parcel := range parcels {
+		target := worker.host.places[parcel.To]
+		if target == nil || worker.host.cut(daemon.place, target) {
+			continue
+		}
+		kind := kindOf(parcel.Envelope)
+		if target.Core {
+			worker.count(kind, "to cores", border(daemon.place, target), frameHead+proto.Size(parcel.Envelope))
+			toCores = append(toCores, parcel)
+			continue
+		}
+		content, failure := frame.Encode(parcel.Envelope)
+		if failure != nil {
+			worker.dropped.Add(1)
+			continue
+		}
+		worker.count(kind, "to daemons", border(daemon.place, target), len(content))
+		worker.host.deliver(target, content)
+	}
+	if len(toCores) > 0 {
+		daemon.wire.Send(toCores)
+	}
+}
+
+// fromCore takes what a core sent to a daemon; it runs on the transport's own goroutine.
+func (worker *worker) fromCore(daemon *daemon, life int, envelope *wire.Envelope) {
+	worker.put(item{do: func() {
+		if sender := worker.host.places[envelope.From]; sender != nil {
+			if worker.host.cut(daemon.place, sender) {
+				return
+			}
+			worker.count(kindOf(envelope), "from cores", border(daemon.place, sender), frameHead+proto.Size(envelope))
+		}
+		worker.take(item{daemon: daemon, life: life, envelope: envelope})
+	}})
+}
+
+// begin starts a daemon with an empty memory.
+func (worker *worker) begin(daemon *daemon) error {
+	if daemon.up {
+		return nil
+	}
+	now := time.Now()
+	daemon.up, daemon.documents, daemon.epoch = true, 0, 0
+	daemon.life++
+	life := daemon.life
+	daemon.due = now.Add(time.Duration(worker.random.Int63n(int64(plane.TickEvery))))
+	daemon.director = director.New(now, director.Startup{Address: daemon.place.Address, HTTP: daemon.place.Address, Zone: daemon.place.Zone, Seeds: worker.host.seeds},
+		rand.New(rand.NewSource(worker.random.Int63())))
+	daemon.wire = transport.New(daemon.place.Address, daemon.place.Zone, func(envelope *wire.Envelope) { worker.fromCore(daemon, life, envelope) })
+	return daemon.wire.Listen()
+}
+
+// end takes a daemon away without a word.
+func (worker *worker) end(daemon *daemon) {
+	if !daemon.up {
+		return
+	}
+	daemon.up = false
+	daemon.life++
+	daemon.wire.Close()
+	daemon.director, daemon.wire = nil, nil
+}
+
+func kindOf(envelope *wire.Envelope) string {
+	return strings.TrimPrefix(reflect.TypeOf(envelope.Body).Elem().Name(), "Envelope_")
+}
+
+var borders = [...]string{"zone", "region", "regions"}
+
+// border tells which border a message crosses: none, that of its zone, or that of its region.
+func border(from, to *Place) int {
+	if from.Region != to.Region {
+		return 2
+	}
+	if from.Zone != to.Zone {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/proof/hollow/host.go
@@ -0,0 +1,450 @@
+package hollow
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/process/fault"
+)
+
+// Flow is one kind of message on one way over one border.
+type Flow struct {
+	Kind, Way, Border string
+}
+
+// Count is how much of a flow there was.
+type Count struct {
+	Messages uint64 `json:"messages"`
+	Bytes    uint64 `json:"bytes"`
+}
+
+// Spent is the processor time of one kind of step, frames encoded and decoded included.
+type Spent struct {
+	Steps uint64        `json:"steps"`
+	Time  time.Duration `json:"time"`
+}
+
+// FlowLine is a flow with its count, as it travels.
+type FlowLine struct {
+	Flow
+	Count
+}
+
+// Plan is what a host is told at its start.
+type Plan struct {
+	Network    int     `json:"network"`
+	Host       int     `json:"host"`
+	Hosts      int     `json:"hosts"`
+	Daemons    int     `json:"daemons"`
+	Spare      int     `json:"spare"`
+	Cores      []Place `json:"cores"`
+	Runners    int     `json:"runners"`
+	Workers    int     `json:"workers"`
+	Witnesses  int     `json:"witnesses"`
+	Seed       int64   `json:"seed"`
+	Processors int     `json:"processors"`
+	Memory     int64   `json:"memory"`
+	// ListEvery is how often the runners' list may be read in the whole host.
+	ListEvery time.Duration `json:"list_every"`
+}
+
+// Order is what a host is asked to do; Verb is one of verbs.
+type Order struct {
+	Verb string `json:"verb"`
+	// Addresses name daemons; empty stands for all that are not spare.
+	Addresses []string `json:"addresses,omitempty"`
+	// Regions are those on one side of a cut.
+	Regions []int `json:"regions,omitempty"`
+}
+
+// Report is what a host says of itself; counts run from its start.
+type Report struct {
+	Failure  string                     `json:"failure,omitempty"`
+	Up       int                        `json:"up"`
+	Serving  int                        `json:"serving"`
+	Asked    int                        `json:"asked"`
+	Flows    []FlowLine                 `json:"flows,omitempty"`
+	Spent    map[string]Spent           `json:"spent,omitempty"`
+	Late     lateness                   `json:"late"`
+	Dropped  uint64                     `json:"dropped"`
+	Used     time.Duration              `json:"used"`
+	Heap     uint64                     `json:"heap"`
+	Resident uint64                     `json:"resident"`
+	Arrivals map[uint64][]time.Duration `json:"arrivals,omitempty"`
+}
+
+// lateness is a coarse histogram of how late ticks came: below 1, 2, 4 ... milliseconds.
+type lateness struct {
+	Buckets [16]uint64 `json:"buckets"`
+}
+
+func (late *lateness) add(length time.Duration) {
+	place := 0
+	for bound := time.Millisecond; length >= bound && place < len(late.Buckets)-1; bound *= 2 {
+		place++
+	}
+	late.Buckets[place]++
+}
+
+// share gives the bound below which so large a part of the ticks came.
+func (late lateness) share(part float64) time.Duration {
+	total, seen := uint64(0), uint64(0)
+	for _, count := range late.Buckets {
+		total += count
+	}
+	for place, count := range late.Buckets {
+		seen += count
+		if total > 0 && float64(seen) >= part*float64(total) {
+			return time.Millisecond << place
+		}
+	}
+	return 0
+}
+
+// host is one process's share of the hollow daemons.
+type host struct {
+	plan     Plan
+	workers  []*worker
+	daemons  map[string]*daemon
+	places   map[string]*Place
+	seeds    []string
+	runners  []*wire.Runner
+	stopped  chan struct{}
+	listener net.Listener
+	links    []*link
+	side     atomic.Pointer[map[int]bool]
+	mutex    sync.Mutex
+	listed   time.Time
+}
+
+func newHost(plan Plan) (*host, error) {
+	if plan.Processors > 0 {
+		runtime.GOMAXPROCS(plan.Processors)
+	}
+	if plan.Memory > 0 {
+		debug.SetMemoryLimit(plan.Memory)
+	}
+	host := &host{plan: plan, daemons: map[string]*daemon{}, places: map[string]*Place{}, stopped: make(chan struct{})}
+	for place := range plan.Cores {
+		core := &plan.Cores[place]
+		host.places[core.Address] = core
+		if len(host.seeds) < 3 {
+			host.seeds = append(host.seeds, core.Address)
+		}
+	}
+	for number := range plan.Workers {
+		host.workers = append(host.workers, newWorker(host, plan.Seed*1000+int64(plan.Host*100+number)))
+	}
+	own := 0
+	for number := range plan.Daemons + plan.Spare {
+		place := daemonPlace(plan.Network, number, plan.Hosts)
+		host.places[place.Address] = &place
+		if place.Host != plan.Host {
+			continue
+		}
+		worker := host.workers[own%len(host.workers)]
+		made := &daemon{place: &place, worker: worker, witness: own < plan.Witnesses}
+		worker.daemons = append(worker.daemons, made)
+		host.daemons[place.Address] = made
+		own++
+	}
+	for number := range plan.Runners {
+		zone := Zones()[number%len(Zones())]
+		host.runners = append(host.runners, &wire.Runner{RunnerId: fmt.Sprintf("runner-%05d-%08x", number, number*2654435761), State: "ready", Zone: zone.Name,
+			Address: fmt.Sprintf("10.%d.%d.%d:9100", number>>16, number>>8&255, number&255), Service: fmt.Sprintf("runners-%02d", number%36)})
+	}
+	if plan.Hosts > 1 {
+		if failure := host.join(); failure != nil {
+			return nil, failure
+		}
+	}
+	for _, worker := range host.workers {
+		go worker.run()
+	}
+	return host, nil
+}
+
+func (host *host) close() {
+	for _, worker := range host.workers {
+		worker.call(func() {
+			for _, daemon := range worker.daemons {
+				worker.end(daemon)
+			}
+		})
+	}
+	close(host.stopped)
+	if host.listener != nil {
+		_ = host.listener.Close()
+	}
+}
+
+// deliver hands a frame to its daemon here or in another host.
+func (host *host) deliver(target *Place, content []byte) {
+	if target.Host != host.plan.Host {
+		host.links[target.Host].put(target.Address, content)
+		return
+	}
+	if found := host.daemons[target.Address]; found != nil {
+		found.worker.put(item{daemon: found, frame: content})
+	}
+}
+
+// cut tells whether two places can't reach each other now.
+func (host *host) cut(from, to *Place) bool {
+	side := host.side.Load()
+	return side != nil && (*side)[from.Region] != (*side)[to.Region]
+}
+
+// poll answers a director that wants to read the platform's list. All lists of a host together are no
+// more than one in ListEvery; a read beyond that counts as failed, which changes nothing.
+func (host *host) poll(now time.Time, daemon *daemon) {
+	host.mutex.Lock()
+	due := len(host.runners) > 0 && now.Sub(host.listed) >= host.plan.ListEvery
+	if due {
+		host.listed = now
+	}
+	host.mutex.Unlock()
+	daemon.director.Polled(now, host.runners, !due)
+}
+
+// verbs are what a host can be asked to do.
+var verbs = map[string]func(host *host, order Order) Report{
+	"begin":  func(host *host, order Order) Report { return host.each(order, (*worker).begin) },
+	"end":    func(host *host, order Order) Report { return host.each(order, (*worker).quietEnd) },
+	"cut":    (*host).orderCut,
+	"report": func(host *host, order Order) Report { return host.report(order, false) },
+	"sample": func(host *host, order Order) Report { return host.report(order, true) },
+	"settle": func(host *host, order Order) Report {
+		runtime.GC()
+		return host.report(order, false)
+	},
+}
+
+func (worker *worker) quietEnd(daemon *daemon) error {
+	worker.end(daemon)
+	return nil
+}
+
+func (host *host) do(order Order) Report {
+	verb := verbs[order.Verb]
+	if verb == nil {
+		return Report{Failure: "there is no verb " + order.Verb}
+	}
+	return verb(host, order)
+}
+
+func (host *host) orderCut(order Order) Report {
+	if len(order.Regions) == 0 {
+		host.side.Store(nil)
+		return Report{}
+	}
+	side := map[int]bool{}
+	for _, region := range order.Regions {
+		side[region] = true
+	}
+	host.side.Store(&side)
+	return Report{}
+}
+
+// named gives the daemons that an order names, by worker.
+func (host *host) named(order Order) map[*worker][]*daemon {
+	named := map[*worker][]*daemon{}
+	if len(order.Addresses) == 0 {
+		for number := range host.plan.Daemons {
+			place := daemonPlace(host.plan.Network, number, host.plan.Hosts)
+			if found := host.daemons[place.Address]; found != nil {
+				named[found.worker] = append(named[found.worker], found)
+			}
+		}
+		return named
+	}
+	for _, address := range order.Addresses {
+		if found := host.daemons[address]; found != nil {
+			named[found.worker] = append(named[found.worker], found)
+		}
+	}
+	return named
+}
+
+func (host *host) each(order Order, do func(worker *worker, daemon *daemon) error) Report {
+	report := Report{}
+	for worker, daemons := range host.named(order) {
+		worker.call(func() {
+			for _, daemon := range daemons {
+				if failure := do(worker, daemon); failure != nil {
+					report.Failure = failure.Error()
+				}
+			}
+		})
+	}
+	return report
+}
+
+// sampled bounds how many daemons of a worker are asked whether they serve: the answer walks the directory.
+const sampled = 32
+
+// report gathers the counts; a sample only asks some daemons whether they serve.
+func (host *host) report(order Order, sample bool) Report {
+	report := Report{Spent: map[string]Spent{}, Arrivals: map[uint64][]time.Duration{}}
+	flows := map[Flow]Count{}
+	named := host.named(order)
+	for _, worker := range host.workers {
+		worker.call(func() {
+			for _, daemon := range worker.daemons {
+				if daemon.up {
+					report.Up++
+				}
+			}
+			daemons := named[worker]
+			step := max(1, len(daemons)/sampled)
+			for place := 0; place < len(daemons); place += step {
+				report.Asked++
+				if now := time.Now(); daemons[place].up && daemons[place].director.Until(now).After(now) {
+					report.Serving++
+				}
+			}
+			for epoch, moments := range worker.arrivals {
+				report.Arrivals[epoch] = append(report.Arrivals[epoch], moments...)
+			}
+			if sample {
+				return
+			}
+			for flow, count := range worker.flows {
+				sum := flows[flow]
+				sum.Messages += count.Messages
+				sum.Bytes += count.Bytes
+				flows[flow] = sum
+			}
+			for kind, spent := range worker.spent {
+				sum := report.Spent[kind]
+				sum.Steps += spent.Steps
+				sum.Time += spent.Time
+				report.Spent[kind] = sum
+			}
+			for place, count := range worker.late.Buckets {
+				report.Late.Buckets[place] += count
+			}
+		})
+		report.Dropped += worker.dropped.Load()
+	}
+	for flow, count := range flows {
+		report.Flows = append(report.Flows, FlowLine{Flow: flow, Count: count})
+	}
+	var memory runtime.MemStats
+	if !sample {
+		runtime.ReadMemStats(&memory)
+	}
+	report.Used, report.Heap = processTime(), memory.HeapAlloc
+	return report
+}
+
+// link carries frames to another host over one connection.
+type link struct {
+	address string
+	frames  chan []byte
+}
+
+const linkQueue = 1 << 14
+
+// join opens this host's end of the links between hosts.
+func (host *host) join() error {
+	listener, failure := net.Listen("tcp", linkAddress(host.plan.Network, host.plan.Host))
+	if failure != nil {
+		return fault.Wrap(failure, fault.BadStartup, "listening for other hosts")
+	}
+	host.listener = listener
+	go func() {
+		for {
+			connection, failure := listener.Accept()
+			if failure != nil {
+				return
+			}
+			go host.readLink(connection)
+		}
+	}()
+	for number := range host.plan.Hosts {
+		made := &link{address: linkAddress(host.plan.Network, number), frames: make(chan []byte, linkQueue)}
+		host.links = append(host.links, made)
+		if number != host.plan.Host {
+			go host.writeLink(made)
+		}
+	}
+	return nil
+}
+
+// put queues a frame behind the name of its daemon; a full queue drops it.
+func (link *link) put(address string, content []byte) {
+	named := make([]byte, 0, 1+len(address)+len(content))
+	named = append(append(append(named, byte(len(address))), address...), content...)
+	select {
+	case link.frames <- named:
+	default:
+	}
+}
+
+func (host *host) writeLink(link *link) {
+	var connection net.Conn
+	var writer *bufio.Writer
+	for {
+		select {
+		case <-host.stopped:
+			return
+		case content := <-link.frames:
+			for connection == nil {
+				made, failure := net.Dial("tcp", link.address)
+				if failure == nil {
+					connection, writer = made, bufio.NewWriterSize(made, 256<<10)
+					break
+				}
+				select {
+				case <-host.stopped:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+			_, failure := writer.Write(content)
+			if failure == nil && len(link.frames) == 0 {
+				failure = writer.Flush()
+			}
+			if failure != nil {
+				_ = connection.Close()
+				connection = nil
+			}
+		}
+	}
+}
+
+func (host *host) readLink(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReaderSize(connection, 256<<10)
+	for {
+		length, failure := reader.ReadByte()
+		if failure != nil {
+			return
+		}
+		name := make([]byte, length)
+		if _, failure := io.ReadFull(reader, name); failure != nil {
+			return
+		}
+		head, failure := reader.Peek(frameHead)
+		if failure != nil {
+			return
+		}
+		content := make([]byte, frameHead+binary.BigEndian.Uint32(head[4:]))
+		if _, failure := io.ReadFull(reader, content); failure != nil {
+			return
+		}
+		if found := host.daemons[string(name)]; found != nil {
+			found.worker.put(item{daemon: found, frame: content})
+		}
+	}
+}
--- /dev/null
+++ b/proof/hollow/plot.go
@@ -0,0 +1,58 @@
+package hollow
+
+import (
+	"sort"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"wardtray/process/fault"
+)
+
+// plotted are the figures of the plot, each as a part of its bound.
+var plotted = []struct {
+	name, phase, figure string
+	bound               float64
+}{
+	{"daemon: processor", "quiet", "daemon.processor", boundProcessor},
+	{"daemon: bytes sent", "quiet", "daemon.bytes", boundBytes},
+	{"daemon: heap", "founding", "daemon.heap", boundMemory},
+	{"head: processor", "quiet", "head.processor", 1},
+	{"head: memory", "quiet", "head.resident", boundMemory},
+	{"change: acknowledged", "change", "acknowledged.most", boundForce},
+}
+
+// Plot draws how the main figures grow with the number of daemons, as parts of their bounds.
+func (results Results) Plot(path string) error {
+	drawn := plot.New()
+	drawn.Title.Text = "Hollow fleets: figures as parts of their bounds"
+	drawn.X.Label.Text, drawn.Y.Label.Text = "data daemons", "part of the bound"
+	drawn.X.Scale, drawn.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	drawn.X.Tick.Marker, drawn.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	drawn.Legend.Top, drawn.Legend.Left = true, true
+	var lines []any
+	least, most := 1e9, 1.0
+	for _, wanted := range plotted {
+		var line plotter.XYs
+		for _, point := range results.Points(wanted.phase, wanted.figure, ByDaemons) {
+			if point.Value > 0 {
+				line = append(line, plotter.XY{X: point.Size, Y: point.Value / wanted.bound})
+				least, most = min(least, point.Size), max(most, point.Size)
+			}
+		}
+		sort.Slice(line, func(left, right int) bool { return line[left].X < line[right].X })
+		if len(line) > 0 {
+			lines = append(lines, wanted.name, line)
+		}
+	}
+	if len(lines) == 0 {
+		return fault.New(fault.NotFound, "no run has a figure to plot")
+	}
+	lines = append(lines, "bound", plotter.XYs{{X: least, Y: 1}, {X: max(most, least+1), Y: 1}})
+	if failure := plotutil.AddLinePoints(drawn, lines...); failure != nil {
+		return fault.Wrap(failure, fault.Internal, "plotting")
+	}
+	return fault.Wrap(drawn.Save(20*vg.Centimeter, 14*vg.Centimeter, path), fault.Internal, "writing %s", path)
+}
--- /dev/null
+++ b/proof/hollow/run.go
@@ -0,0 +1,571 @@
+package hollow
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wardtray/process/fault"
+	"wardtray/process/operator"
+)
+
+// spares are daemons at addresses of their own that come in while the fleet runs.
+const spares = 4
+
+// Core is one core as seen over a phase.
+type Core struct {
+	Place string `json:"place"`
+	// Processor is its part of one processor; Resident its memory in bytes.
+	Processor float64 `json:"processor"`
+	Resident  uint64  `json:"resident"`
+	Sent      float64 `json:"sent_per_second"`
+	Received  float64 `json:"received_per_second"`
+	BytesOut  float64 `json:"bytes_out_per_second"`
+	BytesIn   float64 `json:"bytes_in_per_second"`
+	Dropped   float64 `json:"dropped"`
+}
+
+// FlowRate is a flow for each daemon and second.
+type FlowRate struct {
+	Kind     string  `json:"kind"`
+	Way      string  `json:"way"`
+	Border   string  `json:"border"`
+	Messages float64 `json:"messages"`
+	Bytes    float64 `json:"bytes"`
+}
+
+// StepRate is a kind of step: how many a daemon makes in a second, and the processor time of one.
+type StepRate struct {
+	PerSecond    float64 `json:"per_second"`
+	Microseconds float64 `json:"microseconds"`
+}
+
+// Phase is what was seen over one part of a run. Figures are by name; those of daemons are for each daemon.
+type Phase struct {
+	Name    string              `json:"name"`
+	Seconds float64             `json:"seconds"`
+	Figures map[string]float64  `json:"figures"`
+	Flows   []FlowRate          `json:"flows,omitempty"`
+	Steps   map[string]StepRate `json:"steps,omitempty"`
+	Cores   []Core              `json:"cores,omitempty"`
+	// Notes tell what did not come about and what was left out.
+	Notes []string `json:"notes,omitempty"`
+}
+
+// Run is one hollow fleet from its founding to its end.
+type Run struct {
+	Daemons   int     `json:"daemons"`
+	Runners   int     `json:"runners"`
+	Cores     int     `json:"cores"`
+	Lanes     int     `json:"lanes"`
+	Pools     int     `json:"pools"`
+	Seed      int64   `json:"seed"`
+	Processes int     `json:"processes"`
+	Phases    []Phase `json:"phases"`
+}
+
+// Results are the runs of one command.
+type Results struct {
+	// Commit is the product's, Command what was called, Machine what it ran on.
+	Commit  string `json:"commit"`
+	Command string `json:"command"`
+	Machine string `json:"machine"`
+	Runs    []Run  `json:"runs"`
+}
+
+// NewResults begins the results of a command.
+func NewResults(command string) Results {
+	results := Results{Command: command, Commit: "unknown", Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version())}
+	if information, found := debug.ReadBuildInfo(); found {
+		for _, setting := range information.Settings {
+			if setting.Key == "vcs.revision" {
+				results.Commit = setting.Value[:min(12, len(setting.Value))]
+			}
+		}
+	}
+	return results
+}
+
+// phases are what can be done to a fleet that has been founded and left alone.
+var phases = map[string]struct {
+	help string
+	// silent tells that the head falls silent, so that each daemon asks all others.
+	silent bool
+	run    func(fleet *fleet, phase *Phase)
+}{
+	"change": {help: "four changes, one after another", run: (*fleet).phaseChange},
+	"storm":  {help: "four operators change the spec without a pause", run: (*fleet).phaseStorm},
+	"churn":  {help: "daemons restart, others come in at new addresses, one dies during a change", run: (*fleet).phaseChurn},
+	"rack":   {help: "a rack of daemons is lost and comes back", run: (*fleet).phaseRack},
+	"zone":   {help: "a zone is lost with its core, and comes back", run: (*fleet).phaseZone, silent: true},
+	"head":   {help: "the head is killed and comes back", run: (*fleet).phaseHead, silent: true},
+	"cut":    {help: "half of the regions lose the others: frames are dropped, the cores of the lesser part frozen", run: (*fleet).phaseCut, silent: true},
+}
+
+// PhaseNames lists the phases in the order in which they are run.
+func PhaseNames() []string {
+	return []string{"change", "storm", "churn", "rack", "zone", "head", "cut"}
+}
+
+// PhaseHelp tells what is done in each phase.
+func PhaseHelp() string {
+	var lines []string
+	for _, name := range PhaseNames() {
+		lines = append(lines, name+": "+phases[name].help)
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Measure runs one hollow fleet.
+func Measure(options Options) (Run, error) {
+	run := Run{Daemons: options.Daemons, Runners: options.Runners, Cores: options.Cores, Lanes: options.Lanes, Pools: options.Pools, Seed: options.Seed}
+	for _, name := range options.Phases {
+		if _, found := phases[name]; !found {
+			return run, fault.New(fault.BadStartup, "there is no phase %q; give some of %s", name, strings.Join(PhaseNames(), ", "))
+		}
+	}
+	if options.Folder == "" {
+		folder, failure := os.MkdirTemp("", "hollow")
+		if failure != nil {
+			return run, fault.Wrap(failure, fault.BadStartup, "a folder for the cores")
+		}
+		defer os.RemoveAll(folder)
+		options.Folder = folder
+	}
+	fleet, failure := open(options)
+	if failure != nil {
+		return run, failure
+	}
+	defer fleet.close()
+	run.Processes = len(fleet.hosts) + len(fleet.cores)
+	fleet.tell("%d daemons in %d processes, %d cores, %d runners", options.Daemons, len(fleet.hosts), len(fleet.cores), options.Runners)
+	founded, failure := fleet.found()
+	run.Phases = append(run.Phases, founded)
+	if failure != nil {
+		return run, failure
+	}
+	run.Phases = append(run.Phases, fleet.watch("quiet", func(phase *Phase) { pause(options.Quiet) }))
+	for _, name := range options.Phases {
+		made := phases[name]
+		if fleet.exceeded {
+			break
+		}
+		if made.silent && options.Daemons > options.Silent {
+			run.Phases = append(run.Phases, Phase{Name: name, Notes: []string{fmt.Sprintf("left out above %d daemons: with the head silent each asks all others", options.Silent)}})
+			continue
+		}
+		run.Phases = append(run.Phases, fleet.watch(name, func(phase *Phase) { made.run(fleet, phase) }))
+	}
+	return run, nil
+}
+
+func pause(length time.Duration) {
+	timer := time.NewTimer(length)
+	<-timer.C
+}
+
+// watch runs a phase and notes what it cost.
+func (fleet *fleet) watch(name string, do func(phase *Phase)) Phase {
+	phase := Phase{Name: name, Figures: map[string]float64{}, Steps: map[string]StepRate{}}
+	type core struct {
+		used time.Duration
+		wire map[string]any
+		id   int
+	}
+	before := make([]core, len(fleet.cores))
+	for place, process := range fleet.cores {
+		if process.command != nil {
+			used, _ := usage(process.command.Process.Pid)
+			before[place] = core{used: used, wire: fleet.status(process).Wire, id: process.command.Process.Pid}
+		}
+	}
+	first, begun := fleet.order(Order{Verb: "report"}), time.Now()
+	do(&phase)
+	second := fleet.order(Order{Verb: "report"})
+	phase.Seconds = time.Since(begun).Seconds()
+	each := float64(max(1, fleet.options.Daemons)) * phase.Seconds
+	phase.Figures["daemon.processor"] = (second.Used - first.Used).Seconds() / each
+	phase.Figures["carrier.dropped"] = float64(second.Dropped - first.Dropped)
+	phase.Figures["harness.processor"] = (second.Used - first.Used).Seconds() / phase.Seconds
+	late := lateness{}
+	for place := range late.Buckets {
+		late.Buckets[place] = second.Late.Buckets[place] - first.Late.Buckets[place]
+	}
+	phase.Figures["harness.late_99"] = late.share(0.99).Seconds()
+	fleet.flows(&phase, first, second, each)
+	for kind, spent := range second.Spent {
+		steps, time := spent.Steps-first.Spent[kind].Steps, spent.Time-first.Spent[kind].Time
+		if steps > 0 {
+			phase.Steps[kind] = StepRate{PerSecond: float64(steps) / each, Microseconds: time.Seconds() * 1e6 / float64(steps)}
+		}
+	}
+	for place, process := range fleet.cores {
+		if process.command == nil || process.command.Process.Pid != before[place].id {
+			continue
+		}
+		used, resident := usage(process.command.Process.Pid)
+		status := fleet.status(process)
+		rate := func(name string) float64 {
+			return (number(status.Wire[name]) - number(before[place].wire[name])) / phase.Seconds
+		}
+		phase.Cores = append(phase.Cores, Core{Place: status.Core.Place, Processor: (used - before[place].used).Seconds() / phase.Seconds, Resident: resident,
+			Sent: rate("sent"), Received: rate("received"), BytesOut: rate("bytes_out"), BytesIn: rate("bytes_in"), Dropped: rate("dropped") * phase.Seconds})
+	}
+	fleet.coreFigures(&phase)
+	hosts, cores := fleet.resident()
+	phase.Figures["harness.resident"], phase.Figures["cores.resident"] = float64(hosts), float64(cores)
+	fleet.tell("%s: %.1f s, %.2f processors for the daemons, %.1f messages and %.0f bytes a daemon and second, ticks %.0f ms late (99%%), %d MiB; %s", name, phase.Seconds,
+		phase.Figures["harness.processor"], phase.Figures["daemon.messages"], phase.Figures["daemon.bytes"], phase.Figures["harness.late_99"]*1000, (hosts+cores)>>20, strings.Join(phase.Notes, "; "))
+	return phase
+}
+
+func number(value any) float64 {
+	found, _ := value.(float64)
+	return found
+}
+
+// flows notes what a daemon sent and what the cores sent it, by kind and border.
+func (fleet *fleet) flows(phase *Phase, first, second Report, each float64) {
+	held := map[Flow]Count{}
+	for _, line := range first.Flows {
+		held[line.Flow] = line.Count
+	}
+	for _, line := range second.Flows {
+		rate := FlowRate{Kind: line.Kind, Way: line.Way, Border: line.Border, Messages: float64(line.Messages-held[line.Flow].Messages) / each,
+			Bytes: float64(line.Bytes-held[line.Flow].Bytes) / each}
+		if rate.Messages == 0 {
+			continue
+		}
+		phase.Flows = append(phase.Flows, rate)
+		if rate.Way != "from cores" {
+			phase.Figures["daemon.messages"] += rate.Messages
+			phase.Figures["daemon.bytes"] += rate.Bytes
+			phase.Figures["daemon.bytes_"+map[string]string{"zone": "own_zone", "region": "other_zone", "regions": "other_region"}[rate.Border]] += rate.Bytes
+		}
+		phase.Figures["daemon.bytes_all"] += rate.Bytes
+		phase.Figures["kind."+rate.Kind+".messages"] += rate.Messages
+		phase.Figures["kind."+rate.Kind+".bytes"] += rate.Bytes
+	}
+	sort.Slice(phase.Flows, func(left, right int) bool {
+		one, other := phase.Flows[left], phase.Flows[right]
+		return one.Way+one.Kind+one.Border < other.Way+other.Kind+other.Border
+	})
+}
+
+// coreFigures notes the head's and the tail's figures by name, and the greatest of the others.
+func (fleet *fleet) coreFigures(phase *Phase) {
+	for _, core := range phase.Cores {
+		for _, role := range strings.Split(core.Place, " and ") {
+			for name, value := range map[string]float64{"processor": core.Processor, "resident": float64(core.Resident), "sent": core.Sent, "received": core.Received,
+				"bytes_out": core.BytesOut, "bytes_in": core.BytesIn, "dropped": core.Dropped} {
+				key := role + "." + name
+				phase.Figures[key] = max(phase.Figures[key], value)
+			}
+		}
+	}
+}
+
+// found starts daemons and cores and waits until the whole directory is there and serves.
+func (fleet *fleet) found() (Phase, error) {
+	var failure error
+	phase := fleet.watch("founding", func(phase *Phase) {
+		// Why: daemons that are there before the control plane come into an empty directory together; later ones come one by one.
+		if report := fleet.order(Order{Verb: "begin"}); report.Failure != "" {
+			failure = fault.New(fault.BadStartup, "%s", report.Failure)
+			return
+		}
+		for _, process := range fleet.cores {
+			if failure = fleet.startCore(process); failure != nil {
+				return
+			}
+		}
+		took, whole := fleet.await(fleet.options.Founding, "founding", func() (bool, string) {
+			pause(200 * time.Millisecond)
+			leader := fleet.leader()
+			return leader.Core.Leading && len(leader.Core.Daemons) >= fleet.options.Daemons,
+				fmt.Sprintf("view %d, %d of %d in the directory", leader.Core.View, len(leader.Core.Daemons), fleet.options.Daemons)
+		})
+		phase.Figures["directory.seconds"] = took.Seconds()
+		if !whole {
+			phase.Notes = append(phase.Notes, fmt.Sprintf("the directory was not whole after %.0f s", took.Seconds()))
+		}
+		phase.Figures["directory.size"] = float64(len(fleet.leader().Core.Daemons))
+		reply, took, wrong := fleet.change()
+		if wrong != nil || reply.Outcome != "accepted" {
+			phase.Notes = append(phase.Notes, fmt.Sprintf("the first spec: %s %s %v", reply.Outcome, reply.Detail, wrong))
+		}
+		phase.Figures["first_spec.seconds"] = took.Seconds()
+		took, serving := fleet.serve(fleet.options.Founding)
+		phase.Figures["serving.seconds"] = took.Seconds()
+		if !serving {
+			phase.Notes = append(phase.Notes, "not all daemons served")
+		}
+	})
+	if failure != nil {
+		return phase, failure
+	}
+	settled := fleet.order(Order{Verb: "settle"})
+	phase.Figures["daemon.heap"] = float64(settled.Heap) / float64(max(1, fleet.options.Daemons))
+	return phase, nil
+}
+
+// serve waits until every daemon that is asked may award work.
+func (fleet *fleet) serve(length time.Duration) (time.Duration, bool) {
+	return fleet.await(length, "serving", func() (bool, string) {
+		report := fleet.order(Order{Verb: "sample"})
+		return report.Asked > 0 && report.Serving == report.Asked, fmt.Sprintf("%d of %d asked serve", report.Serving, report.Asked)
+	})
+}
+
+// arrive notes how long after a moment half, 99 % and all of those up had an epoch.
+func (fleet *fleet) arrive(phase *Phase, epoch uint64, sent time.Duration, expected int) {
+	var moments []time.Duration
+	_, whole := fleet.await(5*time.Second, "a change arrives", func() (bool, string) {
+		moments = fleet.order(Order{Verb: "sample"}).Arrivals[epoch]
+		return len(moments) >= expected, fmt.Sprintf("%d of %d have it", len(moments), expected)
+	})
+	if !whole {
+		phase.Notes = append(phase.Notes, fmt.Sprintf("%d of %d had epoch %d after 5 s", len(moments), expected, epoch))
+	}
+	if len(moments) == 0 {
+		return
+	}
+	sort.Slice(moments, func(left, right int) bool { return moments[left] < moments[right] })
+	for name, part := range map[string]float64{"half": 0.5, "most": 0.99, "all": 1} {
+		at := moments[max(0, int(math.Ceil(part*float64(len(moments))))-1)]
+		phase.Figures["arrival."+name] = max(phase.Figures["arrival."+name], (at - sent).Seconds())
+	}
+}
+
+// acknowledge makes one change and notes how long its answer took; it tells whether it was accepted.
+func (fleet *fleet) acknowledge(phase *Phase) bool {
+	reply, took, failure := fleet.change()
+	if failure != nil || reply.Outcome != "accepted" {
+		phase.Notes = append(phase.Notes, fmt.Sprintf("a change ended as %s after %.1f s: %s %v", reply.Outcome, took.Seconds(), reply.Detail, failure))
+		phase.Figures["change.unsure"]++
+		fleet.refresh()
+		return false
+	}
+	phase.Figures["acknowledged.most"] = max(phase.Figures["acknowledged.most"], took.Seconds())
+	phase.Figures["acknowledged.sum"] += took.Seconds()
+	phase.Figures["acknowledged.count"]++
+	return true
+}
+
+// refresh reads the newest epoch after a change of unknown outcome.
+func (fleet *fleet) refresh() {
+	if reply, failure := fleet.client.Get(); failure == nil && reply.Outcome == "found" {
+		fleet.epoch = max(fleet.epoch, reply.Epoch)
+	}
+}
+
+func (fleet *fleet) phaseChange(phase *Phase) {
+	const changes = 4
+	for range changes {
+		sent := monotonic()
+		if fleet.acknowledge(phase) {
+			fleet.arrive(phase, fleet.epoch, sent, fleet.options.Daemons)
+		}
+		pause(500 * time.Millisecond)
+	}
+}
+
+func (fleet *fleet) phaseStorm(phase *Phase) {
+	const operators, length = 4, 5 * time.Second
+	var mutex sync.Mutex
+	var waiting sync.WaitGroup
+	begun := time.Now()
+	for number := range operators {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			client := operator.New([]string{fleet.cores[number%len(fleet.cores)].place.HTTP})
+			for attempt := 0; time.Since(begun) < length; attempt++ {
+				present, failure := client.Get()
+				if failure != nil {
+					continue
+				}
+				sent := time.Now()
+				reply, failure := client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, 1000*number+attempt), present.Epoch, fmt.Sprintf("storm-%d-%d-%d", fleet.options.Seed, number, attempt))
+				took := time.Since(sent)
+				mutex.Lock()
+				if failure != nil {
+					reply.Outcome = "unanswered"
+				}
+				phase.Figures["storm."+reply.Outcome]++
+				if reply.Outcome == "accepted" {
+					phase.Figures["acknowledged.most"] = max(phase.Figures["acknowledged.most"], took.Seconds())
+					phase.Figures["acknowledged.sum"] += took.Seconds()
+					phase.Figures["acknowledged.count"]++
+				}
+				mutex.Unlock()
+			}
+		}()
+	}
+	waiting.Wait()
+	phase.Figures["accepted.per_second"] = phase.Figures["storm.accepted"] / time.Since(begun).Seconds()
+	fleet.refresh()
+	took, _ := fleet.serve(10 * time.Second)
+	phase.Figures["recovered.seconds"] = took.Seconds()
+}
+
+// addresses gives those of the daemons that a function takes, at most so many.
+func (fleet *fleet) addresses(most int, takes func(place Place) bool) []string {
+	var found []string
+	for number := range fleet.options.Daemons {
+		place := daemonPlace(fleet.options.Network, number, len(fleet.hosts))
+		if len(found) < most && takes(place) {
+			found = append(found, place.Address)
+		}
+	}
+	return found
+}
+
+func (fleet *fleet) phaseChurn(phase *Phase) {
+	victims := fleet.addresses(max(1, fleet.options.Daemons/100), func(Place) bool { return true })
+	fleet.order(Order{Verb: "end", Addresses: victims})
+	phase.Figures["restarted"] = float64(len(victims))
+	fleet.acknowledge(phase)
+	fleet.order(Order{Verb: "begin", Addresses: victims})
+	took, _ := fleet.serve(10 * time.Second)
+	phase.Figures["restart.seconds"] = took.Seconds()
+	before := len(fleet.leader().Core.Daemons)
+	var comers []string
+	for number := range spares {
+		comers = append(comers, daemonPlace(fleet.options.Network, fleet.options.Daemons+number, len(fleet.hosts)).Address)
+	}
+	fleet.order(Order{Verb: "begin", Addresses: comers})
+	took, whole := fleet.await(20*time.Second, "newcomers", func() (bool, string) {
+		now := len(fleet.leader().Core.Daemons)
+		return now >= before+len(comers), fmt.Sprintf("%d of %d in the directory", now-before, len(comers))
+	})
+	phase.Figures["newcomer.seconds"] = took.Seconds() / float64(len(comers))
+	if !whole {
+		phase.Notes = append(phase.Notes, "newcomers were not let in within 20 s")
+	}
+	fleet.order(Order{Verb: "end", Addresses: comers})
+}
+
+// lose takes daemons away, makes a change meanwhile, and brings them back.
+func (fleet *fleet) lose(phase *Phase, victims []string, lost *coreProcess) {
+	phase.Figures["lost"] = float64(len(victims))
+	fleet.order(Order{Verb: "end", Addresses: victims})
+	if lost != nil {
+		lost.kill()
+	}
+	fleet.acknowledge(phase)
+	pause(2 * time.Second)
+	if lost != nil {
+		if failure := fleet.startCore(lost); failure != nil {
+			phase.Notes = append(phase.Notes, failure.Error())
+		}
+	}
+	fleet.order(Order{Verb: "begin", Addresses: victims})
+	took, whole := fleet.serve(15 * time.Second)
+	phase.Figures["recovered.seconds"] = took.Seconds()
+	if !whole {
+		phase.Notes = append(phase.Notes, "not all served again within 15 s")
+	}
+	took, whole = fleet.await(10*time.Second, "the chain is whole again", func() (bool, string) {
+		leader := fleet.leader()
+		return leader.Core.Leading && len(leader.Core.Chain) == min(5, len(fleet.cores)), fmt.Sprintf("%d in the chain", len(leader.Core.Chain))
+	})
+	phase.Figures["chain.seconds"] = took.Seconds()
+	if !whole {
+		phase.Notes = append(phase.Notes, "the chain was not whole again within 10 s")
+	}
+}
+
+// rackSize is how many machines stand in a rack.
+const rackSize = 40
+
+func (fleet *fleet) phaseRack(phase *Phase) {
+	zone := Zones()[0].Name
+	fleet.lose(phase, fleet.addresses(min(rackSize, max(1, fleet.options.Daemons/15)), func(place Place) bool { return place.Zone == zone }), nil)
+}
+
+func (fleet *fleet) phaseZone(phase *Phase) {
+	// Why: the head's own zone is another phase; here one of the others goes.
+	lost := fleet.member("tail")
+	if lost == nil {
+		phase.Notes = append(phase.Notes, "no tail was found")
+		return
+	}
+	fleet.lose(phase, fleet.addresses(fleet.options.Daemons, func(place Place) bool { return place.Zone == lost.place.Zone }), lost)
+}
+
+func (fleet *fleet) phaseHead(phase *Phase) {
+	lost := fleet.member("head")
+	if lost == nil {
+		phase.Notes = append(phase.Notes, "no head was found")
+		return
+	}
+	fleet.lose(phase, nil, lost)
+}
+
+// cutLength is how long regions stay apart in a run; what is asked meanwhile does not change with time.
+const cutLength = 6 * time.Second
+
+func (fleet *fleet) phaseCut(phase *Phase) {
+	// Why: the part with most keepers keeps the chain; the other's cores can neither agree nor claim anything.
+	greater, lesser := map[int]bool{}, map[int]bool{}
+	for _, keeper := range fleet.leader().Core.Keepers {
+		for _, process := range fleet.cores {
+			if process.place.Address == keeper.Address && len(greater) < 2 {
+				greater[process.place.Region] = true
+			}
+		}
+	}
+	for region := len(regionZones) - 1; region >= 0 && len(lesser) < len(regionZones)/2; region-- {
+		if !greater[region] {
+			lesser[region] = true
+		}
+	}
+	var regions []int
+	var live []string
+	for _, process := range fleet.cores {
+		if !lesser[process.place.Region] {
+			live = append(live, process.place.HTTP)
+		}
+	}
+	whole := fleet.client
+	fleet.client = operator.New(live)
+	defer func() { fleet.client = whole }()
+	for region := range lesser {
+		regions = append(regions, region)
+	}
+	sort.Ints(regions)
+	for _, process := range fleet.cores {
+		if lesser[process.place.Region] {
+			process.signal(syscall.SIGSTOP)
+		}
+	}
+	fleet.order(Order{Verb: "cut", Regions: regions})
+	inLesser := fleet.addresses(fleet.options.Daemons, func(place Place) bool { return lesser[place.Region] })
+	inGreater := fleet.addresses(fleet.options.Daemons, func(place Place) bool { return !lesser[place.Region] })
+	phase.Figures["lesser.part"] = float64(len(inLesser)) / float64(fleet.options.Daemons)
+	pause(cutLength - 3*time.Second)
+	fleet.acknowledge(phase)
+	pause(2 * time.Second)
+	for name, side := range map[string][]string{"lesser": inLesser, "greater": inGreater} {
+		if report := fleet.order(Order{Verb: "sample", Addresses: side}); len(side) > 0 && report.Asked > 0 {
+			phase.Figures[name+".serving"] = float64(report.Serving) / float64(report.Asked)
+		}
+	}
+	fleet.order(Order{Verb: "cut"})
+	for _, process := range fleet.cores {
+		process.signal(syscall.SIGCONT)
+	}
+	took, served := fleet.serve(15 * time.Second)
+	phase.Figures["recovered.seconds"] = took.Seconds()
+	if !served {
+		phase.Notes = append(phase.Notes, "not all served again within 15 s")
+	}
+}
