--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -165,24 +165,24 @@
 
 // ticks lets every daemon whose time has come do what is due.
 func (worker *worker) ticks() {
-	now := time.Now()
+	now := worker.host.now()
 	for _, daemon := range worker.daemons {
 		if !daemon.up || now.Before(daemon.due) {
 			continue
 		}
-		worker.late.add(now.Sub(daemon.due))
+		worker.late.add(time.Duration(float64(now.Sub(daemon.due)) * worker.host.plan.Slow))
 		// Why: a ticker that is behind leaves rounds out; it does not make up for them.
 		for !now.Before(daemon.due) {
 			daemon.due = daemon.due.Add(plane.TickEvery)
 		}
 		worker.step(daemon, "tick", threadTime(), daemon.director.Tick)
-		now = time.Now()
+		now = worker.host.now()
 	}
 }
 
 // step runs one step of a daemon, carries out what it asks for and books the processor time.
 func (worker *worker) step(daemon *daemon, kind string, begun time.Duration, do func(now time.Time)) {
-	now := time.Now()
+	now := worker.host.now()
 	do(now)
 	worker.send(daemon, daemon.director.Drain())
 	if daemon.director.WantsPoll() {
@@ -270,7 +270,7 @@
 	if daemon.up {
 		return nil
 	}
-	now := time.Now()
+	now := worker.host.now()
 	daemon.up, daemon.documents, daemon.epoch = true, 0, 0
 	daemon.life++
 	life := daemon.life
