--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -193,6 +193,7 @@
 	worker.book(kind, ended-begun)
 	if documents := daemon.director.Counters().Documents; documents != daemon.documents {
 		daemon.documents = documents
+		worker.host.slowDown()
 		if epoch := daemon.director.Snapshot(now).SpecEpoch; epoch != daemon.epoch {
 			daemon.epoch = epoch
 			worker.arrivals[epoch] = append(worker.arrivals[epoch], monotonic())
--- a/proof/hollow/host.go
+++ b/proof/hollow/host.go
@@ -126,13 +126,29 @@
 	side     atomic.Pointer[map[int]bool]
 	mutex    sync.Mutex
 	listed   time.Time
-	begun    time.Time
+	clock    atomic.Pointer[pace]
+}
+
+// pace is how the daemons' time follows the machine's from a moment on.
+type pace struct {
+	since, from time.Time
+	slow        float64
 }
 
 // now is the daemons' own time. A slow one lets a machine carry more of them than it could at full
 // speed; all that a daemon does is then told for a second of its own.
 func (host *host) now() time.Time {
-	return host.begun.Add(time.Duration(float64(time.Since(host.begun)) / host.plan.Slow))
+	clock := host.clock.Load()
+	return clock.from.Add(time.Duration(float64(time.Since(clock.since)) / clock.slow))
+}
+
+// slowDown lets the daemons' time go on at the plan's pace. It is called when the first document
+// arrives: before that the head wants several questions of each daemon within its own second.
+func (host *host) slowDown() {
+	former := host.clock.Load()
+	if former.slow < host.plan.Slow {
+		host.clock.CompareAndSwap(former, &pace{since: time.Now(), from: host.now(), slow: host.plan.Slow})
+	}
 }
 
 func newHost(plan Plan) (*host, error) {
@@ -143,7 +159,8 @@
 		debug.SetMemoryLimit(plan.Memory)
 	}
 	plan.Slow = max(1, plan.Slow)
-	host := &host{plan: plan, begun: time.Now(), daemons: map[string]*daemon{}, places: map[string]*Place{}, stopped: make(chan struct{})}
+	host := &host{plan: plan, daemons: map[string]*daemon{}, places: map[string]*Place{}, stopped: make(chan struct{})}
+	host.clock.Store(&pace{since: time.Now(), from: time.Now(), slow: 1})
 	for place := range plan.Cores {
 		core := &plan.Cores[place]
 		host.places[core.Address] = core
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -64,16 +64,16 @@
 
 // Run is one hollow fleet from its founding to its end.
 type Run struct {
-	Daemons   int     `json:"daemons"`
-	Runners   int     `json:"runners"`
-	Cores     int     `json:"cores"`
-	Lanes     int     `json:"lanes"`
-	Pools     int     `json:"pools"`
-	Seed      int64   `json:"seed"`
-	Processes int     `json:"processes"`
+	Daemons   int   `json:"daemons"`
+	Runners   int   `json:"runners"`
+	Cores     int   `json:"cores"`
+	Lanes     int   `json:"lanes"`
+	Pools     int   `json:"pools"`
+	Seed      int64 `json:"seed"`
+	Processes int   `json:"processes"`
 	// Slow is how many times slower the daemons' clocks ran than the cores'.
-	Slow float64 `json:"slow"`
-	Phases    []Phase `json:"phases"`
+	Slow   float64 `json:"slow"`
+	Phases []Phase `json:"phases"`
 }
 
 // Results are the runs of one command.
