--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -61,10 +61,12 @@
 	daemons []*daemon
 	mutex   sync.Mutex
 	queue   []item
-	wake    chan struct{}
-	random  *rand.Rand
-	bytes   bytes.Reader
-	reader  *bufio.Reader
+	// orders go before the queue, so that a host can be asked and ended however much waits there.
+	orders []func()
+	wake   chan struct{}
+	random *rand.Rand
+	bytes  bytes.Reader
+	reader *bufio.Reader
 
 	flows    map[Flow]*Count
 	spent    map[string]*Spent
@@ -101,13 +103,26 @@
 // call runs something on the worker's thread and waits for its end.
 func (worker *worker) call(do func()) {
 	done := make(chan struct{})
-	worker.put(item{do: func() {
+	worker.mutex.Lock()
+	worker.orders = append(worker.orders, func() {
 		defer close(done)
 		do()
-	}})
+	})
+	worker.mutex.Unlock()
 	<-done
 }
 
+// obey carries out the orders that wait.
+func (worker *worker) obey() {
+	worker.mutex.Lock()
+	orders := worker.orders
+	worker.orders = nil
+	worker.mutex.Unlock()
+	for _, order := range orders {
+		order()
+	}
+}
+
 func (worker *worker) run() {
 	runtime.LockOSThread()
 	ticker := time.NewTicker(turnEvery)
@@ -137,6 +152,7 @@
 			}
 		}
 		worker.ticks()
+		worker.obey()
 	}
 }
 
@@ -170,6 +186,10 @@
 		if !daemon.up || now.Before(daemon.due) {
 			continue
 		}
+		worker.obey()
+		if !daemon.up {
+			continue
+		}
 		worker.late.add(time.Duration(float64(now.Sub(daemon.due)) * worker.host.plan.Slow))
 		// Why: a ticker that is behind leaves rounds out; it does not make up for them.
 		for !now.Before(daemon.due) {
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -160,6 +160,7 @@
 		return run, failure
 	}
 	if founded.Upset {
+		fleet.tell("upset: %s", strings.Join(founded.Notes, "; "))
 		return run, nil
 	}
 	run.Phases = append(run.Phases, fleet.watch("quiet", func(phase *Phase) { pause(options.Quiet) }))
