--- a/proof/hollow/command.go
+++ b/proof/hollow/command.go
@@ -19,6 +19,7 @@
 	run := command.Command("run", "Run hollow fleets of several sizes. Phases are "+PhaseHelp()+".\n\nExample:\n  wtproof hollow run --daemons 12 --daemons 100 --json results.json --plot results.svg").Default()
 	daemons := run.Flag("daemons", "Size of a fleet; may be given several times.").Default("12", "100", "500").Ints()
 	runners := run.Flag("runners", "Runners known to each fleet; may be given several times, each with each size.").Default("0").Ints()
+	listed := run.Flag("listed", "Runners are read from a list by one daemon of each zone, in place of calling the cores.").Bool()
 	cores := run.Flag("cores", "How many wtcores, each in a region of its own.").Default("3").Int()
 	lanes := run.Flag("lanes", "Lanes of the spec, one a tenant.").Default("320").Int()
 	pools := run.Flag("pools", "Pools of the spec, one a model.").Default("36").Int()
@@ -58,7 +59,7 @@
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
 			for _, count := range *runners {
 				for _, size := range *daemons {
-					measured, failure := Measure(Options{Daemons: size, Runners: count, Cores: *cores, Lanes: *lanes, Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
+					measured, failure := Measure(Options{Daemons: size, Runners: count, Listed: *listed, Cores: *cores, Lanes: *lanes, Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
 						Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
 					if failure != nil {
 						return failure
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -27,9 +27,11 @@
 type Options struct {
 	Daemons int
 	Runners int
-	Cores   int
-	Lanes   int
-	Pools   int
+	// Listed tells that runners are read from a list by one daemon of each zone; otherwise they call the cores.
+	Listed bool
+	Cores  int
+	Lanes  int
+	Pools  int
 	// Processors bounds the processors that all hosts together use, CoreProcessors those of one core.
 	Processors     int
 	CoreProcessors int
@@ -141,6 +143,7 @@
 	begun    time.Time
 	told     time.Time
 	exceeded bool
+	crowd    *crowd
 }
 
 // open starts the hosts and lays out the cores; no daemon and no core runs yet.
@@ -173,7 +176,7 @@
 	}
 	for number := range count {
 		processors := max(1, options.Processors/count)
-		plan := Plan{Network: options.Network, Host: number, Hosts: count, Daemons: options.Daemons, Spare: spares, Cores: places, Runners: options.Runners,
+		plan := Plan{Network: options.Network, Host: number, Hosts: count, Daemons: options.Daemons, Spare: spares, Cores: places, Runners: options.Runners, Listed: options.Listed,
 			Workers: processors, Witnesses: 4, Seed: options.Seed, Processors: processors, Memory: int64(options.Memory) / int64(count), Slow: max(1, options.Slow), ListEvery: time.Minute}
 		if failure := fleet.carry(plan); failure != nil {
 			fleet.close()
@@ -247,6 +250,9 @@
 }
 
 func (fleet *fleet) close() {
+	if fleet.crowd != nil {
+		fleet.crowd.close()
+	}
 	for _, process := range fleet.cores {
 		process.signal(syscall.SIGCONT)
 		process.kill()
@@ -286,6 +292,12 @@
 		}
 		total.Up += report.Up
 		total.Serving += report.Serving
+		if report.Asked > 0 {
+			if total.Asked == 0 || report.Least < total.Least {
+				total.Least = report.Least
+			}
+			total.Most = max(total.Most, report.Most)
+		}
 		total.Asked += report.Asked
 		total.Dropped += report.Dropped
 		total.Used += report.Used
--- a/proof/hollow/host.go
+++ b/proof/hollow/host.go
@@ -48,6 +48,7 @@
 	Spare      int     `json:"spare"`
 	Cores      []Place `json:"cores"`
 	Runners    int     `json:"runners"`
+	Listed     bool    `json:"listed"`
 	Workers    int     `json:"workers"`
 	Witnesses  int     `json:"witnesses"`
 	Seed       int64   `json:"seed"`
@@ -70,10 +71,13 @@
 
 // Report is what a host says of itself; counts run from its start.
 type Report struct {
-	Failure  string                     `json:"failure,omitempty"`
-	Up       int                        `json:"up"`
-	Serving  int                        `json:"serving"`
-	Asked    int                        `json:"asked"`
+	Failure string `json:"failure,omitempty"`
+	Up      int    `json:"up"`
+	Serving int    `json:"serving"`
+	Asked   int    `json:"asked"`
+	// Least and Most are how many runners a daemon knows, of those asked.
+	Least    int                        `json:"least"`
+	Most     int                        `json:"most"`
 	Flows    []FlowLine                 `json:"flows,omitempty"`
 	Spent    map[string]Spent           `json:"spent,omitempty"`
 	Late     lateness                   `json:"late"`
@@ -185,6 +189,9 @@
 		own++
 	}
 	for number := range plan.Runners {
+		if !plan.Listed {
+			break
+		}
 		zone := Zones()[number%len(Zones())]
 		host.runners = append(host.runners, &wire.Runner{RunnerId: fmt.Sprintf("runner-%05d-%08x", number, number*2654435761), State: "ready", Zone: zone.Name,
 			Address: fmt.Sprintf("10.%d.%d.%d:9100", number>>16, number>>8&255, number&255), Service: fmt.Sprintf("runners-%02d", number%36)})
@@ -334,8 +341,19 @@
 			daemons := named[worker]
 			step := max(1, len(daemons)/sampled)
 			for place := 0; place < len(daemons); place += step {
+				if !daemons[place].up {
+					report.Asked++
+					report.Least = 0
+					continue
+				}
+				now := host.now()
+				snapshot := daemons[place].director.Snapshot(now)
+				if known := len(snapshot.Runners); report.Asked == 0 || known < report.Least {
+					report.Least = known
+				}
 				report.Asked++
-				if now := host.now(); daemons[place].up && daemons[place].director.Until(now).After(now) {
+				report.Most = max(report.Most, len(snapshot.Runners))
+				if snapshot.Until.After(now) {
 					report.Serving++
 				}
 			}
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -66,6 +66,7 @@
 type Run struct {
 	Daemons   int   `json:"daemons"`
 	Runners   int   `json:"runners"`
+	Listed    bool  `json:"listed,omitempty"`
 	Cores     int   `json:"cores"`
 	Lanes     int   `json:"lanes"`
 	Pools     int   `json:"pools"`
@@ -108,18 +109,19 @@
 	silent bool
 	run    func(fleet *fleet, phase *Phase)
 }{
-	"change": {help: "four changes, one after another", run: (*fleet).phaseChange},
-	"storm":  {help: "four operators change the spec without a pause", run: (*fleet).phaseStorm},
-	"churn":  {help: "daemons restart, others come in at new addresses, one dies during a change", run: (*fleet).phaseChurn},
-	"rack":   {help: "a rack of daemons is lost and comes back", run: (*fleet).phaseRack},
-	"zone":   {help: "a zone is lost with its core, and comes back", run: (*fleet).phaseZone, silent: true},
-	"head":   {help: "the head is killed and comes back", run: (*fleet).phaseHead, silent: true},
-	"cut":    {help: "half of the regions lose the others: frames are dropped, the cores of the lesser part frozen", run: (*fleet).phaseCut, silent: true},
+	"change":  {help: "four changes, one after another", run: (*fleet).phaseChange},
+	"storm":   {help: "four operators change the spec without a pause", run: (*fleet).phaseStorm},
+	"runners": {help: "runners leave one by one and others come in their place", run: (*fleet).phaseRunners},
+	"churn":   {help: "daemons restart, others come in at new addresses, one dies during a change", run: (*fleet).phaseChurn},
+	"rack":    {help: "a rack of daemons is lost and comes back", run: (*fleet).phaseRack},
+	"zone":    {help: "a zone is lost with its core, and comes back", run: (*fleet).phaseZone, silent: true},
+	"head":    {help: "the head is killed and comes back", run: (*fleet).phaseHead, silent: true},
+	"cut":     {help: "half of the regions lose the others: frames are dropped, the cores of the lesser part frozen", run: (*fleet).phaseCut, silent: true},
 }
 
 // PhaseNames lists the phases in the order in which they are run.
 func PhaseNames() []string {
-	return []string{"change", "storm", "churn", "rack", "zone", "head", "cut"}
+	return []string{"change", "storm", "runners", "churn", "rack", "zone", "head", "cut"}
 }
 
 // PhaseHelp tells what is done in each phase.
@@ -133,7 +135,7 @@
 
 // Measure runs one hollow fleet.
 func Measure(options Options) (Run, error) {
-	run := Run{Daemons: options.Daemons, Runners: options.Runners, Cores: options.Cores, Lanes: options.Lanes, Pools: options.Pools, Seed: options.Seed, Slow: max(1, options.Slow)}
+	run := Run{Daemons: options.Daemons, Runners: options.Runners, Listed: options.Listed, Cores: options.Cores, Lanes: options.Lanes, Pools: options.Pools, Seed: options.Seed, Slow: max(1, options.Slow)}
 	for _, name := range options.Phases {
 		if _, found := phases[name]; !found {
 			return run, fault.New(fault.BadStartup, "there is no phase %q; give some of %s", name, strings.Join(PhaseNames(), ", "))
@@ -322,6 +324,14 @@
 			phase.Notes = append(phase.Notes, fmt.Sprintf("the first spec: %s %s %v", reply.Outcome, reply.Detail, wrong))
 		}
 		phase.Figures["first_spec.seconds"] = took.Seconds()
+		if fleet.options.Runners > 0 && !fleet.options.Listed {
+			fleet.crowd = newCrowd(fleet.client.Cores)
+			for number := range fleet.options.Runners {
+				fleet.crowd.add(number, 0)
+			}
+			took, _ := fleet.know(phase, fleet.options.Founding)
+			phase.Figures["runners.seconds"] = took.Seconds()
+		}
 		took, serving := fleet.serve(fleet.options.Founding)
 		phase.Figures["serving.seconds"] = took.Seconds()
 		if !serving {
