--- a/connection/seam/real.go
+++ b/connection/seam/real.go
@@ -97,7 +97,8 @@
 	requester.context.ResetBody()
 	requester.context.SetStatusCode(status)
 	for _, header := range headers {
-		requester.context.Response.Header.Set(header.Name, header.Value)
+		// Why: a header may be there several times, and all of them count.
+		requester.context.Response.Header.Add(header.Name, header.Value)
 	}
 }
 
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -739,7 +739,7 @@
 // whole reads an answer that is no stream.
 func (course *Course) whole() award.End {
 	// Why: a body of unknown length that ends with its connection can't be told from one that was cut.
-	if course.response.Header.ContentLength() < -1 {
+	if course.response.BodyStream() != nil && course.response.Header.ContentLength() < -1 {
 		return award.Doubt
 	}
 	body, failure := io.ReadAll(io.LimitReader(course.rest(), maximumAnswer))
