A stream that goes on elsewhere no longer ends its daemon's answer in a panic; deadlines in our own speech

Found by resume_test.go, red first: after a resumption the relay gave nothing and ended with no conclusion (nil call); a resumed run that answered with a plain success was read as events (nil reader); an error event behind relayed events said "did not run"; a runner's own failure, passed on, cleared the pause it had just earned; of a body put back beyond 4 KiB the rest was taken for the next answer's head; an answer to HEAD was waited for until the deadline.

--- a/request/course/course.go
+++ b/request/course/course.go
@@ -456,7 +456,8 @@
 	if word := ranWords[course.said]; word != "" {
 		return word
 	}
-	if course.doubted {
+	// Why: what was relayed did run.
+	if course.doubted || course.relayed {
 		return award.Unknown
 	}
 	return said
@@ -488,6 +489,9 @@
 	if course.doubted {
 		kind = fault.OutcomeUnknown
 	}
+	if course.relayed {
+		kind, retry = fault.RunFailed, 0
+	}
 	return &speech.Refusal{Kind: kind, Detail: detail, Ran: ran, Retry: retry, DidNotRun: ran == award.DidNotRun, Late: course.over()}
 }
 
@@ -701,7 +705,7 @@
 // head reads the head of the answer that belongs to this request; what is late for another is read and dropped.
 func (course *Course) head() error {
 	for range strayBound {
-		course.response = &fasthttp.Response{StreamBody: true}
+		course.response = &fasthttp.Response{StreamBody: true, SkipBody: course.request.Method == fasthttp.MethodHead}
 		if failure := course.response.ReadLimitBody(course.connection.Reader, -1); failure != nil {
 			return fault.Wrap(failure, fault.RunFailed, "reading the head of an answer")
 		}
@@ -738,6 +742,11 @@
 
 // whole reads an answer that is no stream.
 func (course *Course) whole() award.End {
+	// Why: the answer has its head and some events already, and nothing but events can go on behind them.
+	if course.relayed {
+		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "gave no events")
+		return award.Doubt
+	}
 	// Why: a body of unknown length that ends with its connection can't be told from one that was cut.
 	if course.response.BodyStream() != nil && course.response.Header.ContentLength() < -1 {
 		return award.Doubt
@@ -756,7 +765,7 @@
 func (course *Course) failed() award.End {
 	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "failed a run")
 	// Why: nothing of a resumed stream's later failure may be passed on; the answer has its head already.
-	if course.repeatable() && course.mayTry() || course.relayed {
+	if course.repeatable() && course.mayTry() {
 		return award.Doubt
 	}
 	return course.whole()
@@ -768,7 +777,8 @@
 		return
 	}
 	_ = course.connection.SetDeadline(course.now().Add(tailBound))
-	if _, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), lastPart)); failure != nil {
+	// Why: what is left of a longer body would be taken for the head of the next answer.
+	if read, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), lastPart)); failure != nil || read == lastPart {
 		return
 	}
 	course.yard.Links.Keep(course.connection, course.word.Keep)
@@ -793,7 +803,10 @@
 
 func (course *Course) firstSeen() {
 	took, runner := course.now().Sub(course.sentAt), course.step.Runner
-	course.yard.Book.Served(runner.ID)
+	// Why: a failure of the runner's own is passed on, and is no reason to send it more at once.
+	if course.word.Said != speech.Failed {
+		course.yard.Book.Served(runner.ID)
+	}
 	course.desk.First(course.ticket, course.step, took)
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
 		lane.First(course.now().Sub(course.begun))
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -28,6 +28,20 @@
 	"wardtray/request/speech"
 )
 
+// plainSpeech takes a success that names no events for a whole answer, as platforms do whose answers are not all streams.
+type plainSpeech struct{ speech.Speech }
+
+func (plain plainSpeech) Judge(response *fasthttp.Response, request *intake.Request, run speech.Run) speech.Word {
+	if response.StatusCode() == 500 {
+		return speech.Word{Said: speech.Failed}
+	}
+	word := plain.Speech.Judge(response, request, run)
+	if word.Said == speech.Runs && string(response.Header.ContentType()) != "text/event-stream" {
+		word.Said = speech.Ended
+	}
+	return word
+}
+
 // scripted is a runner that answers each run by the next line of its script.
 type scripted struct {
 	id      string
@@ -117,7 +131,9 @@
 
 func build(test *testing.T, runners ...*scripted) *house {
 	parsed, failure := spec.Parse([]byte(`{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","model":"m","weights":"w","adapters":["cy"],"services":["s"]}],
-"lanes":[{"name":"once","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false},{"name":"free","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":true}]}`))
+"lanes":[{"name":"once","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false},{"name":"free","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":true},
+{"name":"resumed","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":true,"resumable":true,"pause":"1s"},
+{"name":"short","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false,"deadline":"150ms"}]}`))
 	if failure != nil {
 		test.Fatal(failure)
 	}
@@ -161,6 +177,11 @@
 }
 
 func (house *house) send(test *testing.T, lane, id string) (status int, body string) {
+	return house.sendWith(test, lane, id, nil)
+}
+
+// sendWith sends further headers, where they are not empty.
+func (house *house) sendWith(test *testing.T, lane, id string, more map[string]string) (status int, body string) {
 	request, failure := http.NewRequest("POST", "http://"+house.address+"/v1/stream", strings.NewReader(`{"prompt":"x"}`))
 	if failure != nil {
 		test.Fatal(failure)
@@ -168,6 +189,11 @@
 	for name, value := range map[string]string{intake.HeaderLane: lane, intake.HeaderModel: "m", intake.HeaderRequest: id, intake.HeaderPrompt: "100", intake.HeaderAnswer: "10"} {
 		request.Header.Set(name, value)
 	}
+	for name, value := range more {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
 	response, failure := http.DefaultClient.Do(request)
 	if failure != nil {
 		test.Fatal(failure)
--- a/request/course/relay.go
+++ b/request/course/relay.go
@@ -30,7 +30,8 @@
 
 // Read gives at least one whole event, and whatever else is there already.
 func (relay *relay) Read(into []byte) (int, error) {
-	if len(relay.pending) == 0 && relay.ending == nil {
+	// Why: a run that goes on elsewhere has given nothing yet.
+	for len(relay.pending) == 0 && relay.ending == nil {
 		relay.fetch()
 	}
 	if len(relay.pending) == 0 {
--- /dev/null
+++ b/request/course/resume_test.go
@@ -0,0 +1,153 @@
+package course
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"wardtray/request/intake"
+)
+
+// goesOn answers like a runner that can begin behind an event: it gives so many events up to a whole of total, and
+// the end if it got that far.
+func goesOn(name string, count, total int) func(net.Conn, *http.Request) {
+	return func(connection net.Conn, request *http.Request) {
+		after, _ := strconv.Atoi(request.Header.Get(intake.HeaderAfter))
+		text := ""
+		for number := after + 1; number <= min(total, after+count); number++ {
+			text += fmt.Sprintf("id: %d\nevent: token\ndata: {\"run\":%q}\n\n", number, name)
+		}
+		if after+count >= total {
+			text += done(total)
+		}
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		if after+count >= total {
+			fmt.Fprint(connection, "0\r\n\r\n")
+			return
+		}
+		_ = connection.Close()
+	}
+}
+
+// plainly answers with a success that is no stream.
+func plainly(connection net.Conn, request *http.Request) { respond(connection, 200, "all of it") }
+
+// ids gives the ids of a stream's events in order.
+func ids(body string) string {
+	var found []string
+	for _, line := range strings.Split(body, "\n") {
+		if id, is := strings.CutPrefix(line, "id: "); is {
+			found = append(found, id)
+		}
+	}
+	return strings.Join(found, " ")
+}
+
+// A stream of a lane that may be resumed goes on behind its last whole event, at runners that have not had it yet.
+func TestBrokenStreamGoesOnAtAnotherRunner(test *testing.T) {
+	for name, trial := range map[string]struct {
+		lane    string
+		scripts [][]func(net.Conn, *http.Request)
+		ids     string
+		whole   bool
+		sends   int64
+	}{
+		"once":                      {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5)}, {goesOn("b", 9, 5)}, {goesOn("b", 9, 5)}}, "1 2 3 4 5 6", true, 2},
+		"twice":                     {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5)}, {goesOn("b", 2, 5)}, {goesOn("c", 2, 5)}}, "1 2 3 4 5 6", true, 3},
+		"nobody is left":            {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 1, 9)}, {goesOn("b", 1, 9)}, {goesOn("c", 1, 9)}}, "1 2 3 4", false, 3},
+		"before the first event":    {"resumed", [][]func(net.Conn, *http.Request){{events(0, "", false)}, {events(0, "", false)}, {goesOn("c", 9, 3)}}, "1 2 3 4", true, 0},
+		"not on another lane":       {"free", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5)}, {goesOn("a", 2, 5)}, {goesOn("a", 2, 5)}}, "1 2 3", false, 1},
+		"not on a lane of one run":  {"once", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5)}, {goesOn("a", 2, 5)}, {goesOn("a", 2, 5)}}, "1 2 3", false, 1},
+		"starts anew instead":       {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5)}, {events(5, done(5), true)}, {events(5, done(5), true)}}, "", false, 0},
+		"tells no events any more":  {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5), plainly}, {goesOn("a", 2, 5), plainly}, {goesOn("a", 2, 5), plainly}}, "", true, 0},
+		"fails then":                {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5), fails}, {goesOn("b", 2, 5), fails}, {goesOn("c", 2, 5), fails}}, "1 2 3 4 5 6", true, 3},
+		"is put back in the middle": {"resumed", [][]func(net.Conn, *http.Request){{goesOn("a", 2, 5), putsBack}, {goesOn("b", 2, 5), putsBack}, {goesOn("c", 2, 5), putsBack}}, "1 2 3 4 5 6", true, 3},
+	} {
+		runners := make([]*scripted, len(trial.scripts))
+		for place, script := range trial.scripts {
+			runners[place] = start(test, fmt.Sprint("r", place), script...)
+		}
+		house := build(test, runners...)
+		status, body := house.post(test, trial.lane)
+		sends := int64(0)
+		for _, runner := range runners {
+			sends += runner.reached.Load()
+		}
+		seen := ids(body)
+		// Whatever came of it, ids count on and what is not whole does not look whole.
+		for place, id := range strings.Fields(seen) {
+			if id != fmt.Sprint(place+1) {
+				test.Errorf("%s: ids %s", name, seen)
+			}
+		}
+		if status != 200 || trial.ids != "" && seen != trial.ids || trial.sends > 0 && sends != trial.sends ||
+			trial.ids != "" && strings.Contains(body, "event: done") != trial.whole || strings.Contains(body, "event: done") == strings.Contains(body, "event: error") {
+			test.Errorf("%s: %d, ids %s, %d sends, %s", name, status, seen, sends, body)
+		}
+		if strings.Contains(body, "did not run") {
+			test.Errorf("%s: what was relayed is said not to have run: %s", name, body)
+		}
+		if in := house.InFlight.Load(); in != 0 {
+			test.Errorf("%s: %d are in flight", name, in)
+		}
+	}
+}
+
+// What is no stream can't go on where a stream broke off.
+func TestNothingButEventsFollowsEvents(test *testing.T) {
+	first, second := start(test, "r1", goesOn("a", 2, 5), plainly), start(test, "r2", goesOn("a", 2, 5), plainly)
+	house := build(test, first, second)
+	house.Speech = plainSpeech{house.Speech}
+	if status, body := house.post(test, "resumed"); status != 200 || strings.Contains(body, "all of it") || !strings.Contains(body, "event: error") {
+		test.Errorf("%d %s", status, body)
+	}
+}
+
+// A failure of the runner's own is passed on where the request can't be repeated, and the runner is left alone for a while.
+func TestFailingRunnerIsLeftAlone(test *testing.T) {
+	failing := start(test, "r1", fails)
+	house := build(test, failing)
+	house.Speech = plainSpeech{house.Speech}
+	begun := time.Now()
+	if status, body := house.post(test, "once"); status != 200 || !strings.Contains(body, "oh") {
+		test.Errorf("%d %s", status, body)
+	}
+	if runner, _ := house.Book.One(begun, "r1", house.Daemons()); runner.Usable || failing.reached.Load() != 1 {
+		test.Errorf("the runner is still used: %+v", runner)
+	}
+}
+
+// The lane's deadline and the requester's, the sooner of the two, end whatever is waited for.
+func TestDeadlineEndsEveryWait(test *testing.T) {
+	silent := func(connection net.Conn, request *http.Request) { _, _ = io.Copy(io.Discard, connection) }
+	stalls := func(connection net.Conn, request *http.Request) {
+		text := "id: 1\nevent: token\ndata: {}\n\n"
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		_, _ = io.Copy(io.Discard, connection)
+	}
+	for name, trial := range map[string]struct {
+		script     func(net.Conn, *http.Request)
+		lane, wait string
+		status     int
+		says       string
+	}{
+		"silent, the lane's":       {silent, "short", "", 504, `"ran":"unknown"`},
+		"silent, the requester's":  {silent, "once", "150", 504, `"ran":"unknown"`},
+		"silent, the sooner":       {silent, "short", "60000", 504, `"ran":"unknown"`},
+		"stalled, the lane's":      {stalls, "short", "", 200, "event: error"},
+		"stalled, the requester's": {stalls, "once", "150", 200, "event: error"},
+		"stalled, may be resumed":  {stalls, "resumed", "150", 200, "event: error"},
+	} {
+		house := build(test, start(test, "r1", trial.script))
+		begun := time.Now()
+		status, body := house.sendWith(test, trial.lane, "d", map[string]string{intake.HeaderWait: trial.wait})
+		if took := time.Since(begun); status != trial.status || !strings.Contains(body, trial.says) || took < 140*time.Millisecond || took > 2*time.Second {
+			test.Errorf("%s: %d %s after %v", name, status, body, took)
+		}
+	}
+}
--- a/request/intake/intake.go
+++ b/request/intake/intake.go
@@ -24,6 +24,8 @@
 	MaximumPart   = 128
 	MaximumTokens = 4_000_000
 	MaximumName   = 256
+	// MaximumWait bounds how long a requester may say that it waits, in milliseconds.
+	MaximumWait = 3_600_000
 )
 
 // Names of the headers.
@@ -38,6 +40,8 @@
 	HeaderRunner  = "Wardtray-Runner"
 	HeaderEpoch   = "Wardtray-Epoch"
 	HeaderDaemon  = "Wardtray-Daemon"
+	HeaderWait    = "Wardtray-Wait"
+	HeaderAfter   = "Wardtray-After"
 )
 
 // Body is the JSON body of a request.
@@ -87,20 +91,28 @@
 		}
 		*text.to = value
 	}
+	var wait int
 	for _, count := range []struct {
-		name string
-		to   *int
-	}{{HeaderPrompt, &request.PromptTokens}, {HeaderAnswer, &request.AnswerTokens}} {
-		value, failure := one(header, count.name, true)
+		name     string
+		to       *int
+		most     int
+		required bool
+	}{{HeaderPrompt, &request.PromptTokens, MaximumTokens, true}, {HeaderAnswer, &request.AnswerTokens, MaximumTokens, true},
+		{HeaderWait, &wait, MaximumWait, false}, {HeaderAfter, &request.After, MaximumTokens, false}} {
+		value, failure := one(header, count.name, count.required)
 		if failure != nil {
 			return nil, failure
 		}
+		if value == "" {
+			continue
+		}
 		number, failure := strconv.Atoi(value)
-		if failure != nil || number < 1 || number > MaximumTokens {
-			return nil, fault.New(fault.Malformed, "%s: %q is no count from 1 to %d", count.name, clip(value), MaximumTokens)
+		if failure != nil || number < 1 || number > count.most {
+			return nil, fault.New(fault.Malformed, "%s: %q is no count from 1 to %d", count.name, clip(value), count.most)
 		}
 		*count.to = number
 	}
+	request.Wait = time.Duration(wait) * time.Millisecond
 	if failure := request.prefix(header(HeaderPrefix)); failure != nil {
 		return nil, failure
 	}
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"wardtray/process/fault"
 )
@@ -27,12 +28,24 @@
 	}
 }
 
+func TestDeadlineAndResumptionAreRead(test *testing.T) {
+	headers := proper()
+	if request, failure := parse(headers, `{"prompt":"x"}`); failure != nil || request.Wait != 0 || request.After != 0 {
+		test.Fatal(request, failure)
+	}
+	headers[HeaderWait], headers[HeaderAfter] = []string{"1500"}, []string{"7"}
+	if request, failure := parse(headers, `{"prompt":"x"}`); failure != nil || request.Wait != 1500*time.Millisecond || request.After != 7 {
+		test.Fatal(request, failure)
+	}
+}
+
 func TestImproperRequestsAreNamed(test *testing.T) {
 	headers := map[string]map[string][]string{
 		"no lane": {HeaderLane: nil}, "lane twice": {HeaderLane: {"a", "b"}}, "bad bytes": {HeaderModel: {"\xff"}}, "control": {HeaderRequest: {"a\x01"}},
 		"long": {HeaderRequest: {strings.Repeat("x", 300)}}, "no count": {HeaderPrompt: nil}, "zero": {HeaderAnswer: {"0"}}, "negative": {HeaderPrompt: {"-5"}},
 		"absurd": {HeaderPrompt: {"99999999999999999999"}}, "words": {HeaderPrompt: {"many"}}, "prefix too long": {HeaderPrefix: {"a=101"}},
 		"prefix without count": {HeaderPrefix: {"a"}}, "prefix without name": {HeaderPrefix: {"=5"}}, "empty part": {HeaderPrefix: {"a=1,,b=1"}},
+		"wait of no length": {HeaderWait: {"0"}}, "wait in words": {HeaderWait: {"long"}}, "wait too long": {HeaderWait: {"3600001"}}, "after nothing": {HeaderAfter: {"0"}}, "after twice": {HeaderAfter: {"1", "2"}},
 		"many parts": {HeaderPrefix: {strings.TrimSuffix(strings.Repeat("a=1,", MaximumParts+1), ",")}, HeaderPrompt: {"4000"}},
 	}
 	for name, change := range headers {
--- a/request/speech/speech.go
+++ b/request/speech/speech.go
@@ -157,7 +157,8 @@
 	for _, header := range []seam.Header{{Name: intake.HeaderLane, Value: request.Lane}, {Name: intake.HeaderModel, Value: request.Model},
 		{Name: intake.HeaderAdapter, Value: request.Adapter}, {Name: intake.HeaderRequest, Value: request.ID}, {Name: intake.HeaderRunner, Value: run.Runner.ID},
 		{Name: intake.HeaderDaemon, Value: run.Daemon}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(run.Epoch, 10)},
-		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerTokens)}} {
+		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerTokens)},
+		{Name: intake.HeaderWait, Value: counted(int(run.Left.Milliseconds()))}, {Name: intake.HeaderAfter, Value: counted(run.After)}} {
 		if header.Value != "" {
 			outgoing.Header.Set(header.Name, header.Value)
 		}
@@ -169,6 +170,14 @@
 	return Bytes(outgoing)
 }
 
+// counted gives a count that may be left out.
+func counted(number int) string {
+	if number <= 0 {
+		return ""
+	}
+	return strconv.Itoa(number)
+}
+
 type putBack struct {
 	Started *bool `json:"started"`
 }
