Streams over which a runner still answers are not cut when it seems lost

Cause: a runner that leaves deletes itself and ends its last streams in order; a probe that it no longer took made the daemon abort all its connections at once.

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -22,6 +22,7 @@
 	identityBound = 500 * time.Millisecond
 	idleBound     = 15 * time.Second
 	idleCount     = 16
+	readerSize    = 8 << 10
 	keepMargin    = 500 * time.Millisecond
 	maximumBody   = 64 << 10
 )
@@ -47,6 +48,25 @@
 	keep time.Duration
 	// Used tells that it carried a request before.
 	Used bool
+	// heard is when it last carried a byte from the runner, or was taken for a request.
+	heard atomic.Pointer[time.Time]
+}
+
+// livelyBound is for how long after its last byte a connection counts as one over which the runner still answers.
+const livelyBound = time.Second
+
+func (connection *Connection) touch() {
+	now := connection.links.world.Now()
+	connection.heard.Store(&now)
+}
+
+// Read notes that the runner answers.
+func (connection *Connection) Read(into []byte) (int, error) {
+	count, failure := connection.Conn.Read(into)
+	if count > 0 {
+		connection.touch()
+	}
+	return count, failure
 }
 
 // Counters are what the links count.
@@ -94,6 +114,7 @@
 			shelf.mutex.Unlock()
 			links.Counters.Reused.Add(1)
 			connection.Used = true
+			connection.touch()
 			return connection, nil
 		}
 		_ = connection.Conn.Close()
@@ -128,7 +149,9 @@
 		links.Counters.Unreachable.Add(1)
 		return nil, fault.Wrap(failure, fault.Unreachable, "runner %s at %s", runner, address)
 	}
-	connection := &Connection{Conn: raw, Reader: bufio.NewReaderSize(raw, 16<<10), links: links, address: address}
+	connection := &Connection{Conn: raw, links: links, address: address}
+	connection.Reader = bufio.NewReaderSize(connection, readerSize)
+	connection.touch()
 	if links.identity == "" {
 		connection.Identity = Identity{RunnerID: runner}
 		return connection, nil
@@ -186,17 +209,29 @@
 	return connection.Conn.Close()
 }
 
-// Lose aborts every connection of a runner that is known to be gone, so that whoever waits for its
-// answer learns of it at once.
+// Lose aborts the connections of a runner that seems to be gone, so that whoever waits for its answer
+// learns of it at once.
+//
+// Why not those over which it answered a moment ago: a runner that leaves, or that only fails to tell its
+// load, ends its streams in order, and cutting them would lose what was nearly done.
 func (links *Links) Lose(runner string) {
-	shelf := links.shelf(runner)
+	shelf, now := links.shelf(runner), links.world.Now()
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
-	for _, connection := range append(shelf.idle, shelf.busy...) {
+	var lively []*Connection
+	for _, connection := range shelf.busy {
+		if now.Sub(*connection.heard.Load()) < livelyBound {
+			lively = append(lively, connection)
+			continue
+		}
+		links.Counters.Lost.Add(1)
+		_ = connection.Conn.Close()
+	}
+	for _, connection := range shelf.idle {
 		links.Counters.Lost.Add(1)
 		_ = connection.Conn.Close()
 	}
-	shelf.idle, shelf.busy = nil, nil
+	shelf.idle, shelf.busy = nil, lively
 }
 
 // Forget closes what is kept idle of a runner that is no longer listed.
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -67,3 +67,53 @@
 		test.Fatal(failure)
 	}
 }
+
+// A runner that is given up for lost ends the streams over which it answered a moment ago by itself; only those
+// on which it is silent are cut.
+func TestLivelyStreamsOutliveALoss(test *testing.T) {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer listener.Close()
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for range 2 {
+			if connection, failure := listener.Accept(); failure == nil {
+				accepted <- connection
+			}
+		}
+	}()
+	now, world := time.Now(), seam.Real(nil)
+	world.Now = func() time.Time { return now }
+	links := New(world, "")
+	silent, failure := links.Take("r", listener.Addr().String())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	farSilent := <-accepted
+	defer farSilent.Close()
+	now = now.Add(2 * livelyBound)
+	lively, failure := links.Take("r", listener.Addr().String())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	farLively := <-accepted
+	defer farLively.Close()
+	links.Lose("r")
+	if _, failure := farLively.Write([]byte("x")); failure != nil {
+		test.Fatal(failure)
+	}
+	_ = lively.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if one, failure := lively.Reader.ReadByte(); failure != nil || one != 'x' {
+		test.Fatalf("the lively stream was cut: %v", failure)
+	}
+	if _, failure := silent.Write([]byte("x")); failure == nil {
+		test.Fatal("the silent one goes on")
+	}
+	now = now.Add(2 * livelyBound)
+	links.Lose("r")
+	if _, failure := lively.Write([]byte("x")); failure == nil {
+		test.Fatal("one that has gone silent goes on")
+	}
+}
