Runners that call, simulated under every fault; what it showed mended

Cause: proof/sim/callers.go plays runners that register themselves, leave, crash and give their addresses on while cores and daemons are harmed. It found: a call after a refused drain was acknowledged with no daemon told; a drain was acknowledged by a core cut off a moment before, with its own zone's daemons alone; a daemon that came back from a cut used its old list for the way of one message; a core frozen after an acknowledgement was the only one that knew.

The change: half of the daemons must confirm a leave or the runner is sent on; a daemon that awards nothing relies on no tick of whom it knows other runners than, until it has learned them; a new runner is acknowledged with the tick that tells of it; a core that hears nobody takes no calls.

--- a/process/core/node.go
+++ b/process/core/node.go
@@ -102,6 +102,8 @@
 	registrar *registry.Registrar
 	// The newest document that a rumor brought, without its spec.
 	rumored *wire.Document
+	// received is when the last message of another process came.
+	received time.Time
 
 	head  headState
 	asks  map[string]*ask
@@ -266,7 +268,10 @@
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_Digest) {
 		node.rumors.Digest(now, envelope.From, envelope.Zone, body.Digest)
-		node.registrar.Compare(now, envelope.From, body.Digest.Runners)
+		// Why: a daemon that reads a platform's list keeps no book and tells 0.
+		if body.Digest.Runners != 0 {
+			node.registrar.Compare(now, envelope.From, body.Digest.Runners)
+		}
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_RunnerNews) {
 		node.registrar.News(now, envelope.From, body.RunnerNews)
@@ -297,6 +302,9 @@
 
 // Receive takes one message.
 func (node *Node) Receive(now time.Time, envelope *wire.Envelope) {
+	if envelope.From != node.self.Address {
+		node.received = now
+	}
 	if handle := node.handlers[reflect.TypeOf(envelope.Body)]; handle != nil {
 		handle(now, envelope)
 	}
--- a/process/core/registry.go
+++ b/process/core/registry.go
@@ -10,10 +10,13 @@
 	"wardtray/process/registry"
 )
 
+// isolatedAfter is after how long without a message a core takes itself to be alone.
+const isolatedAfter = 1500 * time.Millisecond
+
 // newRegistrar makes the part of a core that takes runners' calls.
 func (node *Node) newRegistrar(now time.Time) *registry.Registrar {
 	return registry.NewRegistrar(now, node.startup.Beat, node.nonce, node.outbox, registry.Surroundings{
-		Daemons: node.daemonAddresses, Cores: node.coreAddresses, Joined: node.joined})
+		Daemons: node.daemonAddresses, Cores: node.coreAddresses, Joined: node.joined, Isolated: node.isolated})
 }
 
 // Register takes a runner's call; answer is called once, within a second.
@@ -86,3 +89,8 @@
 	}
 	return 2*fresh > len(members)
 }
+
+// isolated tells whether this machine has heard nobody for a while, though there are others.
+func (node *Node) isolated(now time.Time) bool {
+	return now.Sub(node.received) > isolatedAfter && (len(node.coreAddresses()) > 0 || len(node.directory()) > 0)
+}
--- a/process/director/director.go
+++ b/process/director/director.go
@@ -109,8 +109,10 @@
 	// WantsPoll is set when the driver should read the platform's list.
 	wantsPoll bool
 	registry  *registry.Exchange
-	// learned tells that somebody has told which runners there are, or that their list is the same as ours.
+	// learned tells that somebody has told which runners there are; disputed is since when this daemon, which
+	// awards nothing, knows other runners than those that would let it.
 	learned   bool
+	disputed  time.Time
 	lastLearn time.Time
 }
 
@@ -142,11 +144,14 @@
 		},
 		reflect.TypeFor[*wire.Envelope_Digest](): func(now time.Time, envelope *wire.Envelope) {
 			director.rumors.Digest(now, envelope.From, envelope.Zone, envelope.GetDigest())
-			director.compareRunners(now, envelope.From, envelope.GetDigest().Runners)
+			// Why: a daemon whose book is empty tells 0, and so does one that keeps none; the former asks for itself.
+			if sum := envelope.GetDigest().Runners; sum != 0 {
+				director.compareRunners(now, envelope.From, sum)
+			}
 		},
 		reflect.TypeFor[*wire.Envelope_RunnerNews](): func(now time.Time, envelope *wire.Envelope) {
 			director.registry.News(now, envelope.From, envelope.GetRunnerNews())
-			director.learned = true
+			director.onRunnersLearned(now, envelope.GetRunnerNews())
 		},
 		reflect.TypeFor[*wire.Envelope_RunnerDigest](): func(now time.Time, envelope *wire.Envelope) {
 			director.registry.Digest(now, envelope.From, envelope.GetRunnerDigest())
@@ -156,7 +161,7 @@
 		},
 		reflect.TypeFor[*wire.Envelope_ContactAsk](): func(now time.Time, envelope *wire.Envelope) {
 			director.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_ContactAnswer{ContactAnswer: &wire.ContactAnswer{
-				Nonce: envelope.GetContactAsk().Nonce, Ready: director.ready, Sequence: director.sequence}}})
+				Nonce: envelope.GetContactAsk().Nonce, Ready: director.ready, Sequence: director.sequence, Runners: director.registry.Sum()}}})
 		},
 		reflect.TypeFor[*wire.Envelope_ContactAnswer](): func(now time.Time, envelope *wire.Envelope) {
 			director.onContactAnswer(now, envelope.From, envelope.GetContactAnswer())
@@ -239,8 +244,7 @@
 
 // Until tells up to when this daemon may award work; a moment in the past means that it may not.
 func (director *Director) Until(now time.Time) time.Time {
-	// Why: a daemon that knows no runners yet would turn away what another could have run.
-	if !director.ready || director.startup.Registered && !director.learned && now.Sub(director.begun) < learnBound {
+	if !director.ready {
 		return time.Time{}
 	}
 	until := director.tickUntil
@@ -361,6 +365,9 @@
 		return
 	}
 	director.ready = true
+	if !director.agrees(now, message.Runners) {
+		return
+	}
 	if until := asked.Add(Staleness); until.After(director.tickUntil) {
 		director.tickUntil = until
 	}
@@ -402,6 +409,11 @@
 		return
 	}
 	director.counters.Contacts++
+	// Why: with the control plane silent, those who vouch for our document are also who may know of other runners.
+	director.compareRunners(now, from, message.Runners)
+	if !director.agrees(now, message.Runners) {
+		return
+	}
 	director.contacts[from] = contact{asked: asked, ready: message.Ready, sequence: message.Sequence}
 	if message.Sequence > director.sequence {
 		director.outbox.Send(from, &wire.Envelope{Body: &wire.Envelope_DocumentAsk{DocumentAsk: &wire.DocumentAsk{Sequence: director.sequence}}})
@@ -515,22 +527,47 @@
 		return
 	}
 	director.registry.Prune(now)
+	if now.Before(director.Until(now)) {
+		director.disputed = time.Time{}
+	}
 	if director.learned || now.Sub(director.lastLearn) < learnEvery {
 		return
 	}
 	director.lastLearn = now
-	for _, seed := range director.startup.Seeds {
-		director.registry.Ask(now, seed)
+	if seeds := director.startup.Seeds; len(seeds) > 0 {
+		director.registry.Ask(now, seeds[director.random.Intn(len(seeds))])
 	}
 }
 
-// compareRunners asks for what is missing where another process knows other runners.
+// compareRunners takes in the sum of the runners that another process knows, and asks for what is missing.
 func (director *Director) compareRunners(now time.Time, from string, sum uint64) {
-	if !director.startup.Registered {
+	if director.startup.Registered {
+		director.registry.Compare(now, from, sum)
+	}
+}
+
+// agrees tells whether the word of a process that knows runners of such a sum lets this daemon award work.
+// Why: a daemon that has just begun, or was cut off, knows neither who came nor who left meanwhile, and must
+// learn it before it awards again; one that awards already learns it beside that.
+func (director *Director) agrees(now time.Time, sum uint64) bool {
+	if !director.startup.Registered || sum == director.registry.Sum() || now.Before(director.Until(now)) {
+		return true
+	}
+	if director.disputed.IsZero() {
+		director.disputed = now
+	}
+	return now.Sub(director.disputed) >= learnBound
+}
+
+// onRunnersLearned asks for a tick anew once it is learned what stood against the last one.
+func (director *Director) onRunnersLearned(now time.Time, news *wire.RunnerNews) {
+	if !news.Answer {
 		return
 	}
-	director.learned = director.learned || sum != 0 && sum == director.registry.Sum()
-	director.registry.Compare(now, from, sum)
+	director.learned = true
+	if !director.disputed.IsZero() && len(director.view.Chain) > 0 {
+		director.askTicks(now, []string{director.view.Chain[0].Address})
+	}
 }
 
 // WantsPoll tells the driver, once, to read the platform's list and hand it to Polled.
--- a/process/registry/exchange.go
+++ b/process/registry/exchange.go
@@ -45,7 +45,7 @@
 	news, lacking := exchange.compare(now, message)
 	// Why: an empty answer is one too; a process that has just begun waits for it.
 	if len(news) > 0 || message.AnswerWanted {
-		exchange.send(from, &wire.RunnerNews{Runners: news})
+		exchange.send(from, &wire.RunnerNews{Runners: news, Answer: message.AnswerWanted})
 	}
 	if lacking && message.AnswerWanted {
 		exchange.outbox.Send(from, &wire.Envelope{Body: &wire.Envelope_RunnerDigest{RunnerDigest: exchange.digest(false)}})
@@ -54,8 +54,7 @@
 
 // Compare takes in the sum of another process's book; where ours differs, digests are exchanged.
 func (exchange *Exchange) Compare(now time.Time, from string, sum uint64) {
-	// Why: a process that keeps no book tells 0; one whose book is empty finds out by the sums of others.
-	if sum == 0 || sum == exchange.Sum() || now.Sub(exchange.digested) < digestEvery {
+	if sum == exchange.Sum() || now.Sub(exchange.digested) < digestEvery {
 		return
 	}
 	exchange.Ask(now, from)
--- a/process/registry/registrar.go
+++ b/process/registry/registrar.go
@@ -23,8 +23,8 @@
 	crowdFactor = 3
 	crowdLeast  = 4
 	lookEvery   = 250 * time.Millisecond
-	// confirmBound is how long an acknowledgement waits for the daemons, loneBound how long where none of
-	// them answers at all.
+	// confirmBound is how long an acknowledgement waits for every daemon, loneBound how long for
+	// half of them.
 	confirmBound = 400 * time.Millisecond
 	loneBound    = 750 * time.Millisecond
 	repeatEvery  = 100 * time.Millisecond
@@ -52,8 +52,9 @@
 	// Daemons gives the data daemons that must know who leaves, Cores the other cores.
 	Daemons func(now time.Time) []string
 	Cores   func() []string
-	// Joined tells whether this core hears most of the cores.
-	Joined func(now time.Time) bool
+	// Joined tells whether this core hears most of the cores, Isolated that it hears nobody at all.
+	Joined   func(now time.Time) bool
+	Isolated func(now time.Time) bool
 }
 
 // Counters are what a registrar counts. Unconfirmed are the acknowledgements that were given before every
@@ -78,6 +79,7 @@
 	sent      time.Time
 	waiting   map[string]bool
 	confirmed int
+	daemons   int
 	answers   []func(outcome Outcome)
 }
 
@@ -89,9 +91,11 @@
 	heard        map[string]*heard
 	rounds       map[uint64]*round
 	// spread are the leaving runners of which this core itself has told every daemon.
-	spread     map[string]bool
-	nonce      uint64
+	spread map[string]bool
+	nonce  uint64
+	// unsent are the lines that the next tick tells everybody, unanswered the calls that wait for it.
 	unsent     []*wire.Runner
+	unanswered []func(outcome Outcome)
 	graceUntil time.Time
 	looked     time.Time
 	told       time.Time
@@ -122,6 +126,9 @@
 // Register takes a runner's call. answer is called once, for a runner that drains when the daemons know.
 func (registrar *Registrar) Register(now time.Time, line *wire.Runner, answer func(outcome Outcome)) {
 	registrar.counters.Calls++
+	if registrar.turnsAway(now, answer) {
+		return
+	}
 	held := registrar.Line(line.RunnerId)
 	leaves := line.State == Draining && held.GetState() != Draining && held.GetState() != Gone
 	if held != nil && !leaves && (line.Call <= registrar.latest(line.RunnerId) || held.State == Gone) {
@@ -149,7 +156,21 @@
 		registrar.begin(now, line, answer)
 		return
 	}
-	answer(Taken)
+	// Why: a core that stops just after an acknowledgement must not be the only one that knows.
+	registrar.unanswered = append(registrar.unanswered, answer)
+	if len(registrar.around(now)) == 0 {
+		registrar.flush(now)
+	}
+}
+
+// turnsAway refuses a call where nobody else could learn of it, so that the runner asks another core.
+func (registrar *Registrar) turnsAway(now time.Time, answer func(outcome Outcome)) bool {
+	if !registrar.surroundings.Isolated(now) {
+		return false
+	}
+	registrar.counters.Refused++
+	answer(Unheard)
+	return true
 }
 
 // enter makes a line of a runner's call known.
@@ -194,6 +215,9 @@
 // Deregister takes in that a runner's life is over. answer is called once, when the daemons know.
 func (registrar *Registrar) Deregister(now time.Time, id string, answer func(outcome Outcome)) {
 	registrar.counters.Calls++
+	if registrar.turnsAway(now, answer) {
+		return
+	}
 	held := registrar.Line(id)
 	if held.GetState() == Gone {
 		registrar.join(now, held, Late, answer)
@@ -245,6 +269,7 @@
 	for _, daemon := range registrar.surroundings.Daemons(now) {
 		round.waiting[daemon] = true
 	}
+	round.daemons = len(round.waiting)
 	registrar.tell(registrar.nonce, round)
 	for _, core := range registrar.surroundings.Cores() {
 		if !round.waiting[core] {
@@ -296,14 +321,18 @@
 	if round.answers == nil || !complete && passed < confirmBound {
 		return
 	}
-	if !complete && round.confirmed == 0 && !registrar.surroundings.Joined(now) {
-		// Why: a core that nobody hears would promise what it can't keep; the runner had better ask another.
+	if !complete && 2*round.confirmed < round.daemons {
+		// Why: this core would promise what it can't keep; the runner had better ask another. A daemon that so
+		// many others leave behind awards nothing for long, and learns of it before it does so again.
 		if passed < loneBound {
 			return
 		}
 		outcome = Unheard
 	}
 	if outcome == Unheard {
+		// Why: the next call of this runner must not be answered as though the daemons had been told.
+		delete(registrar.spread, round.runner)
+		delete(registrar.rounds, nonce)
 		registrar.counters.Refused++
 	} else if !complete {
 		registrar.counters.Unconfirmed++
@@ -365,6 +394,15 @@
 	registrar.flush(now)
 }
 
+// around gives every other process.
+func (registrar *Registrar) around(now time.Time) []string {
+	found := map[string]bool{}
+	for _, address := range append(registrar.surroundings.Daemons(now), registrar.surroundings.Cores()...) {
+		found[address] = true
+	}
+	return names(found)
+}
+
 // flush tells every process what changed since the last tick, in one message each.
 func (registrar *Registrar) flush(now time.Time) {
 	if len(registrar.unsent) == 0 {
@@ -372,12 +410,13 @@
 	}
 	news := &wire.RunnerNews{Runners: registrar.unsent}
 	registrar.unsent = nil
-	sent := map[string]bool{}
-	for _, address := range append(registrar.surroundings.Daemons(now), registrar.surroundings.Cores()...) {
-		if !sent[address] {
-			sent[address] = true
-			registrar.send(address, news)
-		}
+	for _, address := range registrar.around(now) {
+		registrar.send(address, news)
+	}
+	answers := registrar.unanswered
+	registrar.unanswered = nil
+	for _, answer := range answers {
+		answer(Taken)
 	}
 }
 
--- a/process/registry/registrar_test.go
+++ b/process/registry/registrar_test.go
@@ -20,13 +20,15 @@
 	registrar *Registrar
 	daemons   []string
 	joined    bool
+	isolated  bool
 	now       time.Time
 }
 
 func newDesk(test *testing.T) *desk {
 	made := &desk{test: test, outbox: machine.NewOutbox(), daemons: []string{"d0", "d1"}, joined: true, now: begun}
 	made.registrar = NewRegistrar(begun, beat, 7, made.outbox, Surroundings{Daemons: func(time.Time) []string { return made.daemons },
-		Cores: func() []string { return []string{"c1"} }, Joined: func(time.Time) bool { return made.joined }})
+		Cores: func() []string { return []string{"c1"} }, Joined: func(time.Time) bool { return made.joined },
+		Isolated: func(time.Time) bool { return made.isolated }})
 	return made
 }
 
@@ -80,11 +82,12 @@
 
 func TestRepeatedCallsSendNothing(test *testing.T) {
 	desk := newDesk(test)
-	if got := desk.call(ready("r1", 1)); *got != Taken {
-		test.Fatal(*got)
+	got := desk.call(ready("r1", 1))
+	if *got != "" {
+		test.Fatal("acknowledged before anybody else was told")
 	}
 	desk.pass(50 * time.Millisecond)
-	if news := desk.news(); len(news["d0"]) != 1 || len(news["d1"]) != 1 || len(news["c1"]) != 1 {
+	if news := desk.news(); *got != Taken || len(news["d0"]) != 1 || len(news["d1"]) != 1 || len(news["c1"]) != 1 {
 		test.Fatal(news)
 	}
 	for number := range 10 {
@@ -174,16 +177,51 @@
 	}
 }
 
-func TestCoreThatNobodyHearsAcknowledgesNoLeaving(test *testing.T) {
+// Nothing is promised that this core can't keep: where no daemon answers, or few do, whoever else is heard.
+func TestLeavingIsNotAcknowledgedByWhoCannotTellTheDaemons(test *testing.T) {
+	for name, trial := range map[string]struct {
+		joined  bool
+		answers int
+		outcome Outcome
+	}{"none": {true, 0, Unheard}, "few, alone": {false, 1, Unheard}, "few": {true, 1, Unheard}, "most, alone": {false, 2, Taken}} {
+		desk := newDesk(test)
+		desk.daemons, desk.joined = []string{"d0", "d1", "d2"}, trial.joined
+		got := desk.call(draining("r1", 1))
+		nonce := desk.news()["d0"][0].Nonce
+		for _, daemon := range desk.daemons[:trial.answers] {
+			desk.held(daemon, nonce)
+		}
+		desk.pass(900 * time.Millisecond)
+		if *got != trial.outcome {
+			test.Errorf("%s: %q", name, *got)
+		}
+		// Found by the simulator: the call after a refused one was acknowledged at once, with no daemon told.
+		if trial.outcome == Unheard {
+			again := desk.call(draining("r1", 2))
+			desk.pass(confirmBound)
+			if *again != "" {
+				test.Errorf("%s, again: %q", name, *again)
+			}
+		}
+	}
+}
+
+func TestCoreThatHearsNobodyTakesNoCalls(test *testing.T) {
 	desk := newDesk(test)
-	desk.joined = false
-	got := desk.call(draining("r1", 1))
-	desk.pass(time.Second)
-	if *got != Unheard {
+	desk.isolated = true
+	if got := desk.call(ready("r1", 1)); *got != Unheard || desk.registrar.Line("r1") != nil {
 		test.Fatal(*got)
 	}
-	if calm := desk.call(ready("r2", 1)); *calm != Taken {
-		test.Fatal(*calm)
+	desk.registrar.Deregister(desk.now, "r1", func(outcome Outcome) {
+		if outcome != Unheard {
+			test.Error(outcome)
+		}
+	})
+	desk.isolated = false
+	got := desk.call(ready("r1", 1))
+	desk.pass(50 * time.Millisecond)
+	if *got != Taken {
+		test.Fatal(*got)
 	}
 }
 
--- /dev/null
+++ b/proof/sim/callers.go
@@ -0,0 +1,323 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/process/registry"
+)
+
+const (
+	// callEvery is how often a runner calls, ackBound how long it waits for the acknowledgement.
+	callEvery = 1200 * time.Millisecond
+	ackBound  = time.Second
+	// leaveKnown is within what time of the acknowledgement no daemon uses a leaving runner any more.
+	leaveKnown  = 2 * time.Second
+	drainServe  = 2500 * time.Millisecond
+	addressRest = 2 * time.Second
+	coldAtStart = 1500 * time.Millisecond
+	silentKnown = 20 * time.Second
+)
+
+// Callers are runners that register themselves at the cores, with what is known of each life.
+type Callers struct {
+	world *World
+	lives int
+	Lives []*callerLife
+	// Events is about how often one of them leaves, crashes, or is replaced; none while it is 0.
+	Events time.Duration
+	// Kept is from when on a runner that calls must be listed by every daemon that awards work, after its first
+	// acknowledgement; 0: no daemon must, since cores are cut apart.
+	Kept time.Duration
+	byID map[string]*callerLife
+	// Acks and Refusals count the answers to calls.
+	Acks, Refusals int
+}
+
+// callerLife is one life of a runner.
+type callerLife struct {
+	callers *Callers
+	id      string
+	address string
+	zone    string
+	service string
+	begun   time.Time
+	call    uint64
+	core    int
+	state   string
+	running bool
+	// wait is the call under way.
+	wait uint64
+	// known is when a call was first acknowledged, left when it was that it drains or is gone, ended when it
+	// stopped without a word or with one.
+	known, left, ended time.Time
+}
+
+// StartCallers brings in so many runners.
+func (world *World) StartCallers(count int, zones []string) *Callers {
+	callers := &Callers{world: world, byID: map[string]*callerLife{}}
+	world.Callers = callers
+	for number := range count {
+		callers.begin(fmt.Sprintf("10.9.0.%d:80", number), zones[number%len(zones)], "s")
+	}
+	return callers
+}
+
+func (callers *Callers) begin(address, zone, service string) {
+	callers.lives++
+	life := &callerLife{callers: callers, id: fmt.Sprintf("q%d", callers.lives), address: address, zone: zone, service: service, begun: callers.world.Now,
+		core: callers.world.random.Intn(64), state: registry.Ready, running: true}
+	callers.Lives = append(callers.Lives, life)
+	callers.byID[life.id] = life
+	callers.world.After(time.Duration(callers.world.random.Int63n(int64(callEvery))), life.beat)
+}
+
+// beat calls now and again after a while.
+func (life *callerLife) beat() {
+	if !life.running {
+		return
+	}
+	life.tell(2)
+	world := life.callers.world
+	world.After(callEvery*9/10+time.Duration(world.random.Int63n(int64(callEvery/5))), life.beat)
+}
+
+// line is what the runner tells of itself now.
+func (life *callerLife) line() *wire.Runner {
+	line := &wire.Runner{RunnerId: life.id, Address: life.address, Zone: life.zone, Service: life.service, Slots: 4, State: life.state, Call: life.call}
+	if cold := coldAtStart - life.callers.world.Now.Sub(life.begun); cold > 0 && life.state == registry.Ready {
+		line.State, line.ColdMilliseconds = registry.Cold, uint32(cold/time.Millisecond)
+	}
+	return line
+}
+
+// tell calls a core, and others if that does not acknowledge.
+func (life *callerLife) tell(more int) {
+	life.call++
+	call, line := life.call, life.line()
+	life.wait = call
+	draining := life.state == registry.Draining
+	life.send(func(now time.Time, host *Host, answer func(outcome registry.Outcome)) {
+		host.node.Register(now, line, answer)
+	}, func() {
+		if life.wait == call {
+			life.wait = 0
+		}
+		life.acked(draining)
+	})
+	world := life.callers.world
+	// Why: a copy may be long on its way and come to a core that has heard nothing else of this life.
+	if world.random.Intn(8) == 0 {
+		world.After(time.Duration(world.random.Int63n(int64(4*time.Second))), func() {
+			host := world.pick(world.Cores())
+			world.reach(host, func() { host.node.Register(world.local(host), line, func(registry.Outcome) {}) })
+		})
+	}
+	world.After(ackBound, func() {
+		if life.wait == call && life.running && more > 0 {
+			life.core++
+			life.tell(more - 1)
+		}
+	})
+}
+
+// acked notes what an acknowledgement promises.
+func (life *callerLife) acked(leaves bool) {
+	life.callers.Acks++
+	if life.known.IsZero() {
+		life.known = life.callers.world.Now
+	}
+	if leaves && life.left.IsZero() {
+		life.left = life.callers.world.Now
+	}
+}
+
+// send hands a call to the core that the life calls now; a refusal makes the next one come soon.
+func (life *callerLife) send(do func(now time.Time, host *Host, answer func(outcome registry.Outcome)), acked func()) {
+	world := life.callers.world
+	cores := world.Cores()
+	host := cores[life.core%len(cores)]
+	way := func() time.Duration { return world.Delay + time.Duration(world.random.Int63n(int64(world.Jitter)+1)) }
+	world.After(way(), func() {
+		world.reach(host, func() {
+			sent := host.life
+			do(world.local(host), host, func(outcome registry.Outcome) {
+				world.After(way(), func() {
+					if host.life != sent {
+						return
+					}
+					if outcome == registry.Taken || outcome == registry.Late {
+						acked()
+						return
+					}
+					life.callers.Refusals++
+					life.core++
+				})
+			})
+		})
+	})
+}
+
+// reach runs something at a host, if it is there.
+func (world *World) reach(host *Host, do func()) {
+	if !host.up || host.dark || host.frozen && len(host.held) >= heldMost {
+		return
+	}
+	world.on(host, host.life, do)
+}
+
+// drain has a life end as planned: it says so, serves on for a while after the acknowledgement, ends its
+// registration and is gone.
+func (life *callerLife) drain() {
+	world := life.callers.world
+	life.state = registry.Draining
+	life.tell(3)
+	tried := world.Now
+	var look func()
+	look = func() {
+		if life.left.IsZero() && world.Now.Sub(tried) < 6*time.Second {
+			world.After(50*time.Millisecond, look)
+			return
+		}
+		world.After(drainServe, func() {
+			life.send(func(now time.Time, host *Host, answer func(outcome registry.Outcome)) {
+				host.node.Deregister(now, life.id, answer)
+			},
+				func() { life.acked(true) })
+			world.After(200*time.Millisecond, life.end)
+		})
+	}
+	look()
+}
+
+// end stops a life without a word; its address goes to another one after a rest.
+func (life *callerLife) end() {
+	if !life.running {
+		return
+	}
+	world := life.callers.world
+	life.running, life.ended = false, world.Now
+	world.After(addressRest+time.Duration(world.random.Int63n(int64(3*time.Second))), func() {
+		life.callers.begin(life.address, life.zone, []string{"s", "t"}[world.random.Intn(2)])
+	})
+}
+
+// Start has lives end now and then, as planned or not.
+func (callers *Callers) Start(every time.Duration) {
+	callers.Events = every
+	callers.next()
+}
+
+func (callers *Callers) next() {
+	world := callers.world
+	if callers.Events == 0 {
+		return
+	}
+	var steady []*callerLife
+	for _, life := range callers.Lives {
+		if life.running && life.state == registry.Ready && !life.known.IsZero() {
+			steady = append(steady, life)
+		}
+	}
+	if len(steady) > 0 {
+		life := steady[world.random.Intn(len(steady))]
+		ends := []func(){life.drain, life.drain, life.end}
+		ends[world.random.Intn(len(ends))]()
+	}
+	world.After(callers.Events/2+time.Duration(world.random.Int63n(int64(callers.Events))), callers.next)
+}
+
+// check looks at what a daemon that awards work goes by.
+func (callers *Callers) check(host *Host, runners []*wire.Runner) {
+	checker, now := callers.world.Check, callers.world.Now
+	listed := map[string]bool{}
+	for _, runner := range runners {
+		life := callers.byID[runner.RunnerId]
+		if life == nil {
+			checker.broken("unknown-runner: %s lists %s, which nobody is", host.Address, runner.RunnerId)
+			continue
+		}
+		if runner.State != registry.Ready && runner.State != registry.Cold {
+			continue
+		}
+		listed[runner.RunnerId] = true
+		if runner.Address != life.address || runner.Service != life.service {
+			checker.broken("wrong-runner: %s has %s at %s", host.Address, runner.RunnerId, runner.Address)
+		}
+		if life.left.IsZero() {
+			continue
+		}
+		late := now.Sub(life.left)
+		checker.worst("work to a runner that said it leaves", late)
+		if late > leaveKnown {
+			checker.broken("leaving-used: %s still uses %s, %v after its leaving was acknowledged", host.Address, runner.RunnerId, late)
+		}
+	}
+	if callers.Kept == 0 {
+		return
+	}
+	for _, life := range callers.Lives {
+		if life.running && life.state == registry.Ready && !life.known.IsZero() && !listed[life.id] {
+			missing := now.Sub(life.known)
+			checker.worst("a new runner unknown", missing)
+			if missing > callers.Kept {
+				checker.broken("runner-lost: %s does not list %s, which was first acknowledged %v ago and calls", host.Address, life.id, missing)
+			}
+		}
+	}
+}
+
+// truth compares what every daemon lists with who is there, after a calm time.
+func (callers *Callers) truth() {
+	checker := callers.world.Check
+	for _, host := range callers.world.Datas() {
+		listed := map[string]bool{}
+		for _, runner := range host.data.Snapshot(callers.world.local(host)).Runners {
+			listed[runner.RunnerId] = true
+			if life := callers.byID[runner.RunnerId]; !life.running && runner.State != registry.Draining {
+				checker.broken("dead-listed: %s lists %s as %s, which ended %v ago, call %d of %d", host.Address, runner.RunnerId, runner.State,
+					callers.world.Now.Sub(life.ended), runner.Call, life.call)
+			}
+		}
+		for _, life := range callers.Lives {
+			if life.running && !listed[life.id] {
+				checker.broken("runner-lost: %s does not list %s in a calm time", host.Address, life.id)
+			}
+		}
+	}
+}
+
+// CallerFaults are the kinds of harm that only concern runners that register themselves.
+var CallerFaults = map[string]func(world *World) (undo func()){
+	"control lost": func(world *World) func() {
+		for _, host := range world.Cores() {
+			world.Kill(host)
+		}
+		return func() {
+			for _, host := range world.Cores() {
+				world.Boot(host)
+			}
+		}
+	},
+}
+
+// PlayCallers founds a deployment whose runners register themselves, does harm to it while they come and
+// go, and sees whether everybody knows who is there in the end.
+func PlayCallers(seed int64, shape Shape, names []string, atOnce int, kept time.Duration) *World {
+	world := Found(seed, shape, func(world *World) { world.StartCallers(18, shape.Zones) })
+	callers := world.Callers
+	world.Run(10 * time.Second)
+	callers.Kept = kept
+	callers.Start(time.Second)
+	operators := world.StartOperators(3 * time.Second)
+	world.Schedule(40*time.Second, names, atOnce)
+	world.Run(40*time.Second + time.Millisecond)
+	callers.Events = 0
+	world.Run(silentKnown)
+	operators.Stop()
+	if len(world.Check.Broken) == 0 {
+		callers.truth()
+	}
+	return world
+}
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -128,6 +128,9 @@
 			checker.broken("%s awards under epoch %d, %v after %d was acknowledged", host.Address, snapshot.SpecEpoch, late, order.Epoch)
 		}
 	}
+	if world.Callers != nil {
+		world.Callers.check(host, snapshot.Runners)
+	}
 	for _, runner := range snapshot.Runners {
 		if left, gone := world.Platform.left[runner.RunnerId]; gone {
 			late := world.Now.Sub(left)
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -79,8 +79,8 @@
 	Narrow = Shape{Zones: []string{"a"}, Machines: []int{8}, Disks: []int{6}, Faults: 2}
 )
 
-// Found builds a deployment and boots it.
-func Found(seed int64, shape Shape) *World {
+// Found builds a deployment and boots it; what comes before that may change the world.
+func Found(seed int64, shape Shape, before ...func(world *World)) *World {
 	world := NewWorld(seed)
 	world.Faults = max(1, shape.Faults)
 	var seeds []string
@@ -97,6 +97,9 @@
 		}
 	}
 	world.SetSeeds(seeds)
+	for _, change := range before {
+		change(world)
+	}
 	if shape.Mix.Model == "" {
 		world.Platform.fill(18)
 	} else {
@@ -461,6 +464,9 @@
 	if found := Faults[name]; found != nil {
 		return found
 	}
+	if found := CallerFaults[name]; found != nil {
+		return found
+	}
 	return RunnerFaults[name]
 }
 
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -113,7 +113,9 @@
 	Platform                     platform
 	Check                        *Checker
 	// Traffic is the request path, where there is one.
-	Traffic         *Traffic
+	Traffic *Traffic
+	// Callers are the runners that register themselves, where they do.
+	Callers         *Callers
 	current         *strand
 	founders, seeds []string
 	// Faults is how many machines may lose their disks at once.
@@ -230,7 +232,7 @@
 	founding := !host.late
 	host.late = true
 	host.node = core.New(now, core.Startup{Address: host.Address, Zone: host.Zone, Seeds: host.seeds, Founders: world.founders,
-		Founding: founding, Faults: world.Faults},
+		Founding: founding, Faults: world.Faults, Beat: callEvery},
 		restored.Memory, restored.Records, random)
 	world.tick(host, host.life)
 }
@@ -445,7 +447,7 @@
 		Go:   func(work func()) { world.spawn(host, work) },
 		Wait: world.sleep,
 		Dial: func(address string, terms seam.Terms) (seam.Conn, error) { return world.dial(host, address, terms) },
-	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds}, Random: random, Await: world.await,
+	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds, Registered: world.Callers != nil}, Random: random, Await: world.await,
 		Send: func(parcels []machine.Parcel) { world.send(host, parcels) }, Poll: func() { world.Platform.poll(host, life) }, Log: silent})
 	if failure != nil {
 		panic(failure)
