--- a/process/corehost/host.go
+++ b/process/corehost/host.go
@@ -73,7 +73,7 @@
 	}
 	host := &Host{startup: startup, log: log, store: restored.Store, writes: drive.NewWaitlist(diskLength), begun: time.Now()}
 	host.node = core.New(time.Now(), core.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone,
-		Seeds: startup.Seeds, Founders: startup.Founders, Founding: true}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
+		Seeds: startup.Seeds, Founders: startup.Founders, Founding: true, Beat: startup.BeatTime()}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
 		host.step(func(now time.Time) { host.node.Receive(now, envelope) })
 	})
