The rest of a broken stream is bid for anew

A stream that broke after its lane's patience was refused at once where its next runner was paused or full, since the patience counted from the first bid. Red first: TestLongStreamGoesOnAfterAWait.

--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -163,12 +163,18 @@
 	go func() { _ = server.Serve(listener) }()
 	test.Cleanup(func() { _ = listener.Close() })
 	made.address = listener.Addr().String()
-	// A budget has no credit at the start; these requests give it some.
-	budget := made.budget("p")
+	made.credit(now)
+	return made
+}
+
+// credit gives the budget some, which it has none of at the start.
+func (house *house) credit(now time.Time) {
+	budget := house.budget("p")
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
 	for range 40 {
 		budget.budget.Request(now)
 	}
-	return made
 }
 
 func (house *house) post(test *testing.T, lane string) (status int, body string) {
--- a/request/course/relay.go
+++ b/request/course/relay.go
@@ -120,7 +120,11 @@
 // resume has the run go on at another runner behind the last whole event that was relayed; otherwise it tells why not.
 func (course *Course) resume() *speech.Refusal {
 	course.drop()
-	course.ticket.Bid.Shut[course.step.Runner.ID] = true
+	// Why: the first event came long ago; the rest is bid for anew, with the patience and the time that are left.
+	shut := course.ticket.Bid.Shut
+	course.draw()
+	shut[course.step.Runner.ID] = true
+	course.ticket.Bid.Shut, course.ticket.Bid.Deadline = shut, course.left()
 	refusal := course.obtain(award.Broken)
 	if refusal == nil {
 		course.firstSeen()
--- a/request/course/resume_test.go
+++ b/request/course/resume_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"wardtray/connection/wire"
 	"wardtray/request/intake"
 )
 
@@ -151,3 +153,38 @@
 		}
 	}
 }
+
+// A stream that breaks long after its patience is still gone on with, also where a moment has to be waited for its next runner.
+func TestLongStreamGoesOnAfterAWait(test *testing.T) {
+	second := start(test, "r2", goesOn("b", 9, 5))
+	var passed atomic.Int64
+	var daemon *house
+	first := start(test, "r1", func(connection net.Conn, request *http.Request) {
+		passed.Store(int64(time.Minute))
+		now := daemon.World.Now()
+		daemon.Book.List(now, []*wire.Runner{{RunnerId: "r1", Address: connection.LocalAddr().String(), Zone: "a", Service: "s", State: "ready"},
+			{RunnerId: "r2", Address: second.address, Zone: "a", Service: "s", State: "ready"}})
+		daemon.Book.Failed(now, "r2", "failed a moment ago")
+		daemon.credit(now)
+		goesOn("a", 2, 5)(connection, request)
+	})
+	daemon = build(test, first)
+	daemon.World.Now = func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }
+	ticker, ended := time.NewTicker(5*time.Millisecond), make(chan struct{})
+	defer ticker.Stop()
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				daemon.Desk("p").Settle(daemon.World.Now())
+			case <-ended:
+				return
+			}
+		}
+	}()
+	status, body := daemon.post(test, "resumed")
+	if status != 200 || ids(body) != "1 2 3 4 5 6" || !strings.Contains(body, "event: done") {
+		test.Errorf("%d %s", status, body)
+	}
+}
