Requests whose header lines leave their end open are refused; no server name on a platform

The server decides a length beside an encoding, folded lines and bare line feeds as the standard allows. Whoever sent them may have meant the other way, and a runner would run what nobody asked for.

--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -170,7 +170,13 @@
 
 // handler gives who answers requesters: the product's own paths, or on a platform every path.
 func (host *Host) handler() fasthttp.RequestHandler {
-	serve := func(context *fasthttp.RequestCtx) { host.Yard.Serve(seam.FromHTTP(context)) }
+	serve := func(context *fasthttp.RequestCtx) {
+		if ambiguous(context.Request.Header.RawHeaders()) {
+			host.malformed(context, errAmbiguous)
+			return
+		}
+		host.Yard.Serve(seam.FromHTTP(context))
+	}
 	if host.adapter != nil {
 		return serve
 	}
@@ -190,6 +196,7 @@
 		ErrorHandler: host.malformed}
 	if host.adapter != nil {
 		// Why: the name and the date are the runner's to give, and a buffer for the longest header a connection would take too much memory.
+		server.Name = ""
 		server.NoDefaultServerHeader, server.NoDefaultDate, server.NoDefaultContentType = true, true, true
 		server.ReadBufferSize, server.MaxRequestBodySize = adaptedHeaderBound, maximumAdaptedBody
 		server.DisablePreParseMultipartForm = true
