Runners that are waited for in silence are asked whether they are there

Cause: a dark runner was noticed by reports that failed three times, or by requests that waited for half of their time; meanwhile every daemon sent it more. Change: after 200 ms of silence on all of a runner's connections one question decides (250 ms); those who may be begun anew elsewhere go there. A daemon that has just begun says when to come back by its usual start, not by a silence without beginning (it said ten seconds).

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +51,21 @@
 	Used bool
 	// heard is when it last carried a byte from the runner, or was taken for a request.
 	heard atomic.Pointer[time.Time]
+	// waits tells that a request went out over it and no event of its answer has come; again, that this request
+	// may be begun anew at another runner.
+	waits, again atomic.Bool
 }
 
+// Sent says that a request has gone out over the connection, and whether it may be begun anew elsewhere.
+func (connection *Connection) Sent(again bool) {
+	connection.touch()
+	connection.again.Store(again)
+	connection.waits.Store(true)
+}
+
+// Answered says that the first event has come.
+func (connection *Connection) Answered() { connection.waits.Store(false) }
+
 // livelyBound is for how long after its last byte a connection counts as one over which the runner still answers.
 const livelyBound = time.Second
 
@@ -234,6 +248,51 @@
 	shelf.idle, shelf.busy = nil, lively
 }
 
+// Silent lists the runners for whose first event somebody has waited for so long without a byte on any of
+// the runner's connections: they may be dark, or only busy.
+func (links *Links) Silent(bound time.Duration) []string {
+	now := links.world.Now()
+	var silent []string
+	links.shelves.Range(func(runner, held any) bool {
+		if held.(*shelf).silent(now, bound) {
+			silent = append(silent, runner.(string))
+		}
+		return true
+	})
+	sort.Strings(silent)
+	return silent
+}
+
+func (shelf *shelf) silent(now time.Time, bound time.Duration) bool {
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	waited := false
+	for _, connection := range shelf.busy {
+		quiet := now.Sub(*connection.heard.Load()) >= bound
+		if !quiet && !connection.waits.Load() {
+			return false
+		}
+		waited = waited || quiet && connection.waits.Load()
+	}
+	return waited
+}
+
+// Hurry aborts the connections of a runner on which requests wait for a first event that may be begun anew
+// elsewhere.
+//
+// Why only those: one that can't be repeated has nothing to gain, and the runner may answer yet.
+func (links *Links) Hurry(runner string, bound time.Duration) {
+	shelf, now := links.shelf(runner), links.world.Now()
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	for _, connection := range shelf.busy {
+		if connection.waits.Load() && connection.again.Load() && now.Sub(*connection.heard.Load()) >= bound {
+			links.Counters.Lost.Add(1)
+			_ = connection.Conn.Close()
+		}
+	}
+}
+
 // Forget closes what is kept idle of a runner that is no longer listed.
 func (links *Links) Forget(runner string) {
 	shelf := links.shelf(runner)
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -117,3 +117,49 @@
 		test.Fatal("one that has gone silent goes on")
 	}
 }
+
+// Who waits in silence is found, and only those who may go elsewhere are sent there.
+func TestSilentRunnersAreFoundAndLeft(test *testing.T) {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer listener.Close()
+	now, world := time.Now(), seam.Real(nil)
+	world.Now = func() time.Time { return now }
+	links := New(world, "")
+	var taken []*Connection
+	for _, again := range []bool{true, false} {
+		connection, failure := links.Take("r", listener.Addr().String())
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		connection.Sent(again)
+		taken = append(taken, connection)
+	}
+	bound := 200 * time.Millisecond
+	if silent := links.Silent(bound); len(silent) != 0 {
+		test.Fatalf("%v is silent at once", silent)
+	}
+	now = now.Add(bound)
+	if silent := links.Silent(bound); len(silent) != 1 || silent[0] != "r" {
+		test.Fatalf("%v is silent; r should be", silent)
+	}
+	links.Hurry("r", bound)
+	if _, failure := taken[0].Write([]byte("x")); failure == nil {
+		test.Fatal("who may go elsewhere still waits")
+	}
+	if _, failure := taken[1].Write([]byte("x")); failure != nil {
+		test.Fatalf("who may not was cut: %v", failure)
+	}
+	// A stream of the same runner that goes on says that it is there.
+	taken[1].Answered()
+	if silent := links.Silent(bound); len(silent) != 1 {
+		test.Fatalf("%v", silent)
+	}
+	taken[0].Answered()
+	taken[0].touch()
+	if silent := links.Silent(bound); len(silent) != 0 {
+		test.Fatalf("%v is silent while a stream goes on", silent)
+	}
+}
--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -129,6 +129,7 @@
 	host.every(stopped, plane.SettleEvery, host.Settle)
 	host.every(stopped, plane.PressureEvery, host.AskPressures)
 	host.every(stopped, plane.AgeEvery, host.Age)
+	host.every(stopped, plane.WatchEvery, host.Watch)
 	<-running.Done()
 	return host.drain(server)
 }
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -37,6 +37,11 @@
 	PressureEvery = 250 * time.Millisecond
 	AgeEvery      = 30 * time.Second
 	pressureBound = 800 * time.Millisecond
+	// WatchEvery is how often a driver calls Watch; silentBound is after what silence a runner is asked whether it
+	// is there, and watchBound within what time it has to say so.
+	WatchEvery  = 100 * time.Millisecond
+	silentBound = 200 * time.Millisecond
+	watchBound  = 250 * time.Millisecond
 )
 
 // Startup is what a plane is given.
@@ -102,7 +107,7 @@
 	plane.director = director.New(now, startup.Startup, rand.New(rand.NewSource(startup.Random.Int63())))
 	plane.snapshot.Store(&director.Snapshot{})
 	plane.daemons.Store(&[]string{startup.Address})
-	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Speech: startup.Speech, Repeats: startup.Repeats, Await: startup.Await, Snapshot: plane.snapshot.Load,
+	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Begun: now, Speech: startup.Speech, Repeats: startup.Repeats, Await: startup.Await, Snapshot: plane.snapshot.Load,
 		Daemons: func() []string { return *plane.daemons.Load() }, Book: pressure.NewBook(now, startup.Address), Indexer: indexer,
 		Links: link.New(world, startup.Speech.Identity()), Tally: tally.New(), Desk: plane.desk,
 		Once: memory, Tell: func(key once.Key, dropped bool) {
@@ -299,13 +304,38 @@
 	}
 }
 
-func (plane *Plane) askPressure(runner pressure.Runner) {
+// Watch asks runners that are waited for in silence whether they are there at all. One that does not say so is
+// left alone, and who may go elsewhere does.
+//
+// Why asked: a runner that reads a long prompt is as silent as a dark one, but it answers this at once.
+func (plane *Plane) Watch() {
+	for _, runner := range plane.Yard.Links.Silent(silentBound) {
+		known, found := plane.Yard.Book.One(plane.world.Now(), runner, nil)
+		if !found {
+			continue
+		}
+		if _, already := plane.asking.LoadOrStore(runner, true); already {
+			continue
+		}
+		plane.world.Go(func() {
+			defer plane.asking.Delete(runner)
+			if !plane.ask(known, watchBound) {
+				plane.Yard.Links.Hurry(runner, silentBound)
+			}
+		})
+	}
+}
+
+func (plane *Plane) askPressure(runner pressure.Runner) { plane.ask(runner, pressureBound) }
+
+// ask asks a runner for its pressure within a bound; it tells whether there was an answer.
+func (plane *Plane) ask(runner pressure.Runner, bound time.Duration) bool {
 	connection, failure := plane.Yard.Links.Take(runner.ID, runner.Address)
 	if failure != nil {
 		plane.missed(runner.ID, fault.Of(failure))
-		return
+		return false
 	}
-	content, failure := connection.Get(plane.Yard.Speech.Probe(), pressureBound)
+	content, failure := connection.Get(plane.Yard.Speech.Probe(), bound)
 	report := pressure.Report{}
 	if failure == nil {
 		report, failure = plane.Yard.Speech.Report(content)
@@ -313,10 +343,11 @@
 	if failure != nil {
 		_ = connection.Close()
 		plane.missed(runner.ID, fault.Of(failure))
-		return
+		return false
 	}
 	plane.Yard.Links.Keep(connection, 0)
 	plane.Yard.Book.Reported(plane.world.Now(), runner.ID, report)
+	return true
 }
 
 // missed takes in that a runner did not tell its pressure. One that is surely gone is given up at once:
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -459,6 +459,7 @@
 	}
 	world.every(host, life, plane.SettleEvery, made.Settle)
 	world.every(host, life, plane.PressureEvery, made.AskPressures)
+	world.every(host, life, plane.WatchEvery, made.Watch)
 	world.every(host, life, plane.AgeEvery, made.Age)
 }
 
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -36,8 +36,10 @@
 	maximumAttempts = 8
 	writeBound      = 2 * time.Second
 	// sureBound is how long a request waits for its daemon to be sure of its spec again.
-	sureBound      = time.Second
-	sureEvery      = 20 * time.Millisecond
+	sureBound = time.Second
+	sureEvery = 20 * time.Millisecond
+	// usualStart is within what time of its start a daemon is sure of its spec.
+	usualStart     = 800 * time.Millisecond
 	longestSilence = 10 * time.Second
 	// lastPart is how much of a long request is held back for the last look.
 	lastPart     = 4 << 10
@@ -73,6 +75,8 @@
 	// Repeats bounds what is sent again; the zero value stands for budget.Default.
 	Repeats budget.Settings
 
+	// Begun is when the process began.
+	Begun    time.Time
 	InFlight atomic.Int64
 	Draining atomic.Bool
 	budgets  sync.Map
@@ -230,7 +234,12 @@
 	reckons := map[fault.Kind]func() time.Duration{
 		// Why: a silence lasts, as far as can be known, about as long again as it has lasted.
 		fault.NotServing: func() time.Duration {
-			return min(longestSilence, max(director.AskEvery, course.now().Sub(course.yard.Snapshot().Until)))
+			until := course.yard.Snapshot().Until
+			// Why: one that has just begun is sure of its spec within a moment; there is no silence to reckon by yet.
+			if until.Before(course.yard.Begun) {
+				return max(director.AskEvery, usualStart-course.now().Sub(course.yard.Begun))
+			}
+			return min(longestSilence, max(director.AskEvery, course.now().Sub(until)))
 		},
 		fault.NoRunner:       func() time.Duration { return course.desk.Comeback(course.now(), course.ticket) },
 		fault.OutcomeUnknown: func() time.Duration { return course.desk.Comeback(course.now(), course.ticket) },
@@ -636,6 +645,7 @@
 		return false
 	}
 	course.sends++
+	course.connection.Sent(course.repeatable() && course.mayTry())
 	course.desk.Sent(course.sentAt, course.ticket, course.step)
 	return true
 }
@@ -802,6 +812,9 @@
 }
 
 func (course *Course) firstSeen() {
+	if course.connection != nil {
+		course.connection.Answered()
+	}
 	took, runner := course.now().Sub(course.sentAt), course.step.Runner
 	// Why: a failure of the runner's own is passed on, and is no reason to send it more at once.
 	if course.word.Said != speech.Failed {
