--- a/proof/sim/callers.go
+++ b/proof/sim/callers.go
@@ -321,3 +321,51 @@
 	}
 	return world
 }
+
+// RegistryCost is what a core and a daemon sent in a second, in bytes, on average over each kind; Messages is of all processes.
+type RegistryCost struct {
+	Core, Daemon, Messages float64
+}
+
+// MeasureCallers founds a fleet of so many daemons and runners and tells what its processes send: in a calm
+// time, and while a runner is replaced about every so often.
+func MeasureCallers(seed int64, daemons, runners int, every time.Duration) (calm, release RegistryCost) {
+	world := NewWorld(seed)
+	zones := []string{"a", "b", "c"}
+	var seeds []string
+	for _, zone := range zones {
+		seeds = append(seeds, world.AddCore(zone+":core", zone).Address)
+	}
+	for number := range daemons {
+		world.AddData(fmt.Sprintf("d%04d", number), zones[number%len(zones)])
+	}
+	world.SetSeeds(seeds)
+	world.Platform.fill(1)
+	callers := world.StartCallers(runners, zones)
+	for _, host := range world.Hosts {
+		booted := host
+		world.After(time.Duration(world.random.Intn(500))*time.Millisecond, func() { world.Boot(booted) })
+	}
+	world.Run(30 * time.Second)
+	calm = world.cost(10 * time.Second)
+	callers.Start(every)
+	release = world.cost(20 * time.Second)
+	return calm, release
+}
+
+// cost runs for a while and tells what was sent a second.
+func (world *World) cost(length time.Duration) RegistryCost {
+	sum := func(hosts []*Host) (total uint64) {
+		for _, host := range hosts {
+			total += host.Sent
+		}
+		return total
+	}
+	cores, datas, messages := sum(world.Cores()), sum(world.Datas()), world.Messages
+	world.Run(length)
+	per := func(now, before uint64, count int) float64 {
+		return float64(now-before) / float64(max(1, count)) / length.Seconds()
+	}
+	return RegistryCost{Core: per(sum(world.Cores()), cores, len(world.Cores())), Daemon: per(sum(world.Datas()), datas, len(world.Datas())),
+		Messages: per(world.Messages, messages, len(world.Hosts))}
+}
--- a/proof/sim/callers_test.go
+++ b/proof/sim/callers_test.go
@@ -74,3 +74,20 @@
 		test.Fatal(counts)
 	}
 }
+
+// A large fleet: what the registry adds must be small beside 10 Mbit/s, also while runners are replaced.
+func TestReleaseInALargeFleetCostsLittle(test *testing.T) {
+	if underRace {
+		test.Skip("played without the race detector")
+	}
+	const bytesOfLink = 10_000_000 / 8
+	none, _ := MeasureCallers(1, 72, 0, time.Hour)
+	calm, release := MeasureCallers(1, 72, 112, 500*time.Millisecond)
+	test.Logf("none %+v, calm %+v, release %+v", none, calm, release)
+	if calm.Core-none.Core > bytesOfLink/200 || calm.Daemon-none.Daemon > bytesOfLink/1000 {
+		test.Error("calm", calm.Core-none.Core, calm.Daemon-none.Daemon)
+	}
+	if release.Core-none.Core > bytesOfLink/10 || release.Daemon-none.Daemon > bytesOfLink/100 {
+		test.Error("release", release.Core-none.Core, release.Daemon-none.Daemon)
+	}
+}
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -80,6 +80,8 @@
 	seeds   []string
 	// late tells that the machine came after the fleet's first start.
 	late bool
+	// Sent is how many bytes of messages it has sent.
+	Sent uint64
 	// The greatest epoch under which this address awarded work.
 	epoch uint64
 }
@@ -321,6 +323,7 @@
 		}
 		world.Messages++
 		world.Bytes += uint64(len(content))
+		host.Sent += uint64(len(content))
 		target := world.byName[parcel.To]
 		if target != nil && target.Zone != host.Zone {
 			world.AcrossBytes += uint64(len(content))
