--- a/cmd/wtctl/main.go
+++ b/cmd/wtctl/main.go
@@ -41,6 +41,7 @@
   wtctl diff spec.json
   wtctl apply spec.json
   wtctl apply spec.json --base 7 --operation change-42
+  wtctl change new-lane.json
   wtctl close quay
   wtctl operation change-42
   wtctl status chain
@@ -73,7 +74,19 @@
 	applyFile := apply.Arg("file", "The spec; - for standard input.").Required().String()
 	base := apply.Flag("base", "The epoch it was built on; the present one if left out.").Default("").String()
 	applyOperation := apply.Flag("operation", "An id of your own, to ask by and to repeat safely.").String()
-	commands[apply.FullCommand()] = func() (int, error) { return here.apply(*applyFile, *base, *applyOperation, input) }
+	applyEpoch := apply.Flag("epoch", "The epoch that the spec is to have; the next one if left out.").Uint64()
+	commands[apply.FullCommand()] = func() (int, error) {
+		return here.change((*operator.Client).Apply, *applyFile, *base, operator.Change{Operation: orNew(*applyOperation), Epoch: *applyEpoch}, input)
+	}
+
+	change := application.Command("change", "Add, replace and remove named zones, pools and lanes: all of it, or nothing.")
+	changeFile := change.Arg("file", "The change; - for standard input.").Required().String()
+	changeBase := change.Flag("base", "The epoch it was built on; the present one if left out.").Default("").String()
+	changeOperation := change.Flag("operation", "An id of your own, to ask by and to repeat safely.").String()
+	changeEpoch := change.Flag("epoch", "The epoch that the spec is to have; the next one if left out.").Uint64()
+	commands[change.FullCommand()] = func() (int, error) {
+		return here.change((*operator.Client).Change, *changeFile, *changeBase, operator.Change{Operation: orNew(*changeOperation), Epoch: *changeEpoch}, input)
+	}
 
 	diff := application.Command("diff", "Show how a spec differs from the present one.")
 	diffFile := diff.Arg("file", "The spec; - for standard input.").Required().String()
@@ -224,12 +237,13 @@
 	return content, fault.Wrap(failure, fault.BadStartup, "reading the spec")
 }
 
-func (here *context) apply(path, base, operation string, input io.Reader) (int, error) {
+// change reads a file and sends it, built on the epoch named or on the present one.
+func (here *context) change(send func(client *operator.Client, content []byte, change operator.Change) (core.Reply, error),
+	path, base string, change operator.Change, input io.Reader) (int, error) {
 	content, failure := readFile(path, input)
 	if failure != nil {
 		return exitUsage, failure
 	}
-	var number uint64
 	if base == "" {
 		reply, failure := here.client.Get()
 		if failure != nil {
@@ -238,11 +252,11 @@
 		if reply.Outcome == "refused" {
 			return here.told(reply, nil)
 		}
-		number = reply.Epoch
-	} else if number, failure = strconv.ParseUint(base, 10, 64); failure != nil {
+		change.Base = reply.Epoch
+	} else if change.Base, failure = strconv.ParseUint(base, 10, 64); failure != nil {
 		return exitUsage, fault.New(fault.BadStartup, "--base %q is no whole number", base)
 	}
-	return here.told(here.client.Apply(content, number, orNew(operation)))
+	return here.told(send(here.client, content, change))
 }
 
 func (here *context) diff(path string, input io.Reader) (int, error) {
--- a/cmd/wtctl/main_test.go
+++ b/cmd/wtctl/main_test.go
@@ -24,6 +24,7 @@
 	address := standIn(test, map[string]string{
 		"GET /v1/spec":            `{"outcome":"found","epoch":4,"spec":` + present + `}`,
 		"PUT /v1/spec":            `{"outcome":"refused","epoch":4,"kind":"invalid_spec","detail":"1 faults","remedy":"mend it","flaws":[{"path":"lanes[0].purse","detail":"wants more"}]}`,
+		"PATCH /v1/spec":          `{"outcome":"accepted","epoch":9}`,
 		"POST /v1/zones/a/close":  `{"outcome":"accepted","epoch":5,"operation":"x"}`,
 		"POST /v1/zones/a/open":   `{"outcome":"unknown","kind":"outcome_unknown","detail":"no answer","remedy":"ask"}`,
 		"GET /v1/operations/late": `{"outcome":"pending","epoch":6}`,
@@ -36,6 +37,8 @@
 	}{
 		"get":            {[]string{"get"}, "", exitFine, `"patience": "1s"`},
 		"refused":        {[]string{"apply", "-"}, present, exitRefused, "lanes[0].purse: wants more"},
+		"changed":        {[]string{"change", "-", "--epoch", "9"}, `{"remove":{"lanes":["l"]}}`, exitFine, "accepted, epoch 9"},
+		"wrong epoch":    {[]string{"change", "-", "--epoch", "x"}, "{}", exitUsage, ""},
 		"same":           {[]string{"diff", "-"}, present, exitFine, "against epoch 4"},
 		"differs":        {[]string{"diff", "-"}, strings.Replace(present, `"worth":1`, `"worth":2`, 1), exitRefused, "+ lane l"},
 		"accepted":       {[]string{"close", "a"}, "", exitFine, "accepted, epoch 5"},
--- a/epoch/spec/check.go
+++ b/epoch/spec/check.go
@@ -6,21 +6,24 @@
 	"time"
 )
 
+// The bounds of what an entry may hold.
 const (
+	MaximumAttempts    = 1000
+	MaximumRank        = 1000
+	MaximumWeight      = 1_000_000
+	MaximumConnections = 1_000_000
+	MaximumSlots       = 1_000_000
+	MaximumTokens      = 1 << 40
+	MaximumHeaderBytes = 1 << 20
+	MaximumBodyBytes   = 1 << 30
+	MaximumSpan        = 24 * time.Hour
+	MinimumPatience    = 10 * time.Millisecond
+	MaximumPatience    = time.Hour
 	maximumName        = 256
 	maximumServices    = 64
 	maximumAdapters    = 1024
 	maximumShares      = 64
-	maximumWeight      = 1_000_000
-	maximumAttempts    = 1000
-	maximumRank        = 1000
-	maximumConnections = 1_000_000
-	maximumSlots       = 1_000_000
-	maximumTokens      = 1 << 40
 	maximumPath        = 1024
-	maximumHeaderBytes = 1 << 20
-	maximumBodyBytes   = 1 << 30
-	maximumSpan        = 24 * time.Hour
 	// maximumAnnotations bounds what one entry may carry for the operators' tools.
 	maximumAnnotations = 256 << 10
 )
@@ -120,10 +123,10 @@
 	for place := range spec.Lanes {
 		checker.lane(fmt.Sprintf("lanes[%d]", place), &spec.Lanes[place], pools, lanes, routes)
 	}
-	checker.within("limits.header_bytes", spec.Limits.HeaderBytes, 0, maximumHeaderBytes)
-	checker.within("limits.body_bytes", spec.Limits.BodyBytes, 0, maximumBodyBytes)
-	checker.span("limits.header_time", spec.Limits.HeaderTime, 0, maximumSpan)
-	checker.span("limits.idle_time", spec.Limits.IdleTime, 0, maximumSpan)
+	checker.within("limits.header_bytes", spec.Limits.HeaderBytes, 0, MaximumHeaderBytes)
+	checker.within("limits.body_bytes", spec.Limits.BodyBytes, 0, MaximumBodyBytes)
+	checker.span("limits.header_time", spec.Limits.HeaderTime, 0, MaximumSpan)
+	checker.span("limits.idle_time", spec.Limits.IdleTime, 0, MaximumSpan)
 	checker.annotations("annotations", spec.Annotations)
 	return checker.flaws
 }
@@ -138,13 +141,13 @@
 	checker.count(path+".adapters", len(pool.Adapters), 0, maximumAdapters)
 	checker.distinct(path+".services", pool.Services)
 	checker.distinct(path+".adapters", pool.Adapters)
-	checker.within(path+".connection_limit", pool.ConnectionLimit, 0, maximumConnections)
+	checker.within(path+".connection_limit", pool.ConnectionLimit, 0, MaximumConnections)
 	if pool.HealthPath != "" && !pathLike(pool.HealthPath) {
 		checker.flaw(path+".health_path", "wants a path of at most %d bytes that begins with '/'", maximumPath)
 	}
-	checker.within(path+".engine.slots", pool.Engine.Slots, 0, maximumSlots)
-	checker.within(path+".engine.memory_tokens", pool.Engine.MemoryTokens, 0, maximumTokens)
-	checker.within(path+".engine.event_tokens", pool.Engine.EventTokens, 0, maximumSlots)
+	checker.within(path+".engine.slots", pool.Engine.Slots, 0, MaximumSlots)
+	checker.within(path+".engine.memory_tokens", pool.Engine.MemoryTokens, 0, MaximumTokens)
+	checker.within(path+".engine.event_tokens", pool.Engine.EventTokens, 0, MaximumSlots)
 	checker.annotations(path+".annotations", pool.Annotations)
 }
 
@@ -154,15 +157,15 @@
 	if !(lane.Worth >= 1 && lane.Worth <= 1000) {
 		checker.flaw(path+".worth", "wants 1 to 1000")
 	}
-	checker.span(path+".patience", lane.Patience, 10*time.Millisecond, time.Hour)
+	checker.span(path+".patience", lane.Patience, MinimumPatience, MaximumPatience)
 	if !(lane.Purse > 0 && lane.Purse <= 1) {
 		checker.flaw(path+".purse", "wants more than 0, at most 1")
 	}
 	checker.route(path, lane, routes)
-	checker.span(path+".deadline", lane.Deadline, 0, maximumSpan)
-	checker.within(path+".attempts", lane.Attempts, 0, maximumAttempts)
-	checker.within(path+".rank", lane.Rank, 0, maximumRank)
-	checker.span(path+".pause", lane.Pause, 0, maximumSpan)
+	checker.span(path+".deadline", lane.Deadline, 0, MaximumSpan)
+	checker.within(path+".attempts", lane.Attempts, 0, MaximumAttempts)
+	checker.within(path+".rank", lane.Rank, 0, MaximumRank)
+	checker.span(path+".pause", lane.Pause, 0, MaximumSpan)
 	checker.annotations(path+".annotations", lane.Annotations)
 }
 
@@ -184,7 +187,7 @@
 		if !pools[share.Pool] {
 			checker.flaw(here+".pool", "there is no pool %q", share.Pool)
 		}
-		checker.within(here+".weight", share.Weight, 0, maximumWeight)
+		checker.within(here+".weight", share.Weight, 0, MaximumWeight)
 		sum += share.Weight
 	}
 	if len(lane.Split) > 0 && sum == 0 {
--- a/epoch/spec/spec.go
+++ b/epoch/spec/spec.go
@@ -150,6 +150,35 @@
 	IdleTime    Span `json:"idle_time,omitempty"`
 }
 
+// Change adds, replaces and removes entries of a spec by their names.
+//
+//easyjson:json
+type Change struct {
+	Upsert Entries `json:"upsert,omitempty"`
+	Remove Names   `json:"remove,omitempty"`
+	Limits *Limits `json:"limits,omitempty"`
+	// Annotations replace those of the same name; null takes one away.
+	Annotations Annotations `json:"annotations,omitempty"`
+}
+
+// Entries are added to a spec, or stand in the place of those with the same name.
+//
+//easyjson:json
+type Entries struct {
+	Zones []Zone `json:"zones,omitempty"`
+	Pools []Pool `json:"pools,omitempty"`
+	Lanes Lanes  `json:"lanes,omitempty"`
+}
+
+// Names are what is removed. One that is not there is no flaw: it is gone, as was asked.
+//
+//easyjson:json
+type Names struct {
+	Zones []string `json:"zones,omitempty"`
+	Pools []string `json:"pools,omitempty"`
+	Lanes []string `json:"lanes,omitempty"`
+}
+
 // Flaw is one fault of a spec.
 //
 //easyjson:json
@@ -173,6 +202,15 @@
 	return parsed, nil
 }
 
+// Decode reads a spec that wardtray itself has encoded after checking it.
+func Decode(content []byte) (*Spec, error) {
+	decoded := &Spec{}
+	if failure := easyjson.Unmarshal(content, decoded); failure != nil {
+		return nil, fault.Wrap(failure, fault.Internal, "reading a spec that was checked before")
+	}
+	return decoded, nil
+}
+
 // Encode gives the canonical form.
 func (spec *Spec) Encode() []byte {
 	content, failure := easyjson.Marshal(spec)
--- a/epoch/spec/spec_easyjson.go
+++ b/epoch/spec/spec_easyjson.go
@@ -573,7 +573,199 @@
 func (v *Pool) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson4ca8a529DecodeWardtrayEpochSpec3(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec4(in *jlexer.Lexer, out *Limits) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec4(in *jlexer.Lexer, out *Names) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "zones":
+			if in.IsNull() {
+				in.Skip()
+				out.Zones = nil
+			} else {
+				in.Delim('[')
+				if out.Zones == nil {
+					if !in.IsDelim(']') {
+						out.Zones = make([]string, 0, 4)
+					} else {
+						out.Zones = []string{}
+					}
+				} else {
+					out.Zones = (out.Zones)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v13 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v13 = string(in.String())
+					}
+					out.Zones = append(out.Zones, v13)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "pools":
+			if in.IsNull() {
+				in.Skip()
+				out.Pools = nil
+			} else {
+				in.Delim('[')
+				if out.Pools == nil {
+					if !in.IsDelim(']') {
+						out.Pools = make([]string, 0, 4)
+					} else {
+						out.Pools = []string{}
+					}
+				} else {
+					out.Pools = (out.Pools)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v14 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v14 = string(in.String())
+					}
+					out.Pools = append(out.Pools, v14)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "lanes":
+			if in.IsNull() {
+				in.Skip()
+				out.Lanes = nil
+			} else {
+				in.Delim('[')
+				if out.Lanes == nil {
+					if !in.IsDelim(']') {
+						out.Lanes = make([]string, 0, 4)
+					} else {
+						out.Lanes = []string{}
+					}
+				} else {
+					out.Lanes = (out.Lanes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v15 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v15 = string(in.String())
+					}
+					out.Lanes = append(out.Lanes, v15)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec4(out *jwriter.Writer, in Names) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if len(in.Zones) != 0 {
+		const prefix string = ",\"zones\":"
+		first = false
+		out.RawString(prefix[1:])
+		{
+			out.RawByte('[')
+			for v16, v17 := range in.Zones {
+				if v16 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v17))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Pools) != 0 {
+		const prefix string = ",\"pools\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v18, v19 := range in.Pools {
+				if v18 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v19))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Lanes) != 0 {
+		const prefix string = ",\"lanes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v20, v21 := range in.Lanes {
+				if v20 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v21))
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Names) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec4(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Names) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec4(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Names) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec4(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Names) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec4(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec5(in *jlexer.Lexer, out *Limits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -625,7 +817,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec4(out *jwriter.Writer, in Limits) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec5(out *jwriter.Writer, in Limits) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -671,27 +863,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Limits) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec4(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec4(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Limits) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec4(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec4(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec5(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec5(in *jlexer.Lexer, out *Lane) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec6(in *jlexer.Lexer, out *Lane) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -769,13 +961,13 @@
 					out.Split = (out.Split)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v13 Share
+					var v22 Share
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v13).UnmarshalEasyJSON(in)
+						(v22).UnmarshalEasyJSON(in)
 					}
-					out.Split = append(out.Split, v13)
+					out.Split = append(out.Split, v22)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -830,7 +1022,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec5(out *jwriter.Writer, in Lane) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec6(out *jwriter.Writer, in Lane) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -879,11 +1071,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v14, v15 := range in.Split {
-				if v14 > 0 {
+			for v23, v24 := range in.Split {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				(v15).MarshalEasyJSON(out)
+				(v24).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -924,27 +1116,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Lane) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec5(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Lane) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec5(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Lane) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec5(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Lane) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec5(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec6(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec6(in *jlexer.Lexer, out *Flaw) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec7(in *jlexer.Lexer, out *Flaw) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -984,7 +1176,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec6(out *jwriter.Writer, in Flaw) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec7(out *jwriter.Writer, in Flaw) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1004,27 +1196,189 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Flaw) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec6(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec7(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Flaw) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec6(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec7(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Flaw) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec6(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec7(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Flaw) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec6(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec7(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayEpochSpec7(in *jlexer.Lexer, out *Engine) {
+func easyjson4ca8a529DecodeWardtrayEpochSpec8(in *jlexer.Lexer, out *Entries) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "zones":
+			if in.IsNull() {
+				in.Skip()
+				out.Zones = nil
+			} else {
+				in.Delim('[')
+				if out.Zones == nil {
+					if !in.IsDelim(']') {
+						out.Zones = make([]Zone, 0, 2)
+					} else {
+						out.Zones = []Zone{}
+					}
+				} else {
+					out.Zones = (out.Zones)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v25 Zone
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v25).UnmarshalEasyJSON(in)
+					}
+					out.Zones = append(out.Zones, v25)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "pools":
+			if in.IsNull() {
+				in.Skip()
+				out.Pools = nil
+			} else {
+				in.Delim('[')
+				if out.Pools == nil {
+					if !in.IsDelim(']') {
+						out.Pools = make([]Pool, 0, 0)
+					} else {
+						out.Pools = []Pool{}
+					}
+				} else {
+					out.Pools = (out.Pools)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v26 Pool
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v26).UnmarshalEasyJSON(in)
+					}
+					out.Pools = append(out.Pools, v26)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "lanes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Lanes).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec8(out *jwriter.Writer, in Entries) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if len(in.Zones) != 0 {
+		const prefix string = ",\"zones\":"
+		first = false
+		out.RawString(prefix[1:])
+		{
+			out.RawByte('[')
+			for v27, v28 := range in.Zones {
+				if v27 > 0 {
+					out.RawByte(',')
+				}
+				(v28).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Pools) != 0 {
+		const prefix string = ",\"pools\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v29, v30 := range in.Pools {
+				if v29 > 0 {
+					out.RawByte(',')
+				}
+				(v30).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Lanes) != 0 {
+		const prefix string = ",\"lanes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.Lanes).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Entries) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec8(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Entries) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec8(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Entries) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec8(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Entries) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec8(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec9(in *jlexer.Lexer, out *Engine) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1070,7 +1424,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayEpochSpec7(out *jwriter.Writer, in Engine) {
+func easyjson4ca8a529EncodeWardtrayEpochSpec9(out *jwriter.Writer, in Engine) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1106,23 +1460,149 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Engine) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayEpochSpec7(&w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec9(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Engine) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayEpochSpec7(w, v)
+	easyjson4ca8a529EncodeWardtrayEpochSpec9(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Engine) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayEpochSpec7(&r, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec9(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Engine) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayEpochSpec7(l, v)
+	easyjson4ca8a529DecodeWardtrayEpochSpec9(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayEpochSpec10(in *jlexer.Lexer, out *Change) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "upsert":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Upsert).UnmarshalEasyJSON(in)
+			}
+		case "remove":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Remove).UnmarshalEasyJSON(in)
+			}
+		case "limits":
+			if in.IsNull() {
+				in.Skip()
+				out.Limits = nil
+			} else {
+				if out.Limits == nil {
+					out.Limits = new(Limits)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Limits).UnmarshalEasyJSON(in)
+				}
+			}
+		case "annotations":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Annotations).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayEpochSpec10(out *jwriter.Writer, in Change) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if true {
+		const prefix string = ",\"upsert\":"
+		first = false
+		out.RawString(prefix[1:])
+		(in.Upsert).MarshalEasyJSON(out)
+	}
+	if true {
+		const prefix string = ",\"remove\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.Remove).MarshalEasyJSON(out)
+	}
+	if in.Limits != nil {
+		const prefix string = ",\"limits\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(*in.Limits).MarshalEasyJSON(out)
+	}
+	if len(in.Annotations) != 0 {
+		const prefix string = ",\"annotations\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.Annotations).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Change) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayEpochSpec10(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayEpochSpec10(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Change) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayEpochSpec10(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayEpochSpec10(l, v)
 }
--- a/process/core/node.go
+++ b/process/core/node.go
@@ -308,11 +308,13 @@
 	if handle := node.handlers[reflect.TypeOf(envelope.Body)]; handle != nil {
 		handle(now, envelope)
 	}
+	node.serveParked(now)
 }
 
 // Synced takes the completion of a write.
 func (node *Node) Synced(now time.Time, sequence uint64) {
 	node.outbox.Done(now, sequence)
+	node.serveParked(now)
 	node.answerWaiters(now)
 }
 
@@ -357,6 +359,7 @@
 	node.cohort.Tick(now)
 	node.rumors.Tick(now)
 	node.registrar.Tick(now)
+	node.serveParked(now)
 	node.answerWaiters(now)
 	node.tendAsks(now)
 }
--- a/process/core/orders.go
+++ b/process/core/orders.go
@@ -17,6 +17,9 @@
 	askAgain    = 300 * time.Millisecond
 	maximumAsks = 256
 	maximumHops = 3
+	// parkBound is for how long a question waits here for the moment at which it can be answered; its asker
+	// sends it again meanwhile.
+	parkBound = 2 * time.Second
 	// Staleness is for how long a data daemon relies on a tick, counted from its question.
 	Staleness = 1500 * time.Millisecond
 	// leaseMargin is what the head waits beyond that, for clocks that drift.
@@ -33,6 +36,7 @@
 	begun       time.Time
 	mark        uint64
 	waiters     []*waiter
+	parked      []parked
 	daemons     map[string]*daemon
 	firstDaemon time.Time
 	refused     map[string]bool
@@ -58,12 +62,20 @@
 	view     uint64
 }
 
+// parked is a question that this machine must answer but can't yet.
+type parked struct {
+	message *wire.OperatorAsk
+	until   time.Time
+}
+
 // ask is an operator's question that came in at this machine.
 type ask struct {
 	message *wire.OperatorAsk
 	answer  func(status int, body []byte)
 	until   time.Time
 	sent    time.Time
+	// The view under which it was sent.
+	view uint64
 	// The machines that may have taken it.
 	passed map[string]bool
 }
@@ -123,10 +135,11 @@
 			continue
 		}
 		current := node.agent.Current()
-		if current.Epoch == 0 || now.Sub(open.sent) < askAgain {
+		// Why: another view has another head or tail, which need not be left waiting.
+		if current.Epoch == 0 || open.view == current.Epoch && now.Sub(open.sent) < askAgain {
 			continue
 		}
-		open.sent = now
+		open.sent, open.view = now, current.Epoch
 		target := current.Chain[0]
 		if open.message.Verb == "get" {
 			target = current.Chain[len(current.Chain)-1]
@@ -215,15 +228,59 @@
 func (node *Node) serve(now time.Time, message *wire.OperatorAsk) {
 	verbs := map[string]func(now time.Time, message *wire.OperatorAsk){
 		"get": node.serveGet, "operation": node.serveOperation,
-		"apply": node.serveChange, "close": node.serveChange, "open": node.serveChange,
+		"apply": node.serveChange, "change": node.serveChange, "close": node.serveChange, "open": node.serveChange,
 	}
 	if verb := verbs[message.Verb]; verb != nil {
 		verb(now, message)
 	}
 }
 
+// park keeps a question until this machine can answer it. Without that it would wait until its asker
+// sends it again.
+func (node *Node) park(now time.Time, message *wire.OperatorAsk) {
+	for _, parked := range node.head.parked {
+		if parked.message.Token == message.Token {
+			return
+		}
+	}
+	if len(node.head.parked) < maximumAsks {
+		node.head.parked = append(node.head.parked, parked{message: message, until: now.Add(parkBound)})
+	}
+}
+
+// serveParked tries the parked questions once more, when there is a chance; what still can't be answered is
+// parked again.
+func (node *Node) serveParked(now time.Time) {
+	if len(node.head.parked) == 0 || !node.answers(now) {
+		return
+	}
+	waiting := node.head.parked
+	node.head.parked = nil
+	for _, parked := range waiting {
+		if now.After(parked.until) {
+			continue
+		}
+		node.serve(now, parked.message)
+		if last := len(node.head.parked) - 1; last >= 0 && node.head.parked[last].message == parked.message {
+			node.head.parked[last].until = parked.until
+		}
+	}
+}
+
+// answers tells whether this machine could answer any question now: as tail, or as head without a spec that
+// is not committed yet.
+func (node *Node) answers(now time.Time) bool {
+	return node.chain.Tail() && node.holder.Valid(now, node.agent.Current().Epoch) ||
+		node.leading(now) && node.chain.Latest().SpecEpoch == node.chain.Committed().SpecEpoch
+}
+
 func (node *Node) serveGet(now time.Time, message *wire.OperatorAsk) {
-	if !node.chain.Tail() || !node.holder.Valid(now, node.agent.Current().Epoch) {
+	current := node.agent.Current()
+	if len(current.Chain) == 0 || current.Chain[len(current.Chain)-1].Id != node.self.Id {
+		return
+	}
+	if !node.chain.Tail() || !node.holder.Valid(now, current.Epoch) {
+		node.park(now, message)
 		return
 	}
 	document := node.chain.Committed()
@@ -235,7 +292,7 @@
 }
 
 func (node *Node) serveOperation(now time.Time, message *wire.OperatorAsk) {
-	if !node.leading(now) {
+	if !node.leads(now, message) {
 		return
 	}
 	outcome := find(node.chain.Latest().Outcomes, message.Operation)
@@ -259,8 +316,17 @@
 	return nil
 }
 
+// leads tells whether this machine may answer a question as head; a head that may not yet parks it.
+func (node *Node) leads(now time.Time, message *wire.OperatorAsk) bool {
+	leading := node.leading(now)
+	if !leading && node.chain.Head() {
+		node.park(now, message)
+	}
+	return leading
+}
+
 func (node *Node) serveChange(now time.Time, message *wire.OperatorAsk) {
-	if !node.leading(now) {
+	if !node.leads(now, message) {
 		return
 	}
 	latest := node.chain.Latest()
@@ -273,6 +339,12 @@
 		return
 	}
 	refuse := func(status int, reply Reply) {
+		// Why: a spec that is not committed yet may be lost with this head. What is refused because of it might
+		// then be accepted from a copy that came in elsewhere. Once it is committed, no copy can ever be.
+		if status != 503 && latest.SpecEpoch != node.chain.Committed().SpecEpoch {
+			node.park(now, message)
+			return
+		}
 		node.counters.Refused++
 		// Why: the asker sends again what it thinks lost; a late copy must not be accepted after a refusal was told.
 		if len(node.head.refused) >= 4*maximumAsks {
@@ -286,20 +358,32 @@
 			fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)))
 		return
 	}
-	changed, failure := node.changed(message, latest)
+	changed, flaws, failure := node.changed(message, latest)
 	if failure != nil {
 		found := fault.Of(failure)
 		statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413, fault.InvalidSpec: 422}
 		refuse(statuses[found.Kind], refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
 		return
 	}
-	if flaws := changed.Check(); len(flaws) > 0 {
+	if message.HasEpoch && message.Epoch <= latest.SpecEpoch {
+		flaws = append(flaws, spec.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
+	}
+	if len(flaws) > 0 {
 		reply := refusal(fault.InvalidSpec, latest.SpecEpoch, message.Operation, fmt.Sprintf("%d faults", len(flaws)))
 		reply.Flaws = flaws
 		refuse(422, reply)
 		return
 	}
-	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: latest.SpecEpoch + 1, Spec: changed.Encode()}
+	epoch, content := latest.SpecEpoch+1, changed.Encode()
+	if message.HasEpoch {
+		epoch = message.Epoch
+	}
+	// Why: named changes may grow a spec beyond what could be read again.
+	if len(content) > spec.MaximumBytes {
+		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), spec.MaximumBytes)))
+		return
+	}
+	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
 	// Why: a sick disk would hold this change up for as long as it takes the others to notice.
 	if node.sick(now) {
 		refuse(503, refusal(fault.DiskFailed, latest.SpecEpoch, message.Operation, "the head's disk does not keep up"))
@@ -314,25 +398,41 @@
 	node.await(now, message, entry.Sequence, entry.SpecEpoch)
 }
 
-// changed gives the spec that an order asks for.
-func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*spec.Spec, error) {
+// changed gives the spec that an order asks for, and its flaws.
+func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*spec.Spec, []spec.Flaw, error) {
 	if message.Verb == "apply" {
-		return spec.Parse(message.Spec)
+		parsed, failure := spec.Parse(message.Spec)
+		if failure != nil {
+			return nil, nil, failure
+		}
+		return parsed, parsed.Check(), nil
 	}
-	if len(latest.Spec) == 0 {
-		return nil, fault.New(fault.InvalidSpec, "there is no spec yet whose zones could be closed")
+	present := &spec.Spec{Zones: []spec.Zone{}, Pools: []spec.Pool{}, Lanes: spec.Lanes{}}
+	if len(latest.Spec) > 0 {
+		read, failure := spec.Decode(latest.Spec)
+		if failure != nil {
+			return nil, nil, failure
+		}
+		present = read
 	}
-	present, failure := spec.Parse(latest.Spec)
-	if failure != nil {
-		return nil, failure
+	if message.Verb == "change" {
+		change, failure := spec.ParseChange(message.Spec)
+		if failure != nil {
+			return nil, nil, failure
+		}
+		next, flaws := change.Apply(present)
+		return next, flaws, nil
+	}
+	if len(latest.Spec) == 0 {
+		return nil, nil, fault.New(fault.InvalidSpec, "there is no spec yet whose zones could be closed")
 	}
 	for place := range present.Zones {
 		if present.Zones[place].Name == message.Zone {
 			present.Zones[place].Closed = message.Verb == "close"
-			return present, nil
+			return present, present.Check(), nil
 		}
 	}
-	return nil, fault.New(fault.InvalidSpec, "there is no zone %q", message.Zone)
+	return nil, nil, fault.New(fault.InvalidSpec, "there is no zone %q", message.Zone)
 }
 
 func (node *Node) await(now time.Time, message *wire.OperatorAsk, sequence, epoch uint64) {
--- /dev/null
+++ b/process/core/orders_test.go
@@ -0,0 +1,208 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/epoch/spec"
+)
+
+// lone is a chain of one machine whose disk answers when it is let.
+type lone struct {
+	node    *Node
+	now     time.Time
+	held    []uint64
+	stalled bool
+}
+
+func newLone() *lone {
+	self := &wire.Member{Id: "a", Address: "127.0.0.1:1", Zone: "a"}
+	memory := &wire.Memory{Id: "a", View: &wire.View{Epoch: 1, Fleet: "f", Floor: 1, Chain: []*wire.Member{self}, Keepers: []*wire.Member{self}}}
+	lone := &lone{now: time.Unix(1_700_000_000, 0)}
+	lone.node = New(lone.now, Startup{Address: self.Address, Zone: "a"}, memory, nil, rand.New(rand.NewSource(1)))
+	lone.run(4 * time.Second)
+	return lone
+}
+
+func (lone *lone) run(length time.Duration) {
+	for end := lone.now.Add(length); lone.now.Before(end); {
+		lone.now = lone.now.Add(50 * time.Millisecond)
+		lone.node.Tick(lone.now)
+		lone.settle()
+	}
+}
+
+func (lone *lone) settle() {
+	for range 4 {
+		parcels, writes := lone.node.Drain()
+		for _, write := range writes {
+			lone.held = append(lone.held, write.Sequence)
+		}
+		if !lone.stalled {
+			for _, sequence := range lone.held {
+				lone.node.Synced(lone.now, sequence)
+			}
+			lone.held = nil
+		}
+		for _, parcel := range parcels {
+			if parcel.To == lone.node.Self().Address {
+				lone.node.Receive(lone.now, parcel.Envelope)
+			}
+		}
+	}
+}
+
+// send gives the answer once there is one; its status is 0 before.
+func (lone *lone) send(ask *wire.OperatorAsk) *given {
+	given := &given{}
+	lone.node.Ask(lone.now, ask, func(status int, body []byte) {
+		given.status = status
+		if failure := json.Unmarshal(body, &given.reply); failure != nil {
+			panic(failure)
+		}
+	})
+	lone.settle()
+	return given
+}
+
+type given struct {
+	status int
+	reply  Reply
+}
+
+func whole(lanes ...string) []byte {
+	var list []string
+	for _, lane := range lanes {
+		list = append(list, fmt.Sprintf(`{"name":%q,"pool":"p","patience":"1s","repeatable":false}`, lane))
+	}
+	return []byte(`{"zones":[],"pools":[{"name":"p","services":["s"]}],"lanes":[` + strings.Join(list, ",") + `]}`)
+}
+
+func apply(operation string, base, epoch uint64, lanes ...string) *wire.OperatorAsk {
+	return &wire.OperatorAsk{Verb: "apply", Operation: operation, Base: base, HasBase: true, Epoch: epoch, HasEpoch: epoch > 0, Spec: whole(lanes...)}
+}
+
+func change(operation string, base, epoch uint64, content string) *wire.OperatorAsk {
+	return &wire.OperatorAsk{Verb: "change", Operation: operation, Base: base, HasBase: true, Epoch: epoch, HasEpoch: epoch > 0, Spec: []byte(content)}
+}
+
+func (lone *lone) lanes(test *testing.T) (names string) {
+	held, failure := spec.Decode(lone.node.Chain().Committed().Spec)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	for _, lane := range held.Lanes {
+		names += lane.Name
+	}
+	return names
+}
+
+func TestEpochsMayClimbUnevenly(test *testing.T) {
+	lone := newLone()
+	for _, step := range []struct {
+		ask    *wire.OperatorAsk
+		status int
+		epoch  uint64
+		path   string
+	}{
+		{apply("first", 0, 7, "a"), 200, 7, ""},
+		{apply("first", 0, 7, "a"), 200, 7, ""},
+		{apply("same", 7, 7, "b"), 422, 7, "epoch"},
+		{apply("below", 7, 3, "b"), 422, 7, "epoch"},
+		{&wire.OperatorAsk{Verb: "apply", Operation: "none", Base: 7, HasBase: true, HasEpoch: true, Spec: whole("b")}, 422, 7, "epoch"},
+		{apply("stale and below", 3, 3, "b"), 409, 7, ""},
+		{apply("next", 7, 0, "b"), 200, 8, ""},
+		{change("leap", 8, 900, `{"remove":{"lanes":["b"]},"upsert":{"lanes":[{"name":"c","pool":"p","patience":"1s"}]}}`), 200, 900, ""},
+		{change("leap", 8, 900, `{"remove":{"lanes":["b"]},"upsert":{"lanes":[{"name":"c","pool":"p","patience":"1s"}]}}`), 200, 900, ""},
+		{apply("first", 0, 7, "a"), 200, 7, ""},
+		{change("stale", 8, 901, `{}`), 409, 900, ""},
+		{change("low", 900, 900, `{}`), 422, 900, "epoch"},
+	} {
+		got := lone.send(step.ask)
+		if got.status != step.status || got.reply.Epoch != step.epoch || step.path != "" && (len(got.reply.Flaws) != 1 || got.reply.Flaws[0].Path != step.path) {
+			test.Errorf("%s: %d %+v", step.ask.Operation, got.status, got.reply)
+		}
+	}
+	if got := lone.lanes(test); got != "c" || lone.node.Chain().Committed().SpecEpoch != 900 {
+		test.Errorf("the lanes are %s", got)
+	}
+}
+
+func TestChangesLandWholeOrNotAtAll(test *testing.T) {
+	lone := newLone()
+	lone.send(apply("first", 0, 0, "a", "b", "c"))
+	for path, content := range map[string]string{
+		"upsert.lanes[0].name":  `{"upsert":{"lanes":[{"name":"d","pool":"p","patience":"1s"},{"name":"b","pool":"p","patience":"1s"}]},"remove":{"lanes":["d"]}}`,
+		"upsert.lanes[1].name":  `{"upsert":{"lanes":[{"name":"d","pool":"p","patience":"1s"},{"name":"d","pool":"p","patience":"2s"}]}}`,
+		"upsert.lanes[1].pool":  `{"upsert":{"lanes":[{"name":"d","pool":"p","patience":"1s"},{"name":"b","pool":"q","patience":"1s"}]}}`,
+		"upsert.pools[0].model": `{"upsert":{"pools":[{"name":"q","weights":"w","services":["s"]}]}}`,
+		"lanes[0].pool":         `{"remove":{"pools":["p"]}}`,
+		"limits.body_bytes":     `{"limits":{"body_bytes":-1},"remove":{"lanes":["a"]}}`,
+	} {
+		got := lone.send(change(path, 1, 0, content))
+		if got.status != 422 || len(got.reply.Flaws) == 0 || got.reply.Flaws[0].Path != path {
+			test.Errorf("%s: %d %+v", path, got.status, got.reply)
+		}
+	}
+	for name, content := range map[string]string{"no text": ``, "cut": `{"upsert":`, "unknown": `{"up":{}}`, "twice": `{"remove":{},"remove":{}}`, "unknown inside": `{"remove":{"lane":["a"]}}`} {
+		if got := lone.send(change(name, 1, 0, content)); got.status != 400 {
+			test.Errorf("%s: %d %+v", name, got.status, got.reply)
+		}
+	}
+	if got := lone.lanes(test); got != "abc" || lone.node.Chain().Committed().SpecEpoch != 1 {
+		test.Fatalf("the lanes are %s after refusals", got)
+	}
+	got := lone.send(change("fine", 1, 0, `{"upsert":{"pools":[{"name":"q","services":["t"]}],"lanes":[{"name":"d","pool":"q","patience":"1s"},{"name":"b","pool":"q","patience":"3s"}]},"remove":{"lanes":["a","never"]},"limits":{"body_bytes":5}}`))
+	held, failure := spec.Decode(lone.node.Chain().Committed().Spec)
+	if failure != nil || got.status != 200 || lone.lanes(test) != "bcd" || held.Lanes[0].Pool != "q" || held.Limits.BodyBytes != 5 || held.Lanes[0].Worth != 1 {
+		test.Fatalf("%d %+v %v %+v", got.status, got.reply, failure, held)
+	}
+}
+
+// What is refused because of a spec that is not committed yet waits until it is: with this head that spec
+// may be lost, and a copy of the change that came in elsewhere be accepted.
+func TestRefusalsWaitForWhatTheyRestOn(test *testing.T) {
+	lone := newLone()
+	lone.send(apply("first", 0, 0, "a"))
+	lone.stalled = true
+	under := lone.send(apply("under way", 1, 5, "b"))
+	stale := lone.send(apply("stale", 1, 0, "c"))
+	invalid := lone.send(change("invalid", 5, 0, `{"remove":{"pools":["p"]}}`))
+	read := lone.send(&wire.OperatorAsk{Verb: "get"})
+	lone.run(600 * time.Millisecond)
+	if under.status != 0 || stale.status != 0 || invalid.status != 0 {
+		test.Fatalf("answered before anything is on the disk: %d %d %d", under.status, stale.status, invalid.status)
+	}
+	if read.status != 200 || read.reply.Epoch != 1 {
+		test.Fatalf("a read gives what is committed: %d %+v", read.status, read.reply)
+	}
+	lone.stalled = false
+	lone.settle()
+	if under.status != 200 || under.reply.Epoch != 5 || stale.status != 409 || stale.reply.Epoch != 5 || invalid.status != 422 {
+		test.Fatalf("answered once it is: %d %d %d", under.status, stale.status, invalid.status)
+	}
+}
+
+// A head or tail that may not answer yet answers as soon as it may, without being asked again.
+func TestQuestionsWaitForTheClaim(test *testing.T) {
+	lone := newLone()
+	lone.send(apply("first", 0, 0, "a"))
+	lone.now = lone.now.Add(3 * time.Second)
+	read, changed := lone.send(&wire.OperatorAsk{Verb: "get"}), lone.send(apply("second", 1, 0, "b"))
+	if read.status != 0 || changed.status != 0 {
+		test.Fatalf("answered without a claim: %d %d", read.status, changed.status)
+	}
+	lone.run(50 * time.Millisecond)
+	if read.status != 200 || lone.lanes(test) != "b" {
+		test.Fatalf("a claim did not suffice: %d, lanes %s", read.status, lone.lanes(test))
+	}
+	lone.run(Staleness + leaseMargin)
+	if changed.status != 200 {
+		test.Fatalf("the change: %d %+v", changed.status, changed.reply)
+	}
+}
--- a/process/corehost/http.go
+++ b/process/corehost/http.go
@@ -22,6 +22,7 @@
 	routes := router.New()
 	routes.GET("/v1/spec", host.order("get"))
 	routes.PUT("/v1/spec", host.order("apply"))
+	routes.PATCH("/v1/spec", host.order("change"))
 	routes.POST("/v1/zones/{zone}/close", host.order("close"))
 	routes.POST("/v1/zones/{zone}/open", host.order("open"))
 	routes.GET("/v1/operations/{operation}", host.order("operation"))
@@ -63,48 +64,53 @@
 	context.SetBody(content)
 }
 
+// answer is what came of a question to the chain.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// ask puts a question to the chain; its answer comes within the bound of the control plane.
+func (host *Host) ask(message *wire.OperatorAsk) <-chan answer {
+	// Why: without an id of its own an operation could neither be asked for nor told from a repeat.
+	if message.Operation == "" && message.Verb != "get" {
+		message.Operation = identity()
+	}
+	answers := make(chan answer, 1)
+	host.step(func(now time.Time) {
+		host.node.Ask(now, message, func(status int, body []byte) { answers <- answer{status, body} })
+	})
+	return answers
+}
+
+// Order puts an operator's question to the chain, whichever machine must answer it, and waits for at most
+// the bound. A change goes its way beyond that: its outcome is unknown then, and the same operation id sent
+// again, here or elsewhere, finds it.
+func (host *Host) Order(message *wire.OperatorAsk, bound time.Duration) (int, core.Reply) {
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case got := <-host.ask(message):
+		reply := core.Reply{}
+		if failure := json.Unmarshal(got.body, &reply); failure != nil {
+			return 500, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.Internal), Detail: failure.Error()}
+		}
+		return got.status, reply
+	case <-timer.C:
+		return 504, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.OutcomeUnknown), Detail: "no answer in time"}
+	}
+}
+
 // order turns a request into a question to the chain and waits for the answer.
 func (host *Host) order(verb string) fasthttp.RequestHandler {
 	return func(context *fasthttp.RequestCtx) {
-		ask := &wire.OperatorAsk{Verb: verb, Operation: string(context.QueryArgs().Peek("operation"))}
-		if named, found := context.UserValue("operation").(string); found {
-			ask.Operation = named
-		}
-		if zone, found := context.UserValue("zone").(string); found {
-			ask.Zone = zone
-		}
-		if len(ask.Operation) > 128 {
-			Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(fault.Malformed), Detail: "operation: at most 128 bytes"})
+		message, failure := question(verb, context)
+		if failure != nil {
+			found := fault.Of(failure)
+			Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(found.Kind), Detail: found.Detail})
 			return
 		}
-		if base := context.QueryArgs().Peek("base"); len(base) > 0 {
-			number, failure := strconv.ParseUint(string(base), 10, 64)
-			if failure != nil {
-				Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(fault.Malformed), Detail: "base: not a whole number"})
-				return
-			}
-			ask.Base, ask.HasBase = number, true
-		}
-		if verb == "apply" {
-			if !ask.HasBase {
-				Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(fault.Malformed), Detail: "base: a spec must name the epoch it was built on (0 for the first)"})
-				return
-			}
-			ask.Spec = append([]byte{}, context.PostBody()...)
-		}
-		// Why: without an id of its own an operation could neither be asked for nor told from a repeat.
-		if ask.Operation == "" && verb != "get" {
-			ask.Operation = identity()
-		}
-		type answer struct {
-			status int
-			body   []byte
-		}
-		answers := make(chan answer, 1)
-		host.step(func(now time.Time) {
-			host.node.Ask(now, ask, func(status int, body []byte) { answers <- answer{status, body} })
-		})
-		got := <-answers
+		got := <-host.ask(message)
 		context.SetContentType("application/json")
 		context.SetStatusCode(got.status)
 		if got.status == 503 {
@@ -114,6 +120,47 @@
 	}
 }
 
+// question reads what an operator asks.
+func question(verb string, context *fasthttp.RequestCtx) (*wire.OperatorAsk, error) {
+	message := &wire.OperatorAsk{Verb: verb, Operation: string(context.QueryArgs().Peek("operation"))}
+	if named, found := context.UserValue("operation").(string); found {
+		message.Operation = named
+	}
+	if zone, found := context.UserValue("zone").(string); found {
+		message.Zone = zone
+	}
+	if len(message.Operation) > 128 {
+		return nil, fault.New(fault.Malformed, "operation: at most 128 bytes")
+	}
+	var failure error
+	if message.Base, message.HasBase, failure = number(context, "base"); failure != nil {
+		return nil, failure
+	}
+	if verb == "apply" || verb == "change" {
+		if message.Epoch, message.HasEpoch, failure = number(context, "epoch"); failure != nil {
+			return nil, failure
+		}
+		if !message.HasBase {
+			return nil, fault.New(fault.Malformed, "base: a spec must name the epoch it was built on (0 for the first)")
+		}
+		message.Spec = append([]byte{}, context.PostBody()...)
+	}
+	return message, nil
+}
+
+// number reads a whole number of the query, if it is there.
+func number(context *fasthttp.RequestCtx, name string) (uint64, bool, error) {
+	text := context.QueryArgs().Peek(name)
+	if len(text) == 0 {
+		return 0, false, nil
+	}
+	value, failure := strconv.ParseUint(string(text), 10, 64)
+	if failure != nil {
+		return 0, false, fault.New(fault.Malformed, "%s: not a whole number", name)
+	}
+	return value, true, nil
+}
+
 // Status is what /v1/status tells.
 type Status struct {
 	Program  string         `json:"program"`
--- a/process/operator/client.go
+++ b/process/operator/client.go
@@ -75,9 +75,29 @@
 // Get reads the present spec from the tail.
 func (client *Client) Get() (core.Reply, error) { return client.ask("GET", "/v1/spec", nil) }
 
-// Apply sends a spec built on an epoch.
-func (client *Client) Apply(content []byte, base uint64, operation string) (core.Reply, error) {
-	return client.ask("PUT", fmt.Sprintf("/v1/spec?base=%d&operation=%s", base, url.QueryEscape(operation)), content)
+// Change says on which epoch a change is built, under which operation id it goes, and which epoch the new
+// spec is to have (0: the next).
+type Change struct {
+	Base, Epoch uint64
+	Operation   string
+}
+
+func (change Change) path() string {
+	path := fmt.Sprintf("/v1/spec?base=%d&operation=%s", change.Base, url.QueryEscape(change.Operation))
+	if change.Epoch > 0 {
+		path += fmt.Sprintf("&epoch=%d", change.Epoch)
+	}
+	return path
+}
+
+// Apply sends a whole spec.
+func (client *Client) Apply(content []byte, change Change) (core.Reply, error) {
+	return client.ask("PUT", change.path(), content)
+}
+
+// Change sends the entries to add, replace and remove.
+func (client *Client) Change(content []byte, change Change) (core.Reply, error) {
+	return client.ask("PATCH", change.path(), content)
 }
 
 // Zone closes or opens a zone.
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -415,7 +415,8 @@
 func (fleet *fleet) change() (core.Reply, time.Duration, error) {
 	fleet.mark++
 	begun := time.Now()
-	reply, failure := fleet.client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, fleet.mark), fleet.epoch, fmt.Sprintf("change-%d-%d", fleet.options.Seed, fleet.mark))
+	reply, failure := fleet.client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, fleet.mark),
+		operator.Change{Base: fleet.epoch, Operation: fmt.Sprintf("change-%d-%d", fleet.options.Seed, fleet.mark)})
 	took := time.Since(begun)
 	if failure == nil && reply.Outcome == "accepted" {
 		fleet.epoch = reply.Epoch
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -424,7 +424,8 @@
 					continue
 				}
 				sent := time.Now()
-				reply, failure := client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, 1000*number+attempt), present.Epoch, fmt.Sprintf("storm-%d-%d-%d", fleet.options.Seed, number, attempt))
+				reply, failure := client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, 1000*number+attempt),
+					operator.Change{Base: present.Epoch, Operation: fmt.Sprintf("storm-%d-%d-%d", fleet.options.Seed, number, attempt)})
 				took := time.Since(sent)
 				mutex.Lock()
 				if failure != nil {
