--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -76,8 +76,9 @@
 	HasBase   bool
 	// Marker is a lane that only this order's spec has.
 	Marker string
-	// Spec is the whole document of an apply.
+	// Spec is the whole document of an apply, Change that of a change of named entries.
 	Spec       *spec.Spec
+	Change     *spec.Change
 	Sent, Got  time.Time
 	Outcome    string
 	Epoch      uint64
--- a/proof/history/judge.go
+++ b/proof/history/judge.go
@@ -156,6 +156,8 @@
 	for _, change := range changes {
 		if change.order.Verb == "apply" && change.order.Spec != nil {
 			present = change.order.Spec
+		} else if change.order.Change != nil {
+			present, _ = change.order.Change.Apply(present)
 		} else {
 			turned := *present
 			turned.Zones = append([]spec.Zone{}, present.Zones...)
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -396,6 +396,24 @@
 	return made.Encode()
 }
 
+// amend makes a change of named entries: it sets right whatever an earlier spec took, or takes something itself.
+func (traffic *Traffic) amend(number int) *spec.Change {
+	made := traffic.Mix.Spec(traffic.History.Zones, fmt.Sprintf("marker-%d", number))
+	change := &spec.Change{Upsert: spec.Entries{Zones: made.Zones, Pools: made.Pools, Lanes: made.Lanes}}
+	if traffic.random.Float64() >= traffic.Takes {
+		return change
+	}
+	takes := []func(){
+		func() { change.Remove.Lanes, change.Upsert.Lanes = []string{made.Lanes[0].Name}, made.Lanes[1:] },
+		func() {
+			change.Upsert = spec.Entries{Zones: []spec.Zone{{Name: made.Zones[traffic.random.Intn(len(made.Zones))].Name, Closed: true}}}
+		},
+		func() { change.Upsert.Pools[0].Services = []string{"another-service"} },
+	}
+	takes[traffic.random.Intn(len(takes))]()
+	return change
+}
+
 // Fault records that something touches a daemon or a runner, and gives what ends it.
 func (traffic *Traffic) Fault(what string, host *Host, kills bool, knowable time.Duration) func() {
 	record, now := traffic.History, traffic.world.Now
