--- a/process/director/director.go
+++ b/process/director/director.go
@@ -466,7 +466,7 @@
 			director.counters.OddDocuments++
 			return
 		}
-		parsed, failure := spec.Decode(content)
+		parsed, failure := spec.Parse(content)
 		if failure != nil {
 			director.counters.OddDocuments++
 			return
--- a/process/kvblock/kvblock.go
+++ b/process/kvblock/kvblock.go
@@ -149,6 +149,31 @@
 	return found
 }
 
+// Hold is what a runner is taken to hold of a prompt.
+type Hold struct {
+	// Blocks is how many leading ones without a gap, Used when the last of these was last sent.
+	Blocks int
+	Used   time.Time
+}
+
+// Held gives what each runner of a set holds of a prompt's opening.
+func (index *Index) Held(keys []BlockKey, runners map[string]bool) map[string]Hold {
+	held := map[string]Hold{}
+	for place, key := range keys {
+		holders, there := index.shard(key).Get(key)
+		if !there {
+			return held
+		}
+		for _, runner := range holders.Keys() {
+			if runners[runner] && held[runner].Blocks == place {
+				used, _ := holders.Peek(runner)
+				held[runner] = Hold{Blocks: place + 1, Used: used}
+			}
+		}
+	}
+	return held
+}
+
 // Keys tells how many keys the index holds.
 func (index *Index) Keys() int {
 	count := 0
@@ -191,6 +216,11 @@
 	return &Indexer{Processor: NewTokenProcessor(seed), Index: index, Pool: NewPool(index, workers)}, nil
 }
 
+// Held gives what each runner of a set holds of a prompt's opening.
+func (indexer *Indexer) Held(keys []BlockKey, runners map[string]bool) map[string]Hold {
+	return indexer.Index.Held(keys, runners)
+}
+
 // Score gives the runners of a set their scores for a prompt's keys.
 func (indexer *Indexer) Score(keys []BlockKey, runners map[string]bool) map[string]int {
 	return indexer.scorer.Score(indexer.Index.Lookup(keys, runners))
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -53,6 +53,12 @@
 	Sure float64
 	// InFlight is our own work on it.
 	InFlight int
+	// Told is when its newest word came, zero if none did; OthersWaiting is how many requests of others waited
+	// for their first event by that.
+	Told          time.Time
+	OthersWaiting int
+	// Tokens and Room are its memory as last told; Room 0: not told.
+	Tokens, Room int
 	// Limit is how much work of ours it may have now; it is low while the runner warms.
 	Limit   int
 	Warming bool
@@ -79,9 +85,11 @@
 	// others is the same by the last report alone.
 	others   float64
 	inFlight int
-	pause    time.Duration
-	paused   time.Time
-	reason   string
+	// unanswered is how much of our own work has no event yet, othersWaiting how much of others' by the last word.
+	unanswered, othersWaiting int
+	pause                     time.Duration
+	paused                    time.Time
+	reason                    string
 	// misses counts the reports that failed since the last good one.
 	misses int
 }
@@ -183,6 +191,12 @@
 			known.external = others
 		}
 		known.external += smoothing * (others - known.external)
+		own := known.unanswered
+		if report.Room == 0 && own > 0 {
+			// Why: what an answer's head tells no longer counts the request that is being answered.
+			own--
+		}
+		known.othersWaiting = max(0, report.Waiting-own)
 		// Why: the head of an answer tells nothing of memory; what a report told of it holds on.
 		if report.Room == 0 {
 			report.Tokens, report.Room = known.report.Tokens, known.report.Room
@@ -237,13 +251,22 @@
 func (book *Book) Begin(runner string) {
 	book.change(runner, func(known *entry) {
 		known.inFlight++
+		known.unanswered++
 	})
 }
 
-// Finish gives a place back.
-func (book *Book) Finish(runner string) {
+// Answered notes that the first event of one of our requests has come.
+func (book *Book) Answered(runner string) {
+	book.change(runner, func(known *entry) { known.unanswered-- })
+}
+
+// Finish gives a place back; answered tells whether Answered was noted for it.
+func (book *Book) Finish(runner string, answered bool) {
 	book.change(runner, func(known *entry) {
 		known.inFlight--
+		if !answered {
+			known.unanswered--
+		}
 	})
 }
 
@@ -280,7 +303,8 @@
 
 func (book *Book) view(now time.Time, known *entry, daemons []string) Runner {
 	runner := Runner{ID: known.line.RunnerId, Address: known.line.Address, Zone: known.line.Zone, Service: known.line.Service,
-		State: known.line.State, Slots: initialSlots, InFlight: known.inFlight, Usable: true}
+		State: known.line.State, Slots: initialSlots, InFlight: known.inFlight, Usable: true, Told: known.reported,
+		OthersWaiting: known.othersWaiting, Tokens: known.report.Tokens, Room: known.report.Room}
 	if known.line.Slots > 0 {
 		runner.Slots = int(known.line.Slots)
 	}
--- /dev/null
+++ b/proof/place/choices.go
@@ -0,0 +1,32 @@
+package place
+
+import (
+	"math/rand"
+
+	"wardtray/request/award"
+)
+
+// two takes the better of two drawn by lot.
+func two(worth func(quote award.Quote) float64) award.Choice {
+	return func(_ award.Bid, quotes []award.Quote, random *rand.Rand) int {
+		best, drawn := -1, 0
+		for _, place := range random.Perm(len(quotes)) {
+			if quotes[place].Full || drawn == 2 {
+				continue
+			}
+			drawn++
+			if best < 0 || worth(quotes[place]) > worth(quotes[best]) {
+				best = place
+			}
+		}
+		return best
+	}
+}
+
+// Choices are the baselines; any other name is wardtray's own choice.
+var Choices = map[string]award.Choice{
+	"random":       Ways["random"],
+	"least-loaded": Ways["least-loaded"],
+	"two-choices":  two(func(quote award.Quote) float64 { return -quote.Offer.Load }),
+	"index-only":   Ways["index-only"],
+}
--- a/proof/place/place_test.go
+++ b/proof/place/place_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"wardtray/proof/load"
 )
 
 func measure(test *testing.T, deployment, way string, rate, hot float64) map[string]*Result {
@@ -16,23 +18,47 @@
 	return results
 }
 
-// In simulated time and so the same on every machine: the index finds more in caches than chance does,
-// and keeps work within its zone.
+// In simulated time and so the same on every machine: the index and the homes find far more in caches than
+// chance does.
 func TestPlacementBeatsChance(test *testing.T) {
 	for _, deployment := range []string{"guild", "ferries"} {
 		ours, chance := measure(test, deployment, "wardtray", 60, 0)[""], measure(test, deployment, "random", 60, 0)[""]
 		if ours.Done != ours.Requests {
 			test.Errorf("%s: %d of %d done with room to spare", deployment, ours.Done, ours.Requests)
 		}
-		if ours.CacheShare() < 1.05*chance.CacheShare() {
+		if ours.CacheShare() < 1.5*chance.CacheShare() {
 			test.Errorf("%s: %.0f%% cached, by chance %.0f%%", deployment, 100*ours.CacheShare(), 100*chance.CacheShare())
 		}
-		if ours.Across*3 > chance.Across*2 {
+		if ours.Across > chance.Across {
 			test.Errorf("%s: %d awards across zones, by chance %d", deployment, ours.Across, chance.Across)
 		}
 	}
 }
 
+// A prompt crosses zones for its opening, whose second reading costs fifty times what its bytes do. One
+// without an opening stays where it came.
+func TestPromptsWithoutOpeningsStayInTheirZone(test *testing.T) {
+	for _, deployment := range []string{"guild", "ferries"} {
+		across := map[string]int{}
+		for _, way := range []string{"wardtray", "random"} {
+			setting := Settings[deployment]
+			setting.Way, setting.Rate, setting.Length, setting.Seed = way, 60, 8*time.Second, 3
+			setting.Mix.Kinds = append([]load.Kind{}, setting.Mix.Kinds...)
+			for place := range setting.Mix.Kinds {
+				setting.Mix.Kinds[place].Opening, setting.Mix.Kinds[place].Own = 0, 800
+			}
+			results, failure := Measure(setting)
+			if failure != nil {
+				test.Fatal(failure)
+			}
+			across[way] = results[""].Across
+		}
+		if across["wardtray"]*3 > across["random"]*2 {
+			test.Errorf("%s: %d awards across zones, by chance %d", deployment, across["wardtray"], across["random"])
+		}
+	}
+}
+
 // One key with nine tenths of the work spills: nobody is turned away, and no runner is filled to where it puts back.
 func TestHotKeySpillsOverTheFleet(test *testing.T) {
 	ours := measure(test, "guild", "wardtray", 150, 0.9)[""]
--- /dev/null
+++ b/proof/place/play.go
@@ -0,0 +1,525 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"time"
+
+	"wardtray/connection/wire"
+	"wardtray/epoch/spec"
+	"wardtray/process/budget"
+	"wardtray/process/kvblock"
+	"wardtray/process/pressure"
+	"wardtray/proof/sim"
+	"wardtray/proof/standin"
+	"wardtray/request/award"
+)
+
+// Play is one measurement of a deployment.
+type Play struct {
+	Deployment Deployment
+	// Load multiplies the lanes' rates.
+	Load   float64
+	Length time.Duration
+	Seed   int64
+	Way    string
+	// Polls is how old a runner's word may grow before it is asked; 0: never.
+	Polls time.Duration
+	// Hot is the part of HotLane's requests that carry one opening, from a third to two thirds of the time.
+	Hot     float64
+	HotLane string
+	// Slow is the part of the runners that are three times slower, Crash of those that crash, in the same time.
+	Slow, Crash float64
+	// Release is the part of the runners that are replaced one after the other from the beginning on.
+	Release float64
+}
+
+// Earned is what one lane, or all together, earned.
+type Earned struct {
+	Requests, InTime, Late, Refused, Lost, Sends, Across int
+	Owed, Worth                                          float64
+	// Large and LargeServed count the largest tenth.
+	Large, LargeServed int
+	// Shared are the tokens of shared parts, Reread those read though some runner kept them.
+	Shared, Reread int
+	// Probes are reports asked for, AcrossBytes what went between zones.
+	Probes      int
+	AcrossBytes float64
+	First       []time.Duration
+	Window      map[int][2]float64
+}
+
+// Share is the part of what is owed that was earned.
+func (earned *Earned) Share() float64 { return earned.Worth / max(1e-9, earned.Owed) }
+
+// The prices of rereading a thousand tokens, of a probe and of a gigabyte between zones, in worth.
+const (
+	rereadPrice = 0.62
+	probePrice  = 0.019
+	acrossPrice = 3300
+)
+
+// Net is the same less the prices.
+func (earned *Earned) Net() float64 {
+	return (earned.Worth - rereadPrice*float64(earned.Reread)/1000 - probePrice*float64(earned.Probes) - acrossPrice*earned.AcrossBytes/1e9) / max(1e-9, earned.Owed)
+}
+
+// Worst is the same over the worst three seconds of which a good part was owed.
+func (earned *Earned) Worst() float64 {
+	worst, mean := 1.0, earned.Owed/float64(max(1, len(earned.Window)))
+	for _, window := range earned.Window {
+		if window[0] > mean/2 {
+			worst = min(worst, window[1]/window[0])
+		}
+	}
+	return worst
+}
+
+// Quantile gives the value below which such a part of the first events lies.
+func (earned *Earned) Quantile(part float64) time.Duration {
+	if len(earned.First) == 0 {
+		return 0
+	}
+	sort.Slice(earned.First, func(left, right int) bool { return earned.First[left] < earned.First[right] })
+	return earned.First[min(len(earned.First)-1, int(part*float64(len(earned.First))))]
+}
+
+type order struct {
+	lane    LaneWork
+	ticket  *award.Ticket
+	begun   time.Time
+	answer  int
+	held    int
+	worth   float64
+	late    float64
+	large   bool
+	sends   int
+	firstAt time.Time
+}
+
+type desked struct {
+	name, zone string
+	book       *pressure.Book
+	desk       *award.Desk
+	budget     *budget.Budget
+	order      []*order
+}
+
+type fleet struct {
+	play    Play
+	world   *sim.World
+	random  *rand.Rand
+	begun   time.Time
+	batches map[string]*batch
+	list    []*batch
+	lines   []*wire.Runner
+	daemons []*desked
+	clients []*desked
+	names   []string
+	kept    map[kvblock.BlockKey]bool
+	sizes   map[string][][]int
+	weights map[string][]float64
+	results map[string]*Earned
+	mean    map[string]float64
+	largest map[string]float64
+	lives   int
+}
+
+// Run plays it; results are by lane and, under "", for all.
+func (play Play) Run() (map[string]*Earned, error) {
+	world := sim.NewWorld(play.Seed)
+	fleet := &fleet{play: play, world: world, random: rand.New(rand.NewSource(play.Seed)), begun: world.Now, batches: map[string]*batch{}, kept: map[kvblock.BlockKey]bool{},
+		sizes: map[string][][]int{}, weights: map[string][]float64{}, results: map[string]*Earned{"": {Window: map[int][2]float64{}}}, mean: map[string]float64{}, largest: map[string]float64{}}
+	for number := range play.Deployment.Runners {
+		fleet.add(fmt.Sprint("z", number%play.Deployment.Zones))
+	}
+	fleet.prepare()
+	if failure := fleet.hire(); failure != nil {
+		return nil, failure
+	}
+	fleet.observe()
+	fleet.settle()
+	for number := range play.Deployment.Zones {
+		fleet.arrive(number)
+	}
+	fleet.trouble()
+	world.Run(play.Length + 25*time.Second)
+	return fleet.results, nil
+}
+
+func (fleet *fleet) add(zone string) {
+	figures := fleet.play.Deployment.Engine
+	made := &batch{id: fmt.Sprintf("r%03d", fleet.lives), zone: zone, figures: figures, slow: 1, world: fleet.world,
+		cache: standin.NewCache[kvblock.BlockKey](figures.MemoryTokens * 3 / 4)}
+	fleet.lives++
+	fleet.batches[made.id] = made
+	fleet.list = append(fleet.list, made)
+	fleet.lines = append(fleet.lines, &wire.Runner{RunnerId: made.id, Zone: zone, Service: "s", State: "ready", Slots: uint32(figures.Slots)})
+}
+
+// prepare draws the shared parts and reckons what is large.
+func (fleet *fleet) prepare() {
+	for _, lane := range fleet.play.Deployment.Lanes {
+		fleet.results[lane.Name] = &Earned{Window: map[int][2]float64{}}
+		for _, shared := range lane.Chain {
+			tokens := make([]int, shared.Things)
+			for place := range tokens {
+				tokens[place] = shared.Tokens.draw(fleet.random)
+			}
+			fleet.sizes[lane.Name] = append(fleet.sizes[lane.Name], tokens)
+		}
+		weights, sum := make([]float64, lane.Chain[len(lane.Chain)-1].Things), 0.0
+		for place := range weights {
+			sum += math.Pow(float64(place+1), -lane.Chain[len(lane.Chain)-1].Skew)
+			weights[place] = sum
+		}
+		fleet.weights[lane.Name] = weights
+		var sizes []float64
+		total := 0.0
+		for range 2000 {
+			size := float64(lane.Prompt.draw(fleet.random)) + 10*float64(lane.Events.draw(fleet.random)*fleet.play.Deployment.Engine.Stride)
+			sizes = append(sizes, size)
+			total += size
+		}
+		sort.Float64s(sizes)
+		shared := 0.0
+		for _, part := range lane.Chain {
+			shared += part.Tokens.Mean
+		}
+		fleet.mean[lane.Name], fleet.largest[lane.Name] = total/2000+shared, sizes[1800]+shared
+	}
+}
+
+func (fleet *fleet) hire() error {
+	play := fleet.play
+	for number := range play.Deployment.Daemons {
+		fleet.names = append(fleet.names, fmt.Sprint("d", number))
+	}
+	pool := spec.Pool{Engine: spec.Engine{Slots: play.Deployment.Engine.Slots, MemoryTokens: play.Deployment.Engine.MemoryTokens, EventTokens: play.Deployment.Engine.Stride}}
+	for number, name := range fleet.names {
+		indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, kvblock.DefaultRunners, 0)
+		if failure != nil {
+			return failure
+		}
+		made := &desked{name: name, zone: fmt.Sprint("z", number%play.Deployment.Zones), book: pressure.NewBook(fleet.world.Now, name),
+			budget: budget.New(budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, func() int { return len(fleet.names) })}
+		made.book.List(fleet.world.Now, fleet.lines)
+		made.desk = award.NewDesk(func(now time.Time) award.Field {
+			return award.Field{Runners: made.book.All(now, fleet.names), Daemons: len(fleet.names), Pool: pool}
+		}, made.book, indexer, rand.New(rand.NewSource(fleet.random.Int63())))
+		if choice := Choices[play.Way]; choice != nil {
+			made.desk.Choose = choice
+		}
+		fleet.daemons = append(fleet.daemons, made)
+	}
+	// Why: clients are handed to daemons of their zone by a hash, so that shares are uneven.
+	for number := range play.Deployment.Clients {
+		zone := fmt.Sprint("z", number%play.Deployment.Zones)
+		var near []*desked
+		for _, daemon := range fleet.daemons {
+			if daemon.zone == zone {
+				near = append(near, daemon)
+			}
+		}
+		fleet.clients = append(fleet.clients, near[fleet.random.Intn(len(near))])
+	}
+	return nil
+}
+
+// observe keeps reports and lets daemons ask for them.
+func (fleet *fleet) observe() {
+	const every = 25 * time.Millisecond
+	lag := int(fleet.play.Deployment.Engine.ReportLag/every) + 1
+	var take func()
+	take = func() {
+		for _, batch := range fleet.list {
+			batch.reports = append(batch.reports, batch.report())
+			if len(batch.reports) > lag {
+				batch.reports = batch.reports[1:]
+			}
+		}
+		fleet.world.After(every, take)
+	}
+	take()
+	if fleet.play.Polls == 0 {
+		return
+	}
+	for _, daemon := range fleet.daemons {
+		var ask func()
+		ask = func() {
+			for _, runner := range daemon.book.Stale(fleet.world.Now, fleet.play.Polls) {
+				if batch := fleet.batches[runner.ID]; batch != nil && !batch.dark {
+					daemon.book.Reported(fleet.world.Now, runner.ID, batch.reports[0])
+					fleet.results[""].Probes++
+				}
+			}
+			fleet.world.After(fleet.play.Polls/2, ask)
+		}
+		fleet.world.After(time.Duration(fleet.random.Int63n(int64(fleet.play.Polls))), ask)
+	}
+}
+
+func (fleet *fleet) settle() {
+	for _, daemon := range fleet.daemons {
+		if daemon.desk.Waiting() {
+			daemon.desk.Settle(fleet.world.Now)
+			fleet.steps(daemon)
+		}
+	}
+	fleet.world.After(20*time.Millisecond, fleet.settle)
+}
+
+// trouble plans what goes wrong in the middle third.
+func (fleet *fleet) trouble() {
+	play := fleet.play
+	from, length := play.Length/3, play.Length/3
+	chosen := func(share float64) []*batch {
+		count := int(math.Round(share * float64(len(fleet.list))))
+		var list []*batch
+		for _, place := range fleet.random.Perm(len(fleet.list))[:count] {
+			list = append(list, fleet.list[place])
+		}
+		return list
+	}
+	fleet.world.After(from, func() {
+		for _, batch := range chosen(play.Slow) {
+			batch.slow = 3
+			fleet.world.After(length, func() { batch.slow = 1 })
+		}
+		for _, batch := range chosen(play.Crash) {
+			batch.die()
+			// Why: one that says nothing any more is taken off the list only after some calls have not come.
+			fleet.world.After(3600*time.Millisecond, func() { fleet.remove(batch) })
+			fleet.world.After(length, func() { fleet.add(batch.zone); fleet.relist() })
+		}
+	})
+	for place, batch := range chosen(play.Release) {
+		fleet.world.After(time.Duration(place+1)*play.Length/time.Duration(1+int(play.Release*float64(len(fleet.list)))), func() {
+			for _, line := range fleet.lines {
+				if line.RunnerId == batch.id {
+					line.State = "draining"
+				}
+			}
+			fleet.add(batch.zone)
+			fleet.relist()
+			fleet.world.After(3*time.Second, func() { fleet.remove(batch) })
+		})
+	}
+}
+
+func (fleet *fleet) remove(gone *batch) {
+	delete(fleet.batches, gone.id)
+	kept := []*wire.Runner{}
+	for _, line := range fleet.lines {
+		if line.RunnerId != gone.id {
+			kept = append(kept, line)
+		}
+	}
+	fleet.lines = kept
+	list := []*batch{}
+	for _, one := range fleet.list {
+		if one != gone {
+			list = append(list, one)
+		}
+	}
+	fleet.list = list
+	gone.die()
+	fleet.relist()
+}
+
+func (fleet *fleet) relist() {
+	for _, daemon := range fleet.daemons {
+		var lines []*wire.Runner
+		for _, line := range fleet.lines {
+			lines = append(lines, &wire.Runner{RunnerId: line.RunnerId, Zone: line.Zone, Service: line.Service, State: line.State, Slots: line.Slots})
+		}
+		daemon.book.List(fleet.world.Now, lines)
+	}
+}
+
+func (fleet *fleet) middle() bool {
+	since := fleet.world.Now.Sub(fleet.begun)
+	return since >= fleet.play.Length/3 && since < 2*fleet.play.Length/3
+}
+
+// arrive lets clumps of requests come in a zone, in a wave.
+func (fleet *fleet) arrive(zone int) {
+	since := fleet.world.Now.Sub(fleet.begun)
+	if since > fleet.play.Length {
+		return
+	}
+	const clump, swing, period = 3.0, 0.15, 11.0
+	total := 0.0
+	for _, lane := range fleet.play.Deployment.Lanes {
+		total += lane.Rate
+	}
+	rate := total * fleet.play.Load / float64(fleet.play.Deployment.Zones) * (1 + swing*math.Sin(2*math.Pi*(since.Seconds()/period+float64(zone)/float64(fleet.play.Deployment.Zones))))
+	fleet.world.After(time.Duration(fleet.random.ExpFloat64()*clump/rate*float64(time.Second)), func() {
+		client := fleet.clients[fleet.random.Intn(len(fleet.clients)/fleet.play.Deployment.Zones)*fleet.play.Deployment.Zones+zone]
+		for more := true; more; more = fleet.random.Float64() > 1/clump {
+			fleet.world.After(time.Duration(fleet.random.Int63n(int64(10*time.Millisecond))), func() { fleet.request(client, total) })
+		}
+		fleet.arrive(zone)
+	})
+}
+
+func (fleet *fleet) request(daemon *desked, total float64) {
+	lanes := fleet.play.Deployment.Lanes
+	point, lane := fleet.random.Float64()*total, lanes[len(lanes)-1]
+	for _, candidate := range lanes {
+		if point -= candidate.Rate; point < 0 {
+			lane = candidate
+			break
+		}
+	}
+	weights := fleet.weights[lane.Name]
+	thing := sort.SearchFloat64s(weights, fleet.random.Float64()*weights[len(weights)-1])
+	if fleet.middle() && lane.Name == fleet.play.HotLane && fleet.random.Float64() < fleet.play.Hot {
+		thing = 7
+	}
+	var parts []string
+	var tokens []int
+	prompt := 0
+	for place, sizes := range fleet.sizes[lane.Name] {
+		here := thing % len(sizes)
+		parts = append(parts, fmt.Sprint(lane.Name, place, "-", here))
+		tokens = append(tokens, sizes[here])
+		prompt += sizes[here]
+	}
+	shared := prompt
+	own := lane.Prompt.draw(fleet.random)
+	answer := lane.Events.draw(fleet.random) * fleet.play.Deployment.Engine.Stride
+	parts, tokens, prompt = append(parts, fmt.Sprint("own", fleet.random.Int63())), append(tokens, own), prompt+own
+	size := float64(prompt + 10*answer)
+	scale := min(4, 0.3+0.7*size/fleet.mean[lane.Name])
+	made := &order{lane: lane, begun: fleet.world.Now, answer: answer, worth: lane.Worth * scale, late: lane.Late * scale, large: size > fleet.largest[lane.Name]}
+	made.ticket = &award.Ticket{Lane: lane.Name, Purse: 1, Steps: make(chan award.Step, 1), PartTokens: tokens, Keys: keys.BlockKeys(parts, kvblock.Extra{}),
+		Bid: award.Bid{Worth: lane.Worth, Patience: lane.Aim, Deadline: lane.Deadline, PromptTokens: prompt, AnswerTokens: answer, Rank: lane.Rank, Zone: daemon.zone, Shut: map[string]bool{}}}
+	fleet.both(made, func(earned *Earned) {
+		earned.Requests++
+		earned.Owed += made.worth
+		earned.Shared += shared
+		if made.large {
+			earned.Large++
+		}
+		window := int(made.begun.Sub(fleet.begun) / (3 * time.Second))
+		cell := earned.Window[window]
+		cell[0] += made.worth
+		earned.Window[window] = cell
+	})
+	daemon.budget.Request(fleet.world.Now)
+	fleet.enter(daemon, made)
+}
+
+func (fleet *fleet) both(made *order, change func(earned *Earned)) {
+	change(fleet.results[made.lane.Name])
+	change(fleet.results[""])
+}
+
+func (fleet *fleet) enter(daemon *desked, made *order) {
+	daemon.order = append(daemon.order, made)
+	daemon.desk.Enter(fleet.world.Now, made.ticket)
+	fleet.steps(daemon)
+}
+
+func (fleet *fleet) steps(daemon *desked) {
+	waiting := daemon.order
+	daemon.order = nil
+	for _, made := range waiting {
+		select {
+		case step := <-made.ticket.Steps:
+			if step.Kind == award.Pass {
+				fleet.pass(daemon, made, step)
+				continue
+			}
+			fleet.both(made, func(earned *Earned) { earned.Refused++ })
+		default:
+			daemon.order = append(daemon.order, made)
+		}
+	}
+}
+
+// again sends a request once more, or gives it up.
+func (fleet *fleet) again(daemon *desked, made *order, step award.Step, free bool) {
+	daemon.desk.Release(fleet.world.Now, made.ticket, step.Runner.ID)
+	made.ticket.Bid.Shut[step.Runner.ID] = true
+	made.sends++
+	if made.sends > 3 || !free && !daemon.budget.Repeat(fleet.world.Now) {
+		fleet.both(made, func(earned *Earned) { earned.Lost++ })
+		return
+	}
+	fleet.enter(daemon, made)
+}
+
+func (fleet *fleet) pass(daemon *desked, made *order, step award.Step) {
+	world := fleet.world
+	batch := fleet.batches[step.Runner.ID]
+	fleet.both(made, func(earned *Earned) { earned.Sends++ })
+	if batch == nil || batch.dark {
+		daemon.book.Failed(world.Now, step.Runner.ID, "unreachable")
+		world.After(time.Millisecond, func() { fleet.again(daemon, made, step, true) })
+		return
+	}
+	sent := world.Now
+	daemon.desk.Sent(sent, made.ticket, step)
+	one := &sequence{job: made, urgency: step.Urgency, prompt: made.ticket.Bid.PromptTokens}
+	one.first = func() {
+		made.firstAt = world.Now
+		daemon.book.Served(batch.id)
+		report := batch.report()
+		report.Room, report.Tokens = 0, 0
+		daemon.book.Reported(world.Now, batch.id, report)
+		daemon.desk.First(made.ticket, step, world.Now.Sub(sent))
+		reread, held := 0, made.held
+		for place, key := range made.ticket.Keys[:len(made.ticket.Keys)-1] {
+			if held -= made.ticket.PartTokens[place]; held < 0 && fleet.kept[key] {
+				reread += made.ticket.PartTokens[place]
+			}
+			fleet.kept[key] = true
+		}
+		fleet.both(made, func(earned *Earned) {
+			earned.First = append(earned.First, world.Now.Sub(made.begun))
+			if batch.zone != daemon.zone {
+				earned.Across++
+				earned.AcrossBytes += 1000 + float64(made.ticket.Bid.PromptTokens) + 80*float64(made.answer)/float64(batch.figures.Stride)
+			}
+			earned.Reread += reread
+		})
+	}
+	one.finished = func(whole bool) {
+		now := world.Now
+		fleet.both(made, func(earned *Earned) {
+			cell := earned.Window[int(made.begun.Sub(fleet.begun)/(3*time.Second))]
+			value := 0.0
+			inTime := one.worstPause <= made.lane.Pause && made.firstAt.Sub(made.begun) <= made.lane.Aim
+			if !whole {
+				earned.Lost++
+			} else if inTime {
+				earned.InTime++
+				value = made.worth
+			} else {
+				earned.Late++
+				value = made.late
+			}
+			if whole && made.large {
+				earned.LargeServed++
+			}
+			earned.Worth += value
+			cell[1] += value
+			earned.Window[int(made.begun.Sub(fleet.begun)/(3*time.Second))] = cell
+		})
+		if whole {
+			daemon.desk.Learn(0, 0, now.Sub(sent))
+		} else if !one.began {
+			daemon.book.Failed(now, batch.id, "gave no first event")
+		}
+		daemon.desk.Release(now, made.ticket, batch.id)
+		fleet.steps(daemon)
+	}
+	if !batch.take(one) {
+		daemon.desk.PutBack(sent, made.ticket, step)
+		fleet.again(daemon, made, step, false)
+	}
+}
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -13,16 +13,20 @@
 
 // Prices weigh what a runner costs a prompt. All are in seconds, so that they add up.
 type Prices struct {
-	// TokenSeconds is the prefill time of one token that is not held.
+	// TokenSeconds is the learned prefill time of one token that is not held.
 	TokenSeconds float64
 	// PlaceSeconds is for how long a request holds its place on a runner.
 	PlaceSeconds float64
-	// CrossZone is the price of taking work to another zone.
-	CrossZone float64
+	// CrossZone is the price of taking work to another zone, ThousandAcross that of each thousand tokens beside.
+	CrossZone, ThousandAcross float64
+	// Reread is the price of reading a thousand tokens of shared parts once more, beside the time it takes.
+	Reread float64
+	// Harm is how many times a second of others' waiting counts against one of our own.
+	Harm float64
 }
 
 // DefaultPrices hold until figures of one's own have come in.
-var DefaultPrices = Prices{TokenSeconds: 0.00015, PlaceSeconds: 2, CrossZone: 0.04}
+var DefaultPrices = Prices{TokenSeconds: DefaultSpeeds.Token, PlaceSeconds: 2, CrossZone: 0.02, ThousandAcross: 0.003, Reread: 0.25, Harm: 0.3}
 
 // Bid is what a prompt brings to the auction.
 type Bid struct {
@@ -49,10 +53,22 @@
 // Offer is a runner that may take the prompt.
 type Offer struct {
 	pressure.Runner
-	// HeldTokens is how much of the prompt's opening the index takes the runner to hold.
+	// HeldTokens is how much of the prompt's opening the runner is taken to hold, by the index or as a home of
+	// the opening; Chance is how likely that is.
 	HeldTokens int
+	Chance     float64
+	// SharedTokens is how many tokens of the prompt others are likely to have sent as well.
+	SharedTokens int
+	// Prefill is how long the runner reads the prompt; Wait how long it reads others first. Harm is how long
+	// the reading keeps others waiting. All in seconds.
+	Prefill, Wait, Harm float64
+	// Coming is how many requests of other daemons the runner is likely to have that its words don't tell of yet.
+	Coming float64
 }
 
+// likely is how many tokens of the prompt the runner is likely to hold.
+func (offer Offer) likely() float64 { return offer.Chance * float64(offer.HeldTokens) }
+
 // Kind names a step.
 type Kind string
 
@@ -77,8 +93,30 @@
 	Urgency int
 }
 
-// Unset is the urgency of a request whose runner is told none.
-const Unset = 5
+// The urgencies told to runners.
+const (
+	// Unset is the urgency of a request whose runner is told none.
+	Unset = 5
+	// Behind is that of one whose first event would come past its patience in any case.
+	Behind = 8
+)
+
+// urgency lets those go first at a runner that can still be in time.
+func urgency(bid Bid, quote Quote) int {
+	if bid.Patience > 0 && bid.Waited+seconds(quote.First) > bid.Patience {
+		return Behind
+	}
+	return Unset
+}
+
+// deadlinePart is the part of its deadline for which a request is kept waiting at most.
+const deadlinePart = 0.45
+
+// bound is how long a request may wait to be passed. Past its patience it still earns something, up to its
+// deadline, of which the runner needs a part.
+func (bid Bid) bound() time.Duration {
+	return max(bid.Patience, time.Duration(deadlinePart*float64(bid.Deadline)))
+}
 
 // Urgency grows with the part of its patience that a prompt has used up.
 func (bid Bid) Urgency() float64 {
@@ -100,14 +138,14 @@
 	Offer Offer
 	// First is the predicted time to the first event, in seconds.
 	First float64
-	// Net is what the offer is worth: prefill saved, less what the runner asks.
+	// Net is what the offer is worth: the less it costs, the more.
 	Net  float64
 	Full bool
 }
 
 // Price gives each usable offer its price for a bid.
 func Price(bid Bid, offers []Offer, prices Prices) []Quote {
-	var quotes []Quote
+	quotes := make([]Quote, 0, len(offers))
 	for _, offer := range offers {
 		if !offer.Usable || bid.Shut[offer.ID] || offer.Limit == 0 {
 			continue
@@ -115,18 +153,33 @@
 		slots := float64(max(1, offer.Slots))
 		// Why: a place beyond the slots waits for one of them to come free; one within still shares the engine with the others.
 		queued := max(0, offer.Load+1-slots) / slots * prices.PlaceSeconds
-		shared := min(1, offer.Load/slots) * 0.25 * prices.TokenSeconds * float64(bid.PromptTokens)
-		saved := float64(min(offer.HeldTokens, bid.PromptTokens)) * prices.TokenSeconds
-		prefill := float64(bid.PromptTokens)*prices.TokenSeconds - saved
-		asked := queued*bid.Urgency() + shared + emptiness(offer, slots, prices)
+		first := queued + offer.Wait + offer.Prefill
+		lost := float64(offer.SharedTokens) - offer.Chance*float64(min(offer.HeldTokens, offer.SharedTokens))
+		asked := first + queued*(bid.Urgency()-1) + emptiness(offer, slots, prices) + memoryPrice*crowding(bid, offer) +
+			prices.Reread*lost/1000 + prices.Harm*offer.Harm
 		if offer.Zone != bid.Zone {
-			asked += prices.CrossZone
+			asked += prices.CrossZone + prices.ThousandAcross*float64(bid.PromptTokens)/1000
 		}
-		quotes = append(quotes, Quote{Offer: offer, First: queued + shared + prefill, Net: saved - asked, Full: full(offer.Runner)})
+		quotes = append(quotes, Quote{Offer: offer, First: first, Net: -asked, Full: full(offer.Runner)})
 	}
 	return quotes
 }
 
+const (
+	// memoryPart is the part of a runner's memory above which requests are likely to be put back.
+	memoryPart = 0.92
+	// memoryPrice is that of being so, for as much as the whole memory is overfull.
+	memoryPrice = 10
+)
+
+// crowding is by how much a runner's memory would be overfull, as a part of it.
+func crowding(bid Bid, offer Offer) float64 {
+	if offer.Room == 0 {
+		return 0
+	}
+	return max(0, float64(offer.Tokens+bid.PromptTokens+bid.AnswerTokens/2)/float64(offer.Room)-memoryPart)
+}
+
 // Places is how much work a runner may have: its slots and a short queue.
 func Places(runner pressure.Runner) int { return runner.Slots + max(1, runner.Slots/2) }
 
@@ -139,10 +192,17 @@
 // emptiness makes a nearly idle runner cheaper than a half full one by a little, growing steeply
 // towards its last slot: a hot key spills before its runner queues.
 func emptiness(offer Offer, slots float64, prices Prices) float64 {
-	filled := math.Min(2, offer.Load/slots)
-	return 0.02 * prices.PlaceSeconds * filled * filled
+	filled := math.Min(2, (offer.Load+offer.Coming)/slots)
+	return prices.PlaceSeconds*emptinessPrice*filled*filled + fullPrice*math.Pow(max(0, filled-fullFrom), 2)
 }
 
+const (
+	emptinessPrice = 0.02
+	// fullPrice is for the risk that a runner is full when the prompt gets there, from fullFrom of its slots on;
+	// what is put back may find no second runner.
+	fullPrice, fullFrom = 4.0, 0.4
+)
+
 // Market is what a decision is made from.
 type Market struct {
 	Now    time.Time
@@ -158,6 +218,16 @@
 	Doubt float64
 	// Slack is the free part of all slots.
 	Slack float64
+	// Usual and UsualLong are how long a runner usually reads other daemons' prompts first, where short ones go
+	// and where long ones go; Each and EachLong how long one waiting prompt takes there.
+	Usual, UsualLong, Each, EachLong float64
+	// Long names the runners to which long prompts go first; Pace is how many short ones a second come to each other.
+	Long map[string]bool
+	Pace float64
+	// Kept is how long a runner keeps a part that nobody asks for; 0: not known.
+	Kept time.Duration
+	// Daemons is how many share the runners.
+	Daemons int
 }
 
 // slackForAll is the free part of a pool above which a lane may go beyond its purse.
@@ -176,35 +246,38 @@
 	}
 	if best >= 0 && pursed && market.Ahead == 0 {
 		quote := quotes[best]
-		return Step{Kind: Pass, Runner: quote.Offer.Runner, HeldTokens: quote.Offer.HeldTokens, Predicted: seconds(quote.First), Urgency: Unset}
+		return Step{Kind: Pass, Runner: quote.Offer.Runner, HeldTokens: quote.Offer.HeldTokens, Predicted: seconds(quote.First), Urgency: urgency(bid, quote)}
 	}
 	return wait(bid, market, quotes, best >= 0 && !pursed)
 }
 
-// quotas are how many runners of each group are looked at: those that hold most of the prompt and the
-// others, in our own zone and beyond. The own zone comes first, since bytes between zones are dear.
-var quotas = map[group]int{{true, true}: 2, {true, false}: 1, {false, true}: 2, {false, false}: 1}
-
-type group struct{ holds, near bool }
-
 // Choice gives the place of the offer to take, or -1 where every runner is full.
 type Choice func(bid Bid, quotes []Quote, random *rand.Rand) int
 
+// mostPart is the part of the most that is likely to be held anywhere from which on a runner counts as a holder.
+const mostPart = 0.6
+
+// quotas are how many runners of each group are looked at: those that are likely to hold most of the prompt
+// and the others, in our own zone and beyond.
+var quotas = map[group]int{{true, true}: 3, {true, false}: 3, {false, true}: 4, {false, false}: 3}
+
+type group struct{ holds, near bool }
+
 // Sample is wardtray's choice: the best offer among a few drawn by lot from each group.
 //
-// Why by lot: all daemons know the same old reports. If each took the best of all, they would all take
+// Why by lot: many daemons know the same old reports. If each took the best of all, they would all take
 // the same one; drawn by lot they spread, and the better of a few is nearly as good as the best.
 func Sample(bid Bid, quotes []Quote, random *rand.Rand) int {
-	most := 0
+	most := 0.0
 	for _, quote := range quotes {
 		if !quote.Full {
-			most = max(most, quote.Offer.HeldTokens)
+			most = max(most, quote.Offer.likely())
 		}
 	}
 	best, drawn := -1, map[group]int{}
 	for _, place := range random.Perm(len(quotes)) {
 		quote := quotes[place]
-		from := group{most > 0 && quote.Offer.HeldTokens == most, quote.Offer.Zone == bid.Zone}
+		from := group{most > 0 && quote.Offer.likely() >= mostPart*most, quote.Offer.Zone == bid.Zone}
 		if quote.Full || drawn[from] >= quotas[from] {
 			continue
 		}
@@ -219,7 +292,7 @@
 func noRunner(bid Bid, market Market) Step {
 	// Why: a runner that is only paused or warming may come within the patience; without any there is nothing to wait for.
 	for _, offer := range market.Offers {
-		if offer.Reason != pressure.ReasonLeaving && !bid.Shut[offer.ID] && bid.Waited < bid.Patience {
+		if offer.Reason != pressure.ReasonLeaving && !bid.Shut[offer.ID] && bid.Waited < bid.bound() {
 			return Step{Kind: Wait, Reason: "every fit runner is paused or warming"}
 		}
 	}
@@ -238,14 +311,14 @@
 func wait(bid Bid, market Market, quotes []Quote, overPurse bool) Step {
 	least := math.Inf(1)
 	for _, quote := range quotes {
-		least = min(least, float64(bid.PromptTokens-min(bid.PromptTokens, quote.Offer.HeldTokens))*market.Prices.TokenSeconds)
+		least = min(least, quote.Offer.Prefill)
 	}
 	turn := max(1, market.Doubt) * float64(market.Ahead+1) * market.Prices.PlaceSeconds / max(1, market.Slots)
 	predicted := seconds(turn + least)
-	if bid.Waited+predicted <= bid.Patience {
+	if bid.Waited+predicted <= bid.bound() {
 		return Step{Kind: Wait, Predicted: predicted, Reason: "every fit runner is full"}
 	}
-	step := Step{Kind: Refuse, Fault: fault.PatienceShort, Predicted: predicted, RetryAfter: max(time.Second, predicted-bid.Patience),
+	step := Step{Kind: Refuse, Fault: fault.PatienceShort, Predicted: predicted, RetryAfter: max(time.Second, predicted-bid.bound()),
 		Reason: "the first event would come later than the lane's patience"}
 	if overPurse {
 		step.Fault, step.Reason = fault.PurseSpent, "the lane holds its share of the pool and others wait"
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -29,6 +29,9 @@
 	entered time.Time
 	done    bool
 	waited  bool
+	// counted says that the picture of the traffic has it, answered that its first event has come.
+	counted, answered bool
+	sentAt            time.Time
 }
 
 // Field is what a desk decides about: the runners that the newest spec allows the pool, how many daemons
@@ -60,6 +63,12 @@
 	// slots is this daemon's share of the pool's as last seen.
 	slots float64
 	lanes map[string]int
+	// forecast is what is learned of the runners' speeds and of the traffic.
+	forecast *forecast
+	// quarters of the runners are kept for long prompts.
+	quarters int
+	// patiences are the lanes' own, which tell what counts as a long prompt.
+	patiences map[string]time.Duration
 	// doubts multiply the predicted wait of each lane's newcomers; see learnWait.
 	doubts   map[string]float64
 	Counters DeskCounters
@@ -72,7 +81,8 @@
 
 // NewDesk makes the desk of a pool.
 func NewDesk(scene Scene, book *pressure.Book, indexer *kvblock.Indexer, random *rand.Rand) *Desk {
-	return &Desk{scene: scene, book: book, indexer: indexer, random: random, prices: DefaultPrices, Choose: Sample, window: mostWindow, lanes: map[string]int{}, doubts: map[string]float64{}}
+	return &Desk{scene: scene, book: book, indexer: indexer, random: random, prices: DefaultPrices, Choose: Sample, window: mostWindow, lanes: map[string]int{}, doubts: map[string]float64{},
+		forecast: newForecast(), quarters: 1, patiences: map[string]time.Duration{}}
 }
 
 // Enter decides about a ticket, which waits if that is the decision.
@@ -125,9 +135,10 @@
 
 // Release gives back the places of a ticket that was passed.
 func (desk *Desk) Release(now time.Time, ticket *Ticket, runner string) {
-	desk.book.Finish(runner)
+	desk.book.Finish(runner, ticket.answered)
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
+	desk.forecast.drop(ticket, runner)
 	desk.inFlight--
 	desk.window = min(mostWindow, desk.window+1/desk.window)
 	desk.lanes[ticket.Lane]--
@@ -142,7 +153,7 @@
 
 // First takes in how long the first event of a run took after it was sent.
 func (desk *Desk) First(ticket *Ticket, step Step, took time.Duration) {
-	desk.Learn(ticket.Bid.PromptTokens-step.HeldTokens, took, 0)
+	desk.answered(ticket, step, took)
 	// Why: only on a runner that was not busy does the time of the first event speak of its cache.
 	if step.HeldTokens >= reuseTokens && step.Runner.Load < float64(step.Runner.Slots)/2 {
 		middle := (float64(ticket.Bid.PromptTokens) - float64(step.HeldTokens)/2) * desk.Prices().TokenSeconds
@@ -150,6 +161,18 @@
 	}
 }
 
+func (desk *Desk) answered(ticket *Ticket, step Step, took time.Duration) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	if ticket.answered {
+		return
+	}
+	ticket.answered = true
+	desk.book.Answered(step.Runner.ID)
+	desk.forecast.first(ticket.sentAt.Add(took), ticket, step, took)
+	desk.prices.TokenSeconds = desk.forecast.speeds.Token
+}
+
 // Sent takes in that a ticket's request went out to its runner.
 func (desk *Desk) Sent(now time.Time, ticket *Ticket, step Step) {
 	desk.indexer.Pool.Add(kvblock.BlockStored{Runner: step.Runner.ID, Now: now, Keys: ticket.Keys, Tokens: ticket.PartTokens})
@@ -181,14 +204,10 @@
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	const weight = 0.05
-	if uncached >= 200 && first > 0 {
-		seen := min(max(first.Seconds()/float64(uncached), 0.000005), 0.01)
-		// Why: queueing only ever makes a first event later, so that a fast one says more than a slow one.
-		pull := weight
-		if seen > desk.prices.TokenSeconds {
-			pull = weight / 5
-		}
-		desk.prices.TokenSeconds += pull * (seen - desk.prices.TokenSeconds)
+	if uncached > 0 && first > 0 {
+		desk.forecast.speeds.learn(uncached, 0, first.Seconds(), desk.forecast.seen)
+		desk.forecast.seen++
+		desk.prices.TokenSeconds = desk.forecast.speeds.Token
 	}
 	if whole > 0 {
 		desk.prices.PlaceSeconds += weight * (min(max(whole.Seconds(), 0.01), 120) - desk.prices.PlaceSeconds)
@@ -240,7 +259,7 @@
 	defer desk.mutex.Unlock()
 	market := desk.market(now)
 	ticket.Bid.InPurse = desk.inPurse(ticket, market)
-	market.Offers = desk.offers(ticket, market.Offers)
+	market.Offers = desk.offers(now, ticket, &market)
 	quotes := Price(ticket.Bid, market.Offers, market.Prices)
 	return quotes, Decide(ticket.Bid, market, quotes, desk.Choose, desk.random)
 }
@@ -264,6 +283,8 @@
 	if slots > 0 {
 		market.Slack = 1 - used/slots
 	}
+	market.Daemons = max(1, daemons)
+	desk.survey(now, &market, field)
 	return market
 }
 
@@ -271,22 +292,6 @@
 	return float64(desk.lanes[ticket.Lane]+1) <= max(1, ticket.Purse*market.Places)
 }
 
-func (desk *Desk) offers(ticket *Ticket, offers []Offer) []Offer {
-	set := make(map[string]bool, len(offers))
-	for _, offer := range offers {
-		set[offer.ID] = true
-	}
-	scores := desk.indexer.Score(ticket.Keys, set)
-	priced := make([]Offer, len(offers))
-	copy(priced, offers)
-	for place := range priced {
-		for _, tokens := range ticket.PartTokens[:min(scores[priced[place].ID], len(ticket.PartTokens))] {
-			priced[place].HeldTokens += tokens
-		}
-	}
-	return priced
-}
-
 // settle decides about everybody who waits, the best bid first.
 func (desk *Desk) settle(now time.Time) {
 	if len(desk.waitlist) == 0 {
@@ -312,14 +317,14 @@
 		// Why: with every runner full nothing can change for who waits but its patience, and a long waitlist
 		// priced anew at each tick would take a core.
 		market.Room = market.Room && float64(desk.inFlight) < desk.window
-		if ticket.waited && !market.Room && ticket.Bid.Waited < ticket.Bid.Patience {
+		if ticket.waited && !market.Room && ticket.Bid.Waited < ticket.Bid.bound() {
 			kept = append(kept, ticket)
 			ahead++
 			continue
 		}
 		own := market
 		own.Ahead = ahead
-		own.Offers = desk.offers(ticket, market.Offers)
+		own.Offers = desk.offers(now, ticket, &market)
 		if !ticket.waited {
 			own.Doubt = desk.doubts[ticket.Lane]
 		}
@@ -334,14 +339,16 @@
 			continue
 		}
 		if step.Kind == Pass {
-			desk.pass(ticket, step, &market)
+			desk.pass(now, ticket, step, &market)
 		}
 		desk.end(ticket, step)
 	}
 	desk.waitlist = kept
 }
 
-func (desk *Desk) pass(ticket *Ticket, step Step, market *Market) {
+func (desk *Desk) pass(now time.Time, ticket *Ticket, step Step, market *Market) {
+	ticket.answered, ticket.sentAt = false, now
+	desk.note(now, ticket, step)
 	desk.book.Begin(step.Runner.ID)
 	desk.lanes[ticket.Lane]++
 	desk.inFlight++
--- /dev/null
+++ b/request/award/forecast_test.go
@@ -0,0 +1,166 @@
+package award
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"wardtray/process/pressure"
+)
+
+// The speeds of engines of several kinds are found within some hundred first events, though a third of them
+// were held up by others and a tenth found the opening gone.
+func TestSpeedsAreLearned(test *testing.T) {
+	for _, true := range []Speeds{{0.005, 0.000015, 6e-10}, {0.03, 0.0001, 3e-9}, {0.002, 0.000004, 1e-10}} {
+		random := rand.New(rand.NewSource(1))
+		speeds := DefaultSpeeds
+		for seen := range 600 {
+			held := random.Intn(6000)
+			prompt := held + 1 + int(2500*math.Exp(1.2*random.NormFloat64()))
+			took := true.Prefill(prompt, held) + true.Overhead
+			if random.Intn(10) == 0 {
+				took = true.Prefill(prompt, 0) + true.Overhead
+			}
+			if random.Intn(3) == 0 {
+				took += random.ExpFloat64() * 0.1
+			}
+			speeds.learn(prompt, held, took, seen)
+		}
+		for _, prompt := range []int{2000, 8000, 30000} {
+			found, wanted := speeds.Overhead+speeds.Prefill(prompt, 500), true.Overhead+true.Prefill(prompt, 500)
+			if found < wanted/1.5 || found > wanted*1.5 {
+				test.Errorf("%+v: %d tokens take %.3f s, reckoned %.3f", true, prompt, wanted, found)
+			}
+		}
+	}
+}
+
+func fleetOf(count int) []pressure.Runner {
+	var runners []pressure.Runner
+	for number := range count {
+		runners = append(runners, pressure.Runner{ID: fmt.Sprintf("r%03d", number), Usable: true})
+	}
+	return runners
+}
+
+// Every daemon ranks runners alike, each key has its own first, and a runner that goes moves only what was its own.
+func TestHomesAreAgreedAndStay(test *testing.T) {
+	runners, firsts, moved := fleetOf(20), map[string]int{}, 0
+	without := append(append([]pressure.Runner{}, runners[:7]...), runners[8:]...)
+	for key := range uint64(2000) {
+		first := rank(runners, key*0x9e3779b97f4a7c15)[0]
+		firsts[first]++
+		if after := rank(without, key*0x9e3779b97f4a7c15)[0]; after != first {
+			moved++
+			if first != "r007" {
+				test.Fatalf("key %d moved from %s to %s", key, first, after)
+			}
+		}
+	}
+	for runner, count := range firsts {
+		if count < 60 || count > 145 {
+			test.Errorf("%s is the first of %d of 2000 keys", runner, count)
+		}
+	}
+	if moved != firsts["r007"] {
+		test.Errorf("%d moved, %d were at home there", moved, firsts["r007"])
+	}
+}
+
+// Two daemons that have never heard of each other send an opening to the same runner.
+func TestDaemonsAgreeOnAHomeWithoutAMessage(test *testing.T) {
+	chosen := map[string]int{}
+	for daemon := range 8 {
+		stall := newStall(test, 18)
+		stall.Desk.random = rand.New(rand.NewSource(int64(daemon)))
+		stall.Desk.forecast.seen = newcomer
+		scene := stall.Desk.scene
+		stall.Desk.scene = func(now time.Time) Field {
+			field := scene(now)
+			field.Daemons = 4
+			return field
+		}
+		ticket := stall.ticket("l", 1, 1, time.Second, "system", "family", "own")
+		step, _ := stall.enter(ticket)
+		chosen[step.Runner.ID]++
+	}
+	if len(chosen) != 1 {
+		test.Fatalf("daemons chose %v", chosen)
+	}
+}
+
+// A short prompt goes around a runner that reads a long one of ours, and comes back once that is read.
+func TestShortPromptsGoAroundLongOnes(test *testing.T) {
+	stall := newStall(test, 3)
+	long := stall.ticket("survey", 1, 1, time.Second)
+	long.Bid.PromptTokens = 50_000
+	step, _ := stall.enter(long)
+	busy := step.Runner.ID
+	for range 6 {
+		short := stall.ticket("confirm", 1, 1, 400*time.Millisecond)
+		short.Bid.PromptTokens = 500
+		if step, _ := stall.enter(short); step.Runner.ID == busy {
+			test.Fatal("a short prompt went behind a long one")
+		}
+	}
+}
+
+// What can't be in time any more is told to let others go ahead.
+func TestLatePromptsGoBehind(test *testing.T) {
+	stall := newStall(test, 3)
+	late, soon := stall.ticket("l", 1, 1, 100*time.Millisecond), stall.ticket("l", 1, 1, 100*time.Millisecond)
+	late.Bid.PromptTokens, soon.Bid.PromptTokens = 100_000, 100
+	if step, _ := stall.enter(late); step.Urgency != Behind {
+		test.Fatalf("a late one: %+v", step)
+	}
+	if step, _ := stall.enter(soon); step.Urgency != Unset {
+		test.Fatalf("one in time: %+v", step)
+	}
+}
+
+// With a deadline told, who finds every runner full waits past its patience, up to its part of the deadline.
+func TestDeadlinesAreWaitedFor(test *testing.T) {
+	stall := newStall(test, 1)
+	for range 6 {
+		stall.enter(stall.ticket("l", 1, 1, time.Minute, "x"))
+	}
+	ticket := stall.ticket("l", 1, 1, 100*time.Millisecond, "x")
+	ticket.Bid.Deadline = 20 * time.Second
+	if step, answered := stall.enter(ticket); answered {
+		test.Fatalf("at once: %+v", step)
+	}
+	if !stall.Waiting() {
+		test.Fatal("nobody waits")
+	}
+	stall.now = stall.now.Add(5 * time.Second)
+	stall.Settle(stall.now)
+	select {
+	case step := <-ticket.Steps:
+		test.Fatalf("past its patience: %+v", step)
+	default:
+	}
+	stall.now = stall.now.Add(10 * time.Second)
+	stall.Settle(stall.now)
+	if step := <-ticket.Steps; step.Kind != Refuse {
+		test.Fatalf("past its part of the deadline: %+v", step)
+	}
+	if stall.Waiting() {
+		test.Fatal("somebody still waits")
+	}
+}
+
+// A runner whose memory is full is gone around.
+func TestFullMemoryIsGoneAround(test *testing.T) {
+	stall := newStall(test, 2)
+	stall.book.Reported(stall.now, "r00", pressure.Report{Slots: 64, Tokens: 990_000, Room: 1_000_000})
+	stall.book.Reported(stall.now, "r01", pressure.Report{Slots: 64, Tokens: 100_000, Room: 1_000_000})
+	for range 3 {
+		ticket := stall.ticket("l", 1, 1, time.Second)
+		ticket.Bid.PromptTokens = 10_000
+		if step, _ := stall.enter(ticket); step.Runner.ID != "r01" {
+			test.Fatal("a prompt went where no memory is left")
+		}
+	}
+}
--- /dev/null
+++ b/request/award/outlook.go
@@ -0,0 +1,228 @@
+package award
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"wardtray/process/pressure"
+)
+
+const (
+	// longTimes is how many times the least patience of a pool a prompt's reading takes that counts as long.
+	longTimes = 1.0
+	// longRoom is how many times the runners that long prompts need are kept for them.
+	longRoom = 1.3
+	// keepsUntil is how far, in quarters, what is wanted may go from what is kept.
+	keepsUntil = 0.65
+	// mostQuarters is how many quarters are kept for long prompts at most.
+	mostQuarters = 2.0
+	// leastFleet is how many runners there must be for some to be kept for long prompts.
+	leastFleet = 4
+	// spread is how many times its even part of the runners an opening's homes are.
+	spread = 2.0
+	// indexChance is how likely a runner still holds what it was sent a moment ago, homeChance how likely a home
+	// holds its opening, and spillChance the runner next to the homes.
+	indexChance, homeChance, spillChance = 0.97, 0.85, 0.3
+	// keptPart is the part of a runner's memory that kept parts may take.
+	keptPart = 0.8
+	// newcomer is how many first events a daemon must have seen to know its traffic.
+	newcomer = 2
+	// evenly is how much work, spread evenly, is supposed beside our own for each daemon.
+	evenly = 0.3
+)
+
+// survey adds to a market what is forecast of the traffic.
+func (desk *Desk) survey(now time.Time, market *Market, field Field) {
+	forecast := desk.forecast
+	var usable []pressure.Runner
+	for _, offer := range market.Offers {
+		if offer.Usable {
+			usable = append(usable, offer.Runner)
+		}
+	}
+	forecast.forget(field.Runners)
+	market.Long = longRunners(usable, desk.keep())
+	short := len(usable) - len(market.Long)
+	wait := func(of *sizes, runners int) (usual, each float64) {
+		busy := forecast.busy(now, of, market.Daemons, runners)
+		each = of.left()
+		// Why: the mean wait of a single queue that serves one prompt after the other.
+		return busy / (1 - busy) * each, each
+	}
+	market.Usual, market.Each = wait(&forecast.short, max(1, short))
+	market.UsualLong, market.EachLong = wait(&forecast.long, max(1, len(market.Long)))
+	if forecast.requests > 0 {
+		fleet := forecast.paceAt(now) * float64(market.Daemons)
+		market.Pace = fleet * forecast.short.count / forecast.requests / float64(max(1, short))
+		if read := fleet * forecast.tokens / forecast.requests / float64(max(1, len(usable))); read > 0 && field.Pool.Engine.MemoryTokens > 0 {
+			market.Kept = seconds(keptPart * float64(field.Pool.Engine.MemoryTokens) / read)
+		}
+	}
+}
+
+// coming is how many requests of other daemons a runner is likely to have that its words don't tell of yet.
+//
+// Why by our own: all daemons agree on the homes of openings, so that where ours are, theirs are too.
+func (market *Market) coming(inFlight int, runner pressure.Runner) float64 {
+	others := float64(inFlight * (market.Daemons - 1))
+	// Why: the more daemons, the more one of our own stands for, and the less it tells.
+	supposed := evenly * float64(market.Daemons)
+	part := (float64(runner.InFlight) + supposed/float64(max(1, len(market.Offers)))) / (float64(inFlight) + supposed)
+	return max(0, others*part-(runner.Load-float64(runner.InFlight)))
+}
+
+// keep settles how many quarters of the runners are kept for long prompts.
+//
+// Why quarters, and slowly: openings move when runners change sides, and each daemon's picture of the traffic
+// is its own. So coarse a measure is the same at nearly all of them.
+func (desk *Desk) keep() int {
+	wanted := 4 * longRoom * desk.forecast.longPart()
+	if math.Abs(wanted-float64(desk.quarters)) > keepsUntil {
+		desk.quarters = int(min(mostQuarters, math.Round(wanted)))
+	}
+	return desk.quarters
+}
+
+// longRunners are those to which long prompts go first; all daemons agree on them by the runners' names.
+func longRunners(usable []pressure.Runner, quarters int) map[string]bool {
+	long := map[string]bool{}
+	if len(usable) < leastFleet {
+		return long
+	}
+	for _, runner := range rank(usable, 0)[:(len(usable)*quarters+2)/4] {
+		long[runner] = true
+	}
+	return long
+}
+
+// rank orders runners by a hash of a key and their names, the same at every daemon. A runner that comes or
+// goes changes the order of no others.
+func rank(runners []pressure.Runner, key uint64) []string {
+	type weighed struct {
+		id     string
+		weight uint64
+	}
+	list := make([]weighed, len(runners))
+	for place, runner := range runners {
+		list[place] = weighed{runner.ID, weigh(runner.ID, key)}
+	}
+	sort.Slice(list, func(left, right int) bool { return list[left].weight > list[right].weight })
+	names := make([]string, len(list))
+	for place, one := range list {
+		names[place] = one.id
+	}
+	return names
+}
+
+// weigh is FNV-1a over a name, mixed with a key.
+func weigh(name string, key uint64) uint64 {
+	hash := uint64(14695981039346656037)
+	for place := range len(name) {
+		hash = (hash ^ uint64(name[place])) * 1099511628211
+	}
+	hash ^= key
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	return hash ^ hash>>33
+}
+
+// long tells whether a prompt takes so long to read that short ones behind it would lose their patience.
+func (desk *Desk) long(work float64) bool {
+	least := time.Duration(math.MaxInt64)
+	for _, patience := range desk.patiences {
+		least = min(least, patience)
+	}
+	return work > longTimes*least.Seconds()
+}
+
+// offers fills in what each runner means for one prompt.
+func (desk *Desk) offers(now time.Time, ticket *Ticket, market *Market) []Offer {
+	forecast, bid := desk.forecast, ticket.Bid
+	if ticket.Bid.Patience > 0 {
+		desk.patiences[ticket.Lane] = ticket.Bid.Patience
+	}
+	shared := 0
+	for _, tokens := range ticket.PartTokens[:max(0, len(ticket.PartTokens)-1)] {
+		shared += tokens
+	}
+	work := forecast.speeds.Prefill(bid.PromptTokens, shared)
+	long := desk.long(work)
+	priced := make([]Offer, len(market.Offers))
+	copy(priced, market.Offers)
+	var group []pressure.Runner
+	set := make(map[string]bool, len(priced))
+	for _, offer := range priced {
+		set[offer.ID] = true
+		if offer.Usable && market.Long[offer.ID] == (long && len(market.Long) > 0) {
+			group = append(group, offer.Runner)
+		}
+	}
+	held := desk.indexer.Held(ticket.Keys, set)
+	chances := map[string]float64{}
+	if shared > 0 && market.Daemons > 1 {
+		opening := home(ticket.Keys)
+		homes := 1 + int(spread*forecast.openingPart(opening)*float64(len(group)))
+		if len(group) > 0 {
+			// Why: a daemon can't see that others send the same. Even if each sends one at once, homes have places.
+			each := market.Daemons / Places(group[0])
+			if forecast.seen < newcomer {
+				// Why: daemons that begin together send the first of several openings at once.
+				each = 2 * market.Daemons / Places(group[0])
+			}
+			homes = max(homes, each)
+		}
+		for place, id := range rank(group, uint64(opening)) {
+			if place < homes {
+				chances[id] = homeChance
+			} else if place == homes {
+				chances[id] = spillChance
+			}
+		}
+	}
+	for place := range priced {
+		offer := &priced[place]
+		offer.SharedTokens = shared
+		if hold, found := held[offer.ID]; found {
+			for _, tokens := range ticket.PartTokens[:min(hold.Blocks, len(ticket.PartTokens))] {
+				offer.HeldTokens += tokens
+			}
+			offer.Chance = indexChance
+			if market.Kept > 0 {
+				offer.Chance *= math.Exp(-float64(now.Sub(hold.Used)) / float64(market.Kept))
+			}
+		}
+		if chance := chances[offer.ID]; chance*float64(shared) > offer.Chance*float64(offer.HeldTokens) {
+			offer.HeldTokens, offer.Chance = shared, chance
+		}
+		track := forecast.track(offer.ID)
+		slow := track.slowness(now)
+		whole, less := forecast.speeds.Prefill(bid.PromptTokens, 0), forecast.speeds.Prefill(bid.PromptTokens, offer.HeldTokens)
+		offer.Prefill = (forecast.speeds.Overhead + whole - offer.Chance*(whole-less)) * slow
+		usual, each, pace := market.Usual, market.Each, market.Pace
+		if market.Long[offer.ID] {
+			usual, each, pace = market.UsualLong, market.EachLong, 0
+		}
+		offer.Wait = forecast.own(now, offer.ID)*slow + forecast.others(now, offer.Runner, usual, each)*slow
+		offer.Coming = market.coming(desk.inFlight, offer.Runner)
+		offer.Harm = pace * offer.Prefill * offer.Prefill / 2
+	}
+	return priced
+}
+
+// note takes in that a prompt goes out to a runner.
+func (desk *Desk) note(now time.Time, ticket *Ticket, step Step) {
+	shared := 0
+	for _, tokens := range ticket.PartTokens[:max(0, len(ticket.PartTokens)-1)] {
+		shared += tokens
+	}
+	work := desk.forecast.speeds.Prefill(ticket.Bid.PromptTokens, min(step.HeldTokens, ticket.Bid.PromptTokens))
+	if !ticket.counted {
+		ticket.counted = true
+		usual := desk.forecast.speeds.Prefill(ticket.Bid.PromptTokens, shared)
+		desk.forecast.count(now, home(ticket.Keys), usual, ticket.Bid.PromptTokens-shared+ticket.Bid.AnswerTokens/2, desk.long(usual))
+	}
+	desk.forecast.send(now, ticket, step.Runner.ID, work, step.Predicted.Seconds())
+}
