--- a/proof/hollow/command.go
+++ b/proof/hollow/command.go
@@ -21,7 +21,7 @@
 	runners := run.Flag("runners", "Runners known to each fleet; may be given several times, each with each size.").Default("0").Ints()
 	listed := run.Flag("listed", "Runners are read from a list by one daemon of each zone, in place of calling the cores.").Bool()
 	cores := run.Flag("cores", "How many wtcores, each in a region of its own.").Default("3").Int()
-	lanes := run.Flag("lanes", "Lanes of the spec, one a tenant.").Default("320").Int()
+	lanes := run.Flag("lanes", "Lanes of the spec, one a tenant; may be given several times.").Default("320").Ints()
 	pools := run.Flag("pools", "Pools of the spec, one a model.").Default("36").Int()
 	names := run.Flag("phase", "What is done after the quiet; may be given several times, or all, or none.").Default("all").Enums(append(PhaseNames(), "all", "none")...)
 	quiet := run.Flag("quiet", "For how long each fleet is left alone.").Default("8s").Duration()
@@ -52,23 +52,21 @@
 				*binaries = filepath.Dir(self)
 			}
 			chosen := *names
-			sets := map[string][]string{"all": PhaseNames(), "none": nil}
-			if phases, found := sets[chosen[0]]; found {
+			named := map[string][]string{"all": PhaseNames(), "none": nil}
+			if phases, found := named[chosen[0]]; found {
 				chosen = phases
 			}
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
-			for _, count := range *runners {
-				for _, size := range *daemons {
-					measured, failure := Measure(Options{Daemons: size, Runners: count, Listed: *listed, Cores: *cores, Lanes: *lanes, Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
-						Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
-					if failure != nil {
-						return failure
-					}
-					results.Runs = append(results.Runs, measured)
-					// Why: a later size may fail, and what was measured so far should not be lost with it.
-					if failure := results.write(*output); failure != nil {
-						return failure
-					}
+			for _, point := range cross(*lanes, *runners, *daemons) {
+				measured, failure := Measure(Options{Daemons: point[2], Runners: point[1], Listed: *listed, Cores: *cores, Lanes: point[0], Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
+					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
+				if failure != nil {
+					return failure
+				}
+				results.Runs = append(results.Runs, measured)
+				// Why: a later size may fail, and what was measured so far should not be lost with it.
+				if failure := results.write(*output); failure != nil {
+					return failure
 				}
 			}
 			fmt.Print(results.Table())
@@ -80,6 +78,18 @@
 	}
 }
 
+// cross gives each of the first with each of the second and each of the third.
+func cross(first, second, third []int) (points [][3]int) {
+	for _, one := range first {
+		for _, two := range second {
+			for _, three := range third {
+				points = append(points, [3]int{one, two, three})
+			}
+		}
+	}
+	return points
+}
+
 func (results Results) write(path string) error {
 	if path == "" {
 		return nil
