--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -190,7 +190,7 @@
 		if !daemon.up {
 			continue
 		}
-		worker.late.add(time.Duration(float64(now.Sub(daemon.due)) * worker.host.plan.Slow))
+		worker.late.add(time.Duration(float64(now.Sub(daemon.due)) * worker.host.clock.Load().slow))
 		// Why: a ticker that is behind leaves rounds out; it does not make up for them.
 		for !now.Before(daemon.due) {
 			daemon.due = daemon.due.Add(plane.TickEvery)
@@ -213,7 +213,8 @@
 	worker.book(kind, ended-begun)
 	if documents := daemon.director.Counters().Documents; documents != daemon.documents {
 		daemon.documents = documents
-		worker.host.slowDown()
+		// Why: from the first document on, a machine that carries thousands has more to do than at full speed it could.
+		worker.host.setPace(worker.host.plan.Slow)
 		if epoch := daemon.director.Snapshot(now).SpecEpoch; epoch != daemon.epoch {
 			daemon.epoch = epoch
 			worker.arrivals[epoch] = append(worker.arrivals[epoch], monotonic())
