--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wardtray/epoch/chain"
+	"wardtray/process/budget"
 	"wardtray/process/core"
 	"wardtray/process/director"
 	"wardtray/process/kvblock"
@@ -70,7 +71,11 @@
 	// aim is the size to which it is extrapolated; none for the today column where 0.
 	aim, today float64
 	bound      float64
-	mechanism  string
+	// least tells that the bound is one from below.
+	least bool
+	// design names the section of the page with the design that would carry it, where one is needed.
+	design    string
+	mechanism string
 }
 
 func (run Run) figure(phase, name string) (float64, bool) {
@@ -124,9 +129,9 @@
 // lines are the rows whose figures are fitted.
 var lines = []line{
 	{role: "data daemon", what: "control state held (heap)", unit: "MiB", series: "daemons", phase: "founding", value: figure("founding", "daemon.heap", 1.0/mebibyte), aim: aimDaemons, today: today, bound: boundMemory / mebibyte,
-		mechanism: "the directory held whole; carried by its size, a directory in parts would make it level"},
+		design: designDocument, mechanism: "the directory held whole; carried by its size, a directory in parts would make it level"},
 	{role: "data daemon", what: "runners held (heap)", unit: "MiB", series: "runners", phase: "founding", value: figure("founding", "daemon.heap", 1.0/mebibyte), aim: aimRunners, today: today, bound: boundMemory / mebibyte,
-		mechanism: "the registry held whole by every daemon; a daemon needs only the runners of the pools and zones it serves"},
+		design: designRegistry, mechanism: "the registry held whole by every daemon; a daemon needs only the runners of the pools and zones it serves"},
 	{role: "data daemon", what: "messages sent in quiet", unit: "/s", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.messages", 1), aim: aimDaemons, today: today,
 		mechanism: "a tick every 0.3 s, digests, shuffles: level by design"},
 	{role: "data daemon", what: "bytes in quiet, sent and from cores", unit: "KiB/s", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.bytes_all", 1.0/1024), aim: aimDaemons, today: today, bound: boundBytes / 1024,
@@ -134,24 +139,24 @@
 	{role: "data daemon", what: "bytes in quiet over the border of a region", unit: "KiB/s", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.bytes_other_region", 1.0/1024), aim: aimDaemons, today: today,
 		mechanism: "ticks go to one head, wherever it stands; heads of regions would keep them in"},
 	{role: "data daemon", what: "bytes for one change", unit: "KiB", series: "daemons", phase: "change", value: added("change", "daemon.bytes_all", "acknowledged.count", 1.0/1024), aim: aimDaemons, today: today,
-		mechanism: "the whole document, directory included, goes to each daemon a few times; news of one item would be level"},
+		design: designDocument, mechanism: "the whole document, directory included, goes to each daemon a few times; news of one item would be level"},
 	{role: "data daemon", what: "bytes for 37,000 changes a day", unit: "KiB/s", series: "daemons", phase: "change", value: added("change", "daemon.bytes_all", "acknowledged.count", aimChanges/1024), aim: aimDaemons, today: today, bound: boundBytes / 1024,
-		mechanism: "as above: changes of named items on the wire, the directory apart from the spec"},
+		design: designDocument, mechanism: "as above: changes of named items on the wire, the directory apart from the spec"},
 	{role: "data daemon", what: "processor time in quiet", unit: "% of a core", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.processor", 100), aim: aimDaemons, today: today, bound: boundProcessor * 100,
 		mechanism: "level by design; the hollow process's own time is in it"},
 	{role: "data daemon", what: "processor time for 37,000 changes a day, 20 lanes", unit: "% of a core", series: "daemons", phase: "change", value: added("change", "daemon.processor", "acknowledged.count", 100*aimChanges), aim: aimDaemons, today: today, bound: boundProcessor * 100,
-		mechanism: "each daemon decodes the directory and parses the spec anew for each change"},
+		design: designDocument, mechanism: "each daemon decodes the directory and parses the spec anew for each change"},
 	{role: "data daemon", what: "processor time for 37,000 changes a day, by lanes (60 daemons)", unit: "% of a core", series: "lanes", phase: "change", value: added("change", "daemon.processor", "acknowledged.count", 100*aimChanges), aim: aimTenants, bound: boundProcessor * 100,
-		mechanism: "whole specs sent and parsed for a change of one item; changes of named items would be level"},
+		design: designDocument, mechanism: "whole specs sent and parsed for a change of one item; changes of named items would be level"},
 	{role: "data daemon", what: "contacts asked and answered around one loss of the head", unit: "messages", series: "faults", phase: "head",
 		value: func(run Run) (float64, bool) {
 			asked, found := whole("head", "kind.ContactAsk.messages", 1)(run)
 			answered, also := whole("head", "kind.ContactAnswer.messages", 1)(run)
 			return asked + answered, found && also
 		}, aim: aimDaemons, today: today,
-		mechanism: "each daemon asks the whole directory every 0.3 s while the head is silent: with the square over the fleet; vouching by zones' daemons would bound it"},
+		design: designVouching, mechanism: "each daemon asks the whole directory every 0.3 s while the head is silent: with the square over the fleet; vouching by zones' daemons would bound it"},
 	{role: "data daemon", what: "bytes around one loss of the head, over the two seconds of silence", unit: "KiB/s", series: "faults", phase: "head", value: whole("head", "daemon.bytes", 1.0/1024/2), aim: aimDaemons, today: today, bound: boundBytes / 1024,
-		mechanism: "as above"},
+		design: designVouching, mechanism: "as above"},
 	{role: "data daemon", what: "a step's look at the directory with the head silent or not (snapshot)", unit: "µs", series: "daemons", phase: "quiet",
 		value: func(run Run) (float64, bool) {
 			for _, held := range run.Phases {
@@ -161,17 +166,17 @@
 			}
 			return 0, false
 		}, aim: aimDaemons, today: today,
-		mechanism: "the contacts of the whole directory are walked at each step; kept sorted or only when the tick has run out it would be level"},
+		design: designVouching, mechanism: "the contacts of the whole directory are walked at each step; kept sorted or only when the tick has run out it would be level"},
 	{role: "head", what: "processor time in quiet", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "head.processor", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor,
-		mechanism: "one machine answers every daemon's tick; heads of zones that hold one tick for all their daemons would divide it"},
+		design: designTicks, mechanism: "one machine answers every daemon's tick; heads of zones that hold one tick for all their daemons would divide it"},
 	{role: "head", what: "messages received in quiet", unit: "/s", series: "daemons", phase: "quiet", value: figure("quiet", "head.received", 1), aim: aimDaemons, today: today,
-		mechanism: "as above"},
+		design: designTicks, mechanism: "as above"},
 	{role: "head", what: "bytes sent in quiet", unit: "KiB/s", series: "daemons", phase: "quiet", value: figure("quiet", "head.bytes_out", 1.0/1024), aim: aimDaemons, today: today,
-		mechanism: "each grant carries the whole view; its epoch would do"},
+		design: designTicks, mechanism: "each grant carries the whole view; its epoch would do"},
 	{role: "head", what: "memory", unit: "MiB", series: "daemons", phase: "quiet", value: figure("quiet", "head.resident", 1.0/mebibyte), aim: aimDaemons, today: today, bound: boundCoreMemory / mebibyte,
-		mechanism: "two connections with their buffers for each daemon"},
+		design: designTicks, mechanism: "two connections with their buffers for each daemon"},
 	{role: "chain member", what: "memory", unit: "MiB", series: "daemons", phase: "quiet", value: figure("quiet", "middle.resident", 1.0/mebibyte), aim: aimDaemons, today: today, bound: boundCoreMemory / mebibyte,
-		mechanism: "daemons shuffle with every core now and then, and keep the connections"},
+		design: designTicks, mechanism: "daemons shuffle with every core now and then, and keep the connections"},
 	{role: "keeper and chain member", what: "processor time in quiet", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "middle.processor", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor,
 		mechanism: "claims and beats among few cores: level but for the daemons' shuffles"},
 	{role: "tail", what: "processor time in quiet", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "tail.processor", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor,
@@ -185,15 +190,15 @@
 			}
 			return most, found
 		}, aim: aimRunners, today: today, bound: boundCoreProcessor,
-		mechanism: "calls are shared by the cores; each tells the others which it heard. More cores that only take calls divide it"},
+		design: designRegistry, mechanism: "calls are shared by the cores; each tells the others which it heard. More cores that only take calls divide it"},
 	{role: "registry", what: "bytes between cores and of news, sent by the head", unit: "KiB/s", series: "runners", phase: "quiet", value: figure("quiet", "head.bytes_out", 1.0/1024), aim: aimRunners, today: today,
-		mechanism: "lists of the calls heard, every half beat, to every core"},
+		design: designRegistry, mechanism: "lists of the calls heard, every half beat, to every core"},
 	{role: "registry", what: "bytes at a daemon for five runners that leave and five that come", unit: "KiB", series: "runners", phase: "runners", value: added("runners", "daemon.bytes_all", "replaced.runners", 5.0/1024), aim: aimRunners, today: today,
-		mechanism: "only changes travel, but sums that differ for a moment make two books tell each other all versions"},
+		design: designRegistry, mechanism: "only changes travel, but sums that differ for a moment make two books tell each other all versions"},
 	{role: "registry", what: "a runner's leaving acknowledged", unit: "s", series: "runners", phase: "runners", value: figure("runners", "leave.most", 1), aim: aimRunners, today: today, bound: 2,
 		mechanism: "told straight to every daemon; answered after 0.4 s at the latest"},
 	{role: "zone reader", what: "bytes at a daemon where a list is read for each zone (60 daemons)", unit: "KiB/s", series: "listed", phase: "quiet", value: figure("quiet", "daemon.bytes_all", 1.0/1024), aim: aimRunners, bound: boundBytes / 1024,
-		mechanism: "the whole list goes through the zone at each reading, every 0.4 s; the registry's news of changes in its place"},
+		design: designRegistry, mechanism: "the whole list goes through the zone at each reading, every 0.4 s; the registry's news of changes in its place"},
 	{role: "all", what: "a change is in force everywhere, simulated time", unit: "s", series: "spread", phase: "spread", value: figure("spread", "all", 1), aim: aimDaemons, today: today, bound: boundForce,
 		mechanism: "rumors need a round more for each tenfold"},
 	{role: "head", what: "a change is acknowledged, simulated time", unit: "s", series: "spread", phase: "spread", value: figure("spread", "acknowledged", 1), aim: aimDaemons, today: today, bound: boundForce,
@@ -201,15 +206,19 @@
 	{role: "head", what: "a change is acknowledged with a daemon just dead", unit: "s", series: "faults", phase: "churn", value: figure("churn", "acknowledged.most", 1), aim: aimDaemons, today: today, bound: boundForce,
 		mechanism: "the dead one's tick has to run out; 85 failures a day and 2,200 restarts make it rare"},
 	{role: "head", what: "one daemon comes into the directory", unit: "s", series: "faults", phase: "churn", value: figure("churn", "newcomer.seconds", 1), aim: aimDaemons, today: today, bound: 86400.0 / (2200 + 2*85) / 2,
-		mechanism: "one entry a change, each a whole document to all; a zone's 233 come in one by one"},
+		design: designDocument, mechanism: "one entry a change, each a whole document to all; a zone's 233 come in one by one"},
+	{role: "data daemon", what: "part of the lesser side that serves while regions are apart", unit: "of 1", series: "faults", phase: "cut", value: figure("cut", "lesser.serving", 1), aim: aimDaemons, today: today, bound: 1, least: true, design: designCut,
+		mechanism: "a daemon serves only while most of the whole directory, or the head, vouches for it"},
+	{role: "data daemon", what: "part of the greater side that serves while regions are apart", unit: "of 1", series: "faults", phase: "cut", value: figure("cut", "greater.serving", 1), aim: aimDaemons, today: today, bound: 1, least: true,
+		mechanism: "keeps the head"},
 	{role: "chain", what: "whole again after its tail and a zone are back", unit: "s", series: "faults", phase: "zone", value: figure("zone", "chain.seconds", 1), aim: aimDaemons, today: today, bound: 12,
 		mechanism: "a single vote; does not depend on the daemons"},
 	{role: "data daemon", what: "award: processor time of one among all runners", unit: "µs", series: "award", phase: "award", value: figure("award", "microseconds", 1), aim: aimRunners, today: 18,
-		mechanism: "every runner of the fleet is copied and sorted for each award; a book kept by pool would look at 278"},
+		design: designAward, mechanism: "every runner of the fleet is copied and sorted for each award; a book kept by pool would look at 278"},
 	{role: "data daemon", what: "award: processor time at 20.6 requests a second", unit: "% of a core", series: "award", phase: "award", value: figure("award", "microseconds", aimRequests/aimDaemons/1e4), aim: aimRunners, today: 18, bound: 10,
-		mechanism: "as above; the bound of a tenth of a core is ours"},
+		design: designAward, mechanism: "as above; the bound of a tenth of a core is ours"},
 	{role: "data daemon", what: "index: memory for the prefixes", unit: "MiB", series: "index", phase: "index", value: figure("index", "bytes", 1.0/mebibyte), aim: aimPrefixes, bound: boundDataMemory / mebibyte,
-		mechanism: "each key has a list of its own; homes of openings by a hash would let a daemon keep its share"},
+		design: designIndex, mechanism: "each key has a list of its own; homes of openings by a hash would let a daemon keep its share"},
 	{role: "data daemon", what: "index: a lookup of six keys", unit: "µs", series: "index", phase: "index", value: figure("index", "score.microseconds", 1), aim: aimPrefixes,
 		mechanism: "a hash and six look-ups: level"},
 	{role: "data daemon", what: "requests: processor time of a whole small fleet by rate", unit: "cores", series: "requests", phase: "requests",
@@ -229,19 +238,35 @@
 	role, what string
 	asked, has float64
 	unit       string
+	design     string
 	mechanism  string
 }
 
+// The designs that would carry what does not hold; each is a section of the page.
+const (
+	designCut       = "Regions that serve apart"
+	designVouching  = "Vouching by a sample"
+	designTicks     = "Ticks for a zone at once"
+	designDocument  = "News of one item"
+	designRegistry  = "Runners known where they are used"
+	designReports   = "Reports where work goes"
+	designAward     = "A book by pool"
+	designIndex     = "Homes for openings"
+	designAllowance = "Allowances lent"
+	designOutcomes  = "Outcomes kept for a time"
+)
+
 var limits = []limit{
-	{"head", "daemons that one head keeps ticks for", aimDaemons, core.MaximumDaemons, "daemons", "heads of zones"},
-	{"registry", "runners that a book remembers", aimRunners, registry.MaximumRunners, "runners", "a greater bound costs memory in proportion; books by pool"},
-	{"data daemon", "prefixes in an index", aimPrefixes, kvblock.DefaultKeys, "keys", "each daemon keeps the share whose home is near it"},
-	{"data daemon", "runners for each prefix", 10000.0 / aimModels, kvblock.DefaultRunners, "runners", "only those that hold it are wanted; 16 are enough for a choice"},
-	{"head", "operations whose outcome is remembered for a day", 37000, chain.MaximumOutcomes, "operations", "outcomes kept for a time instead of a number, on disk"},
-	{"all", "registers of rumors", 1 + aimMachines, rumor.MaximumRegisters, "registers", "the document and what a zone tells"},
-	{"data daemon", "requests that wait at a daemon for one pool, one second's worth", aimRequests / aimDaemons, award.WaitlistLength, "requests", "a second of the daemon's whole share fits many times"},
-	{"data daemon", "reports read from runners by each daemon, if all are read every round", aimRunners / plane.PressureEvery.Seconds(), boundBytes / 300, "reads/s", "only the runners that a daemon sends to, or their own word with each answer; the bound is 26 KiB/s at 300 bytes a read"},
-	{"data daemon", "ticks asked of one head by all daemons", aimDaemons / director.AskEvery.Seconds(), 1 / (60e-6) * boundCoreProcessor, "asks/s", "one tick for a zone's daemons together; the bound takes 60 µs an ask, see the head's row for the slope that was measured"},
+	{"head", "daemons that one head keeps ticks for", aimDaemons, core.MaximumDaemons, "daemons", designTicks, "heads of zones"},
+	{"registry", "runners that a book remembers", aimRunners, registry.MaximumRunners, "runners", designRegistry, "a greater bound costs memory in proportion; books by pool"},
+	{"data daemon", "prefixes in an index", aimPrefixes, kvblock.DefaultKeys, "keys", designIndex, "each daemon keeps the share whose home is near it"},
+	{"data daemon", "runners for each prefix", 10000.0 / aimModels, kvblock.DefaultRunners, "runners", designIndex, "only those that hold it are wanted; 16 are enough for a choice"},
+	{"head", "operations whose outcome is remembered for a day", 37000, chain.MaximumOutcomes, "operations", designOutcomes, "outcomes kept for a time instead of a number, on disk"},
+	{"all", "registers of rumors", 1 + aimMachines, rumor.MaximumRegisters, "registers", "", "the document and what a zone tells"},
+	{"data daemon", "requests that wait at a daemon for one pool, one second's worth", aimRequests / aimDaemons, award.WaitlistLength, "requests", "", "a second of the daemon's whole share fits many times"},
+	{"data daemon", "reports read from runners by each daemon, if all are read every round", aimRunners / plane.PressureEvery.Seconds(), boundBytes / 300, "reads/s", designReports, "only the runners that a daemon sends to, or their own word with each answer; the bound is 26 KiB/s at 300 bytes a read"},
+	{"data daemon", "repeats that a daemon may send in a window, one of 36 pools: its part of the requests", 1, budget.Default.Ratio * aimRequests / aimDaemons / aimModels * (10.0), "repeats", designAllowance, "a part below one is none; allowances lent by the zone"},
+	{"data daemon", "ticks asked of one head by all daemons", aimDaemons / director.AskEvery.Seconds(), 1 / (60e-6) * boundCoreProcessor, "asks/s", designTicks, "one tick for a zone's daemons together; the bound takes 60 µs an ask, see the head's row for the slope that was measured"},
 }
 
 // describe names the aim.
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"sort"
@@ -102,14 +103,36 @@
 }
 
 // verdict tells whether a figure keeps a bound, or by what factor not.
-func verdict(value, bound float64) string {
+func verdict(value, bound float64, least bool) string {
 	if bound == 0 {
 		return "no bound given"
 	}
-	if value <= bound {
+	over := factor(value, bound, least)
+	if math.IsInf(over, 1) {
+		return "**not at all**"
+	}
+	if over <= 1 {
 		return "holds"
 	}
-	return fmt.Sprintf("**%s times over**", short(value/bound))
+	return fmt.Sprintf("**%s times over**", short(over))
+}
+
+// factor is how many times a figure goes beyond a bound; at most 1 holds.
+func factor(value, bound float64, least bool) float64 {
+	if bound == 0 {
+		return 0
+	}
+	if !least {
+		return value / bound
+	}
+	if value < 0.005*bound {
+		return math.Inf(1)
+	}
+	// Why: what is as good as the bound is not told to miss it by a rounding.
+	if value >= 0.995*bound {
+		return 1
+	}
+	return bound / value
 }
 
 // LinesTable is the page's table of figures that grow: fitted, extrapolated and judged.
@@ -133,7 +156,7 @@
 			earlier = short(max(0, former.At(line.aim)))
 		}
 		fmt.Fprintf(text, "| %s | %s, %s | %s | ±%.0f%% | %s | %s | %s | %s | %s | %s | %s |\n", line.role, line.what, line.unit, fit.grows(), 100*fit.Scatter, now, short(at), boundText(line.bound),
-			verdict(at, line.bound), earlier, line.series, line.mechanism)
+			verdict(at, line.bound, line.least), earlier, line.series, line.mechanism)
 	}
 	return text.String()
 }
@@ -157,7 +180,57 @@
 	fmt.Fprintln(text, "| role | bound in the code | has | asked | verdict | carried by |")
 	fmt.Fprintln(text, "| --- | --- | --- | --- | --- | --- |")
 	for _, limit := range limits {
-		fmt.Fprintf(text, "| %s | %s, %s | %s | %s | %s | %s |\n", limit.role, limit.what, limit.unit, short(limit.has), short(limit.asked), verdict(limit.asked, limit.has), limit.mechanism)
+		fmt.Fprintf(text, "| %s | %s, %s | %s | %s | %s | %s |\n", limit.role, limit.what, limit.unit, short(limit.has), short(limit.asked), verdict(limit.asked, limit.has, false), limit.mechanism)
+	}
+	return text.String()
+}
+
+// Worst is what goes furthest beyond its bounds, by the design that would carry it.
+type Worst struct {
+	Design, What string
+	Factor       float64
+}
+
+// Ranked gives every design that is needed, the one whose bound is missed by most first.
+func Ranked(now map[string]Results) []Worst {
+	found := map[string]Worst{}
+	add := func(design, what string, over float64) {
+		if design != "" && over > 1 && over > found[design].Factor {
+			found[design] = Worst{Design: design, What: what, Factor: over}
+		}
+	}
+	for _, line := range lines {
+		if fit, fitted := FitPoints(line.points(now)); fitted {
+			add(line.design, line.role+": "+line.what, factor(max(0, fit.At(line.aim)), line.bound, line.least))
+		}
+	}
+	for _, limit := range limits {
+		add(limit.design, limit.role+": "+limit.what, factor(limit.asked, limit.has, false))
+	}
+	ranked := make([]Worst, 0, len(found))
+	for _, worst := range found {
+		ranked = append(ranked, worst)
+	}
+	sort.Slice(ranked, func(left, right int) bool {
+		if ranked[left].Factor != ranked[right].Factor {
+			return ranked[left].Factor > ranked[right].Factor
+		}
+		return ranked[left].Design < ranked[right].Design
+	})
+	return ranked
+}
+
+// WorstTable is the page's list of what does not hold.
+func WorstTable(now map[string]Results) string {
+	text := &strings.Builder{}
+	fmt.Fprintln(text, "| | design that would carry it | where its bound is missed most | by |")
+	fmt.Fprintln(text, "| --- | --- | --- | --- |")
+	for place, worst := range Ranked(now) {
+		by := short(worst.Factor) + " times"
+		if math.IsInf(worst.Factor, 1) {
+			by = "not at all"
+		}
+		fmt.Fprintf(text, "| %d | %s | %s | %s |\n", place+1, worst.Design, worst.What, by)
 	}
 	return text.String()
 }
@@ -240,7 +313,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
+	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
 }
 
 // Fill puts the tables into a page, each between its marks.
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -180,7 +180,15 @@
 		fleet.tell("upset: %s", strings.Join(founded.Notes, "; "))
 		return run, nil
 	}
-	run.Phases = append(run.Phases, fleet.watch("quiet", func(phase *Phase) { pause(options.Quiet) }))
+	quiet := fleet.watch("quiet", func(phase *Phase) { pause(options.Quiet) })
+	if options.Slow > 1 {
+		fleet.order(Order{Verb: "pace", Slow: 2 * options.Slow})
+		halved := fleet.watch("halved", func(phase *Phase) { pause(options.Quiet) })
+		fleet.order(Order{Verb: "pace", Slow: options.Slow})
+		quiet.speedUp(halved, options.Slow)
+		run.Phases = append(run.Phases, halved)
+	}
+	run.Phases = append(run.Phases, quiet)
 	for _, name := range options.Phases {
 		made := phases[name]
 		if fleet.exceeded || run.Phases[len(run.Phases)-1].Upset || time.Since(fleet.begun) > options.Bound {
@@ -270,6 +278,27 @@
 	return found
 }
 
+// paced are the cores' figures that grow with how often daemons ask.
+var paced = []string{"processor", "sent", "received", "bytes_out", "bytes_in"}
+
+// speedUp reckons what the cores' figures are with daemons at full speed, from what was seen at a pace
+// and at half of it: a part that is the core's own, and a part for each question.
+func (phase *Phase) speedUp(halved Phase, slow float64) {
+	for _, role := range []string{"head", "middle", "tail"} {
+		for _, name := range paced {
+			key := role + "." + name
+			seen, found := phase.Figures[key]
+			less, also := halved.Figures[key]
+			if !found || !also {
+				continue
+			}
+			asked := 2 * slow * (seen - less)
+			phase.Figures[key+".seen"], phase.Figures[key+".asked"], phase.Figures[key+".own"] = seen, asked, 2*less-seen
+			phase.Figures[key] = max(seen, asked+2*less-seen)
+		}
+	}
+}
+
 // flows notes what a daemon sent and what the cores sent it, by kind and border.
 func (fleet *fleet) flows(phase *Phase, first, second Report, each float64) {
 	held := map[Flow]Count{}
@@ -302,10 +331,8 @@
 func (fleet *fleet) coreFigures(phase *Phase) {
 	for _, core := range phase.Cores {
 		for _, role := range strings.Split(core.Place, " and ") {
-			// Why: what daemons with slow clocks ask of a core in a second they would ask Slow times as often.
-			slow := fleet.options.Slow
-			for name, value := range map[string]float64{"processor": core.Processor * slow, "processor_seen": core.Processor, "resident": float64(core.Resident), "sent": core.Sent * slow, "received": core.Received * slow,
-				"bytes_out": core.BytesOut * slow, "bytes_in": core.BytesIn * slow, "dropped": core.Dropped} {
+			for name, value := range map[string]float64{"processor": core.Processor, "resident": float64(core.Resident), "sent": core.Sent, "received": core.Received,
+				"bytes_out": core.BytesOut, "bytes_in": core.BytesIn, "dropped": core.Dropped} {
 				key := role + "." + name
 				phase.Figures[key] = max(phase.Figures[key], value)
 			}
