--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -143,7 +143,9 @@
 	begun    time.Time
 	told     time.Time
 	exceeded bool
-	crowd    *crowd
+	// pace is how many times slower than the machine's the daemons' clocks run now.
+	pace  float64
+	crowd *crowd
 }
 
 // open starts the hosts and lays out the cores; no daemon and no core runs yet.
@@ -152,7 +154,7 @@
 	if options.Program == "" {
 		count = 1
 	}
-	fleet := &fleet{options: options, begun: time.Now(), http: &http.Client{Timeout: 10 * time.Second}}
+	fleet := &fleet{options: options, begun: time.Now(), pace: options.Slow, http: &http.Client{Timeout: 10 * time.Second}}
 	places := corePlaces(options.Network, options.Cores)
 	var addresses, seeds []string
 	for _, place := range places {
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -105,6 +105,9 @@
 // slowest is the pace up to which a daemon's questions still come within the head's patience.
 const slowest = 4
 
+// leastQuiet is for how many of the daemons' own seconds a fleet is left alone at least.
+const leastQuiet = 2
+
 // perPace is how many daemons a processor of the hosts carries at full speed without falling behind.
 const perPace = 60
 
@@ -180,11 +183,15 @@
 		fleet.tell("upset: %s", strings.Join(founded.Notes, "; "))
 		return run, nil
 	}
-	quiet := fleet.watch("quiet", func(phase *Phase) { pause(options.Quiet) })
+	// Why: with slow clocks the same time holds less of the daemons' own, and what comes once a second would be missed.
+	length := max(options.Quiet, time.Duration(leastQuiet*options.Slow*float64(time.Second)))
+	quiet := fleet.watch("quiet", func(phase *Phase) { pause(length) })
 	if options.Slow > 1 {
 		fleet.order(Order{Verb: "pace", Slow: 2 * options.Slow})
-		halved := fleet.watch("halved", func(phase *Phase) { pause(options.Quiet) })
+		fleet.pace = 2 * options.Slow
+		halved := fleet.watch("halved", func(phase *Phase) { pause(length) })
 		fleet.order(Order{Verb: "pace", Slow: options.Slow})
+		fleet.pace = options.Slow
 		quiet.speedUp(halved, options.Slow)
 		run.Phases = append(run.Phases, halved)
 	}
@@ -232,7 +239,7 @@
 	do(&phase)
 	second := fleet.order(Order{Verb: "report"})
 	phase.Seconds = time.Since(begun).Seconds()
-	each := float64(max(1, fleet.options.Daemons)) * phase.Seconds / fleet.options.Slow
+	each := float64(max(1, fleet.options.Daemons)) * phase.Seconds / fleet.pace
 	phase.Figures["daemon.processor"] = (second.Used - first.Used).Seconds() / each
 	phase.Figures["carrier.dropped"] = float64(second.Dropped - first.Dropped)
 	phase.Figures["harness.processor"] = (second.Used - first.Used).Seconds() / phase.Seconds
