--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -43,6 +43,7 @@
 var series = map[string]func(run Run) float64{
 	"daemons":  func(run Run) float64 { return float64(run.Daemons) },
 	"faults":   func(run Run) float64 { return float64(run.Daemons) },
+	"storm":    func(run Run) float64 { return float64(run.Daemons) },
 	"runners":  func(run Run) float64 { return float64(run.Runners) },
 	"listed":   func(run Run) float64 { return float64(run.Runners) },
 	"lanes":    func(run Run) float64 { return float64(run.Lanes) },
@@ -207,6 +208,12 @@
 		mechanism: "rumors need a round more for each tenfold"},
 	{role: "head", what: "a change is acknowledged, simulated time", unit: "s", series: "spread", phase: "spread", value: figure("spread", "acknowledged", 1), aim: aimDaemons, today: today, bound: boundForce,
 		mechanism: "waits for every daemon with a running tick: 1.65 s more where one has just died"},
+	{role: "head", what: "time for each accepted change while four operators race", unit: "s", series: "storm", phase: "storm",
+		value: func(run Run) (float64, bool) {
+			rate, found := run.figure("storm", "accepted.per_second")
+			return 1 / max(rate, 1e-3), found
+		}, aim: aimDaemons, today: today, bound: 1 / aimChanges, design: designDocument,
+		mechanism: "one after another, each a whole document to all; the bound is the mean distance of 37,000 changes a day"},
 	{role: "head", what: "a change is acknowledged with a daemon just dead", unit: "s", series: "faults", phase: "churn", value: figure("churn", "acknowledged.most", 1), aim: aimDaemons, today: today, bound: boundForce,
 		mechanism: "the dead one's tick has to run out; 85 failures a day and 2,200 restarts make it rare"},
 	{role: "head", what: "one daemon comes into the directory", unit: "s", series: "faults", phase: "churn", value: figure("churn", "newcomer.seconds", 1), aim: aimDaemons, today: today, bound: 86400.0 / (2200 + 2*85) / 2,
--- a/proof/hollow/runners.go
+++ b/proof/hollow/runners.go
@@ -43,15 +43,22 @@
 	crowd.mutex.Lock()
 	crowd.runners[runner.id] = runner
 	crowd.mutex.Unlock()
+	delay := time.Duration(0)
+	if life == 0 {
+		delay = time.Duration(number) * runnerBeat / perBeat
+	}
 	crowd.waiting.Add(1)
-	go crowd.live(runner)
+	go crowd.live(runner, delay)
 	return runner
 }
 
-// live calls until the runner is gone. The first calls of all are spread over a beat.
-func (crowd *crowd) live(runner *hollowRunner) {
+// perBeat is how many runners begin their lives in one beat.
+const perBeat = 300
+
+// live calls until the runner is gone.
+func (crowd *crowd) live(runner *hollowRunner, delay time.Duration) {
 	defer crowd.waiting.Done()
-	timer := time.NewTimer(time.Duration(runner.number%1000) * runnerBeat / 1000)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for {
 		select {
