--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -235,6 +235,41 @@
 	return text.String()
 }
 
+// budgets are the costs of the request path whose rate is known at the size aimed at, for one daemon.
+var budgets = []struct {
+	what, phase, figure string
+	// size picks the run where there are several.
+	size func(run Run) int
+	rate float64
+	unit string
+}{
+	{"an award among all runners", "award", "microseconds", func(run Run) int { return run.Runners }, aimRequests / aimDaemons, "requests"},
+	{"a lookup of six keys", "index", "score.microseconds", func(run Run) int { return run.Prefixes }, aimRequests / aimDaemons, "requests"},
+	{"noting six keys", "index", "fill.microseconds_per_key", func(run Run) int { return run.Prefixes }, 6 * aimRequests / aimDaemons, "keys"},
+	{"reading an event of one token", "event", "read.microseconds", func(run Run) int { return 1 }, aimTokens / aimDaemons, "events"},
+}
+
+// BudgetsTable is the page's table of what the request path's parts come to at one daemon's share.
+func BudgetsTable(all map[string]Results) string {
+	text := &strings.Builder{}
+	fmt.Fprintln(text, "| part | measured at | µs | times a second and daemon | % of a core |")
+	fmt.Fprintln(text, "| --- | --- | --- | --- | --- |")
+	for _, budget := range budgets {
+		size, value := -1, 0.0
+		for _, run := range all["path"].Runs {
+			if found, there := run.figure(budget.phase, budget.figure); there && budget.size(run) > size {
+				size, value = budget.size(run), found
+			}
+		}
+		if size < 0 {
+			fmt.Fprintf(text, "| %s | not measured | | %s %s | |\n", budget.what, short(budget.rate), budget.unit)
+			continue
+		}
+		fmt.Fprintf(text, "| %s | %d | %s | %s %s | %s |\n", budget.what, size, short(value), short(budget.rate), budget.unit, short(value*budget.rate/1e4))
+	}
+	return text.String()
+}
+
 // KindsTable is the page's table of a daemon's messages by kind and border, from the greatest run left alone.
 func KindsTable(all map[string]Results) string {
 	text := &strings.Builder{}
@@ -313,7 +348,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
+	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
 }
 
 // Fill puts the tables into a page, each between its marks.
