--- a/proof/hollow/fit.go
+++ b/proof/hollow/fit.go
@@ -116,22 +116,3 @@
 	}
 	return 0
 }
-
-// Points gives a figure of a phase over all runs that have it, by the size that a function tells.
-func (results Results) Points(phase, figure string, size func(run Run) float64) []Point {
-	var points []Point
-	for _, run := range results.Runs {
-		for _, held := range run.Phases {
-			if value, found := held.Figures[figure]; held.Name == phase && found && !held.Upset {
-				points = append(points, Point{Size: size(run), Value: value})
-			}
-		}
-	}
-	return points
-}
-
-// ByDaemons and ByRunners are the sizes that figures grow with.
-func ByDaemons(run Run) float64 { return float64(run.Daemons) }
-
-// ByRunners gives a run's runners.
-func ByRunners(run Run) float64 { return float64(run.Runners) }
--- a/proof/hollow/plot.go
+++ b/proof/hollow/plot.go
@@ -13,15 +13,16 @@
 
 // plotted are the figures of the plot, each as a part of its bound.
 var plotted = []struct {
-	name, phase, figure string
-	bound               float64
+	name  string
+	value func(run Run) (float64, bool)
+	bound float64
 }{
-	{"daemon: processor", "quiet", "daemon.processor", boundProcessor},
-	{"daemon: bytes sent", "quiet", "daemon.bytes", boundBytes},
-	{"daemon: heap", "quiet", "daemon.heap", boundMemory},
-	{"head: processor", "quiet", "head.processor", 1},
-	{"head: memory", "quiet", "head.resident", boundMemory},
-	{"change: acknowledged", "change", "acknowledged.most", boundForce},
+	{"daemon: processor", figure("quiet", "daemon.processor", 1), boundProcessor},
+	{"daemon: bytes in quiet", figure("quiet", "daemon.bytes_all", 1), boundBytes},
+	{"daemon: bytes for changes", added("change", "daemon.bytes_all", "acknowledged.count", aimChanges), boundBytes},
+	{"daemon: heap", figure("quiet", "daemon.heap", 1), boundMemory},
+	{"head: processor", figure("quiet", "head.processor", 1), boundCoreProcessor},
+	{"head: memory", figure("quiet", "head.resident", 1), boundCoreMemory},
 }
 
 // Plot draws how the main figures grow with the number of daemons, as parts of their bounds.
@@ -36,10 +37,11 @@
 	least, most := 1e9, 1.0
 	for _, wanted := range plotted {
 		var line plotter.XYs
-		for _, point := range results.Points(wanted.phase, wanted.figure, ByDaemons) {
-			if point.Value > 0 {
-				line = append(line, plotter.XY{X: point.Size, Y: point.Value / wanted.bound})
-				least, most = min(least, point.Size), max(most, point.Size)
+		for _, run := range results.Runs {
+			if value, found := wanted.value(run); found && value > 0 {
+				size := float64(run.Daemons)
+				line = append(line, plotter.XY{X: size, Y: value / wanted.bound})
+				least, most = min(least, size), max(most, size)
 			}
 		}
 		sort.Slice(line, func(left, right int) bool { return line[left].X < line[right].X })
