A daemon that begins relies on the head whose runners it has just learned

The change: an answer of the head itself counts as agreement for half a second; a dispute that paused for a second begins anew; ticks and other daemons' words are disputed apart.

--- a/process/director/director.go
+++ b/process/director/director.go
@@ -35,6 +35,8 @@
 	listBound    = 1600 * time.Millisecond
 	learnEvery   = 300 * time.Millisecond
 	learnBound   = 2 * time.Second
+	taughtBound  = 500 * time.Millisecond
+	disputeGap   = time.Second
 	beatingCount = 3
 	// Staleness is for how long an answer is relied on, counted from its question.
 	Staleness = core.Staleness
@@ -109,13 +111,31 @@
 	// WantsPoll is set when the driver should read the platform's list.
 	wantsPoll bool
 	registry  *registry.Exchange
-	// learned tells that somebody has told which runners there are; disputed is since when this daemon, which
-	// awards nothing, knows other runners than those that would let it.
-	learned   bool
-	disputed  time.Time
+	// learned tells that somebody has told which runners there are. The disputes are those of this daemon, while
+	// it awards nothing, with the head and with the others, who know of other runners than it does.
+	learned          bool
+	byTick, byOthers dispute
+	// teacher last answered with all the runners that it knew, at taught.
+	teacher   string
+	taught    time.Time
 	lastLearn time.Time
 }
 
+// dispute is since when words are not relied on, and when the last of them came.
+type dispute struct {
+	since, last time.Time
+}
+
+// over takes in one more such word; it tells whether they have gone on for so long that it counts after all.
+// Why: a word that comes long after the last one begins anew, for in between there was nobody to learn from.
+func (dispute *dispute) over(now time.Time) bool {
+	if now.Sub(dispute.last) > disputeGap {
+		dispute.since = now
+	}
+	dispute.last = now
+	return now.Sub(dispute.since) >= learnBound
+}
+
 type contact struct {
 	asked    time.Time
 	ready    bool
@@ -151,7 +171,7 @@
 		},
 		reflect.TypeFor[*wire.Envelope_RunnerNews](): func(now time.Time, envelope *wire.Envelope) {
 			director.registry.News(now, envelope.From, envelope.GetRunnerNews())
-			director.onRunnersLearned(now, envelope.GetRunnerNews())
+			director.onRunnersLearned(now, envelope.From, envelope.GetRunnerNews())
 		},
 		reflect.TypeFor[*wire.Envelope_RunnerDigest](): func(now time.Time, envelope *wire.Envelope) {
 			director.registry.Digest(now, envelope.From, envelope.GetRunnerDigest())
@@ -365,7 +385,7 @@
 		return
 	}
 	director.ready = true
-	if !director.agrees(now, message.Runners) {
+	if !director.agrees(now, from, message.Runners, &director.byTick) {
 		return
 	}
 	if until := asked.Add(Staleness); until.After(director.tickUntil) {
@@ -411,7 +431,7 @@
 	director.counters.Contacts++
 	// Why: with the control plane silent, those who vouch for our document are also who may know of other runners.
 	director.compareRunners(now, from, message.Runners)
-	if !director.agrees(now, message.Runners) {
+	if !director.agrees(now, from, message.Runners, &director.byOthers) {
 		return
 	}
 	director.contacts[from] = contact{asked: asked, ready: message.Ready, sequence: message.Sequence}
@@ -527,9 +547,6 @@
 		return
 	}
 	director.registry.Prune(now)
-	if now.Before(director.Until(now)) {
-		director.disputed = time.Time{}
-	}
 	if director.learned || now.Sub(director.lastLearn) < learnEvery {
 		return
 	}
@@ -549,24 +566,27 @@
 // agrees tells whether the word of a process that knows runners of such a sum lets this daemon award work.
 // Why: a daemon that has just begun, or was cut off, knows neither who came nor who left meanwhile, and must
 // learn it before it awards again; one that awards already learns it beside that.
-func (director *Director) agrees(now time.Time, sum uint64) bool {
+func (director *Director) agrees(now time.Time, from string, sum uint64, dispute *dispute) bool {
 	if !director.startup.Registered || sum == director.registry.Sum() || now.Before(director.Until(now)) {
 		return true
 	}
-	if director.disputed.IsZero() {
-		director.disputed = now
+	// Why: while many runners come at once two sums are seldom alike; that all of the other's were learned a
+	// moment ago is as good.
+	if director.teacher == from && now.Sub(director.taught) < taughtBound {
+		return true
 	}
-	return now.Sub(director.disputed) >= learnBound
+	director.registry.Insist(now, from)
+	return dispute.over(now)
 }
 
 // onRunnersLearned asks for a tick anew once it is learned what stood against the last one.
-func (director *Director) onRunnersLearned(now time.Time, news *wire.RunnerNews) {
+func (director *Director) onRunnersLearned(now time.Time, from string, news *wire.RunnerNews) {
 	if !news.Answer {
 		return
 	}
-	director.learned = true
-	if !director.disputed.IsZero() && len(director.view.Chain) > 0 {
-		director.askTicks(now, []string{director.view.Chain[0].Address})
+	director.learned, director.teacher, director.taught = true, from, now
+	if !now.Before(director.Until(now)) && len(director.view.Chain) > 0 && director.view.Chain[0].Address == from {
+		director.askTicks(now, []string{from})
 	}
 }
 
--- a/process/registry/exchange.go
+++ b/process/registry/exchange.go
@@ -16,6 +16,7 @@
 	*Book
 	outbox   *machine.Outbox
 	digested time.Time
+	asked    string
 }
 
 // NewExchange makes an exchange with an empty book.
@@ -62,6 +63,13 @@
 
 // Ask asks a process for all that we lack.
 func (exchange *Exchange) Ask(now time.Time, to string) {
-	exchange.digested = now
+	exchange.digested, exchange.asked = now, to
 	exchange.outbox.Send(to, &wire.Envelope{Body: &wire.Envelope_RunnerDigest{RunnerDigest: exchange.digest(true)}})
 }
+
+// Insist asks a process on whose answer something waits, unless it was asked a moment ago.
+func (exchange *Exchange) Insist(now time.Time, to string) {
+	if exchange.asked != to || now.Sub(exchange.digested) >= digestEvery {
+		exchange.Ask(now, to)
+	}
+}
