--- a/epoch/chain/chain.go
+++ b/epoch/chain/chain.go
@@ -23,6 +23,7 @@
 	// MaximumOutcomes bounds the operations whose outcome is remembered.
 	MaximumOutcomes = 4096
 	resend          = 200 * time.Millisecond
+	resendQuiet     = time.Second
 )
 
 // Chain is one member's part.
@@ -337,7 +338,7 @@
 
 // Tick sends again what may have been lost.
 func (chain *Chain) Tick(now time.Time) {
-	if chain.place < 0 || now.Sub(chain.lastSend) < resend {
+	if chain.place < 0 || now.Sub(chain.lastSend) < resend || chain.quiet() && now.Sub(chain.lastSend) < resendQuiet {
 		return
 	}
 	chain.lastSend = now
@@ -346,6 +347,11 @@
 	chain.align()
 }
 
+// quiet tells that this member knows of nothing that its neighbours lack.
+func (chain *Chain) quiet() bool {
+	return len(chain.pending) == 0 && chain.aligned && (chain.successor() == nil || chain.successorHeard && chain.successorSynced >= chain.synced)
+}
+
 // Memory fills in this member's part of a whole memory.
 func (chain *Chain) Memory(memory *wire.Memory) {
 	memory.Document = proto.Clone(chain.base).(*wire.Document)
--- a/epoch/view/view.go
+++ b/epoch/view/view.go
@@ -29,8 +29,8 @@
 	vote    *wire.Vote
 	attempt *attempt
 	round   uint64
-	// The view whose record is being synced; it is acted on only afterwards.
-	adopting uint64
+	// The view whose record is being synced, or was last; it is acted on only afterwards.
+	newest *wire.View
 }
 
 type attempt struct {
@@ -54,12 +54,16 @@
 	if vote == nil || vote.Instance != current.Epoch+1 {
 		vote = &wire.Vote{Instance: current.Epoch + 1}
 	}
-	return &Agent{self: self, outbox: outbox, resolve: resolve, learned: learned, current: current, since: now, vote: vote}
+	return &Agent{self: self, outbox: outbox, resolve: resolve, learned: learned, current: current, newest: current, since: now, vote: vote}
 }
 
 // Current gives the view that this agent acts under; its epoch is 0 where there is none yet.
 func (agent *Agent) Current() *wire.View { return agent.current }
 
+// Newest gives the newest view heard of. It may still be on its way to the disk; this agent's machine acts in none
+// before it any more, and in it only once it is Current.
+func (agent *Agent) Newest() *wire.View { return agent.newest }
+
 // Since tells when the current view was learned, or when this process began if that was later.
 func (agent *Agent) Since() time.Time { return agent.since }
 
@@ -230,14 +234,14 @@
 
 // Learn takes over a chosen view that is newer than the present one, once it is synced.
 func (agent *Agent) Learn(now time.Time, view *wire.View) {
-	if view == nil || view.Epoch <= max(agent.current.Epoch, agent.adopting) {
+	if view == nil || view.Epoch <= agent.newest.Epoch {
 		return
 	}
 	// Why: a member of one fleet must never be talked into another.
 	if agent.current.Epoch > 0 && view.Fleet != agent.current.Fleet {
 		return
 	}
-	agent.adopting = view.Epoch
+	agent.newest = view
 	agent.outbox.Persist(now, &wire.Record{Body: &wire.Record_View{View: view}}, func(done time.Time) {
 		if view.Epoch <= agent.current.Epoch {
 			return
--- a/process/cohort/cohort.go
+++ b/process/cohort/cohort.go
@@ -18,6 +18,8 @@
 	// Exchange is how many lines one shuffle carries.
 	Exchange = 5
 	every    = time.Second
+	// everyFull is how often a view that is full enough is shuffled.
+	everyFull = 3 * time.Second
 )
 
 // Cohort is the partial view of one process.
@@ -50,7 +52,7 @@
 
 // Tick ages the view and begins a shuffle when it is time.
 func (cohort *Cohort) Tick(now time.Time) {
-	if now.Sub(cohort.shuffled) < every {
+	if now.Sub(cohort.shuffled) < every || len(cohort.lines) >= Size/2 && now.Sub(cohort.shuffled) < everyFull {
 		return
 	}
 	cohort.shuffled = now
--- a/process/core/node.go
+++ b/process/core/node.go
@@ -22,10 +22,11 @@
 )
 
 const (
-	beatEvery     = 150 * time.Millisecond
-	claimEvery    = 150 * time.Millisecond
+	beatEvery     = 200 * time.Millisecond
+	claimEvery    = 200 * time.Millisecond
 	claimAgain    = 40 * time.Millisecond
 	learnEvery    = 300 * time.Millisecond
+	learnedEvery  = time.Second
 	suspicion     = 700 * time.Millisecond
 	sickAfter     = 700 * time.Millisecond
 	keeperBound   = 3 * time.Second
@@ -196,7 +197,8 @@
 	parcels, writes := node.outbox.Drain()
 	for _, parcel := range parcels {
 		parcel.Envelope.From, parcel.Envelope.Sender, parcel.Envelope.Zone = node.self.Address, node.self.Id, node.self.Zone
-		parcel.Envelope.Epoch = node.agent.Current().Epoch
+		// Why: whoever has heard of a view acts in none before it, even while its disk is still busy with that.
+		parcel.Envelope.Epoch = node.agent.Newest().Epoch
 		// Why: digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
 		if digest := parcel.Envelope.GetDigest(); digest != nil {
 			digest.Runners = node.registrar.Sum()
@@ -586,7 +588,8 @@
 
 func (node *Node) tendLearning(now time.Time) {
 	current := node.agent.Current()
-	if current.Epoch == 0 || node.chain.Inside() || node.leaving || len(current.Chain) == 0 || now.Sub(node.lastLearn) < learnEvery {
+	if current.Epoch == 0 || node.chain.Inside() || node.leaving || len(current.Chain) == 0 || now.Sub(node.lastLearn) < learnEvery ||
+		node.chain.LearnedView() == current.Epoch && now.Sub(node.lastLearn) < learnedEvery {
 		return
 	}
 	node.lastLearn = now
--- a/process/core/orders.go
+++ b/process/core/orders.go
@@ -146,7 +146,8 @@
 			node.giveUp(open)
 			continue
 		}
-		current := node.agent.Current()
+		// Why: a machine whose disk hangs still knows whom to ask, though it can't act under that view itself.
+		current := node.agent.Newest()
 		// Why: another view has another head or tail, which need not be left waiting.
 		if current.Epoch == 0 || open.view == current.Epoch && now.Sub(open.sent) < askAgain {
 			continue
@@ -220,7 +221,9 @@
 // leading tells whether this machine may act as head at this moment: in the chain's first place,
 // under a valid claim, with everything it found there committed.
 func (node *Node) leading(now time.Time) bool {
-	if !node.chain.Head() || !node.holder.Valid(now, node.agent.Current().Epoch) {
+	current := node.agent.Current()
+	// Why: others act by a newer view as soon as this machine says that it has heard of it.
+	if !node.chain.Head() || node.agent.Newest().Epoch > current.Epoch || !node.holder.Valid(now, current.Epoch) {
 		return false
 	}
 	// Why: a claim that runs out for a while lets nobody else act; only a new reign does.
@@ -478,15 +481,12 @@
 	node.reply(waiter.ask, 504, reply)
 }
 
-// failWaiters answers those who wait on a view that has passed.
+// failWaiters drops those who wait here once another machine is head. Why: where the question came in it is still
+// open and goes to the new head, which finds the change in its history or takes it anew.
 func (node *Node) failWaiters(now time.Time) {
-	if node.chain.Head() {
-		return
-	}
-	for _, waiter := range node.head.waiters {
-		node.unknown(waiter)
+	if !node.chain.Head() {
+		node.head.waiters = nil
 	}
-	node.head.waiters = nil
 }
 
 // delivered tells whether a committed change may be acknowledged: no group of daemons that could vouch for
@@ -589,7 +589,7 @@
 
 // onTickAsk answers a data daemon: the head grants, everybody tells a newer view.
 func (node *Node) onTickAsk(now time.Time, envelope *wire.Envelope, message *wire.TickAsk) {
-	current := node.agent.Current()
+	current := node.agent.Newest()
 	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum()}
 	if message.View < current.Epoch {
 		grant.View = current
--- a/process/director/director.go
+++ b/process/director/director.go
@@ -110,6 +110,7 @@
 	lastContact time.Time
 	lastBeat    time.Time
 	beats       uint64
+	beatEpoch   uint64
 	lastPoll    time.Time
 	polling     bool
 	listHeard   time.Time
@@ -571,8 +572,13 @@
 	if now.Sub(director.lastBeat) >= beatEvery && director.duty.Candidate(now, beatingCount) {
 		director.lastBeat = now
 		director.beats++
-		director.rumors.Put(now, &wire.Register{Key: "z/" + director.startup.Zone + "/beat/" + director.startup.Address,
-			Epoch: uint64(director.begun.UnixNano()), Count: director.beats, Writer: director.startup.Address}, 2)
+		key := "z/" + director.startup.Zone + "/beat/" + director.startup.Address
+		// Why: others remember an earlier life of this daemon, whose last sign of life must be outdone; no clock tells by how much.
+		if held := director.rumors.Get(key); held != nil && (held.Epoch > director.beatEpoch || held.Epoch == director.beatEpoch && held.Count >= director.beats) {
+			director.beatEpoch = held.Epoch + 1
+		}
+		director.rumors.Put(now, &wire.Register{Key: key,
+			Epoch: director.beatEpoch, Count: director.beats, Writer: director.startup.Address}, 2)
 	}
 	if director.polling || now.Sub(director.lastPoll) < pollEvery {
 		return
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -291,7 +291,7 @@
 		old.gone, old.dark = true, world.random.Intn(2) == 0
 		world.replaced++
 		host := world.add(fmt.Sprintf("%s+%d", old.Address, world.replaced), old.Zone, true)
-		host.late = true
+		host.newcomer = true
 		world.shuffleSeeds()
 		return reboot(world, host)
 	},
@@ -349,6 +349,27 @@
 		host.stalled = true
 		return func() { host.stalled = false; world.write(host) }
 	},
+	"head's disk stalled": func(world *World) func() {
+		host := world.head()
+		host.stalled = true
+		return func() { host.stalled = false; world.write(host) }
+	},
+	"head killed": func(world *World) func() {
+		host := world.head()
+		world.Kill(host)
+		return reboot(world, host)
+	},
+	"core slow": func(world *World) func() {
+		host := world.pick(world.Cores())
+		host.late = 300 * time.Millisecond
+		return func() { host.late = 0 }
+	},
+	"core halved": func(world *World) func() {
+		cores := world.Cores()
+		world.random.Shuffle(len(cores), func(left, right int) { cores[left], cores[right] = cores[right], cores[left] })
+		world.CutOff(cores[:len(cores)/2], cores[len(cores)/2:])
+		return world.Heal
+	},
 	"disk slow": func(world *World) func() {
 		host := world.pick(world.Cores())
 		host.slow = 300 * time.Millisecond
@@ -688,6 +709,16 @@
 	world.After(100*time.Millisecond, func() { world.freed(last, then) })
 }
 
+// head gives the machine that leads, or any if none does.
+func (world *World) head() *Host {
+	for _, host := range world.Cores() {
+		if host.up && !host.frozen && host.node.Leading(world.local(host)) {
+			return host
+		}
+	}
+	return world.pick(world.Cores())
+}
+
 // redundant tells whether every core is in the chain and the keepers are live and complete.
 func (world *World) redundant() bool {
 	for _, host := range world.Cores() {
@@ -805,6 +836,9 @@
 		text += "  " + line + "\n"
 	}
 	for _, host := range world.Hosts {
+		if host.engine != nil || host.gone {
+			continue
+		}
 		if !host.up {
 			text += fmt.Sprintf("  %s is down\n", host.Address)
 			continue
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -80,8 +80,10 @@
 	seeds   []string
 	// gone tells that the machine was taken away for good.
 	gone bool
-	// late tells that the machine came after the fleet's first start.
-	late bool
+	// newcomer tells that the machine came after the fleet's first start.
+	newcomer bool
+	// late is how much later than others it deals with what comes.
+	late time.Duration
 	// Sent is how many bytes of messages it has sent.
 	Sent uint64
 	// The greatest epoch under which this address awarded work.
@@ -127,7 +129,9 @@
 	// Faults is how many machines may lose their disks at once.
 	Faults     int
 	identities int
-	replaced   int
+	// Tally, if set, hears of every message.
+	Tally    func(from, to *Host, kind string, size int)
+	replaced int
 	// Log names the faults done and undone.
 	Log []string
 }
@@ -236,8 +240,8 @@
 	}
 	host.store = restored.Store
 	// Why: only the very first start may found a fleet; a machine whose disk is lost later must not.
-	founding := !host.late
-	host.late = true
+	founding := !host.newcomer
+	host.newcomer = true
 	host.node = core.New(now, core.Startup{Address: host.Address, Zone: host.Zone, Seeds: host.seeds, Founders: world.founders,
 		Founding: founding, Faults: world.Faults, Beat: callEvery},
 		restored.Memory, restored.Records, random)
@@ -330,6 +334,7 @@
 		world.Bytes += uint64(len(content))
 		host.Sent += uint64(len(content))
 		target := world.byName[parcel.To]
+		world.tallied(host, target, parcel.Envelope, len(content))
 		if target != nil && target.Zone != host.Zone {
 			world.AcrossBytes += uint64(len(content))
 		}
@@ -341,7 +346,7 @@
 		}
 		from, tried := host, world.local(host)
 		world.links[[2]string{host.Address, parcel.To}] = world.Now
-		world.After(world.lag(), func() {
+		world.After(world.lag()+target.late, func() {
 			world.deliver(from, target, content)
 			world.refuse(from, target, tried)
 		})
