--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -17,6 +17,8 @@
 const (
 	returnBound = history.ReturnBound
 	repairBound = 15 * time.Second
+	// sweepAllowance is how long damage on a disk may go unfound: until the next sweep, and a while to mend it.
+	sweepAllowance = 6 * time.Second
 )
 
 // fill lists so many runners.
@@ -446,6 +448,8 @@
 		// Why: other copies must be whole, or the fleet would have lost two disks.
 		if content := host.disk.files[names[world.random.Intn(3)]]; len(content) > 0 && world.redundant() {
 			content[world.random.Intn(len(content))] ^= 0x40
+			// Why: until a sweep has found it, or the machine has started anew, the loss of another disk is one too many.
+			world.unswept = world.Now.Add(sweepAllowance)
 		}
 		return func() {}
 	},
@@ -721,6 +725,9 @@
 
 // redundant tells whether every core is in the chain and the keepers are live and complete.
 func (world *World) redundant() bool {
+	if world.Now.Before(world.unswept) {
+		return false
+	}
 	for _, host := range world.Cores() {
 		if !host.up || host.frozen {
 			return false
