--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -132,6 +132,8 @@
 	// Tally, if set, hears of every message.
 	Tally    func(from, to *Host, kind string, size int)
 	replaced int
+	// unswept is up to when damage on a disk may not have been found yet.
+	unswept time.Time
 	// Log names the faults done and undone.
 	Log []string
 }
