A deadline bounds the way to a runner; an unlisted runner is asked on while it has work

Red first: a request with 100 ms to wait was held for a second by a daemon unsure of its spec, and dialed for 400 ms.

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -116,6 +116,11 @@
 // Take gives a connection to the runner of this identity at this address, or a fault that says that
 // no byte of work has been sent.
 func (links *Links) Take(runner, address string) (*Connection, error) {
+	return links.TakeWithin(runner, address, 0)
+}
+
+// TakeWithin does the same for somebody who waits no longer than a bound; 0: who has no bound of its own.
+func (links *Links) TakeWithin(runner, address string, bound time.Duration) (*Connection, error) {
 	shelf := links.shelf(runner)
 	shelf.mutex.Lock()
 	for len(shelf.idle) > 0 {
@@ -134,7 +139,7 @@
 		_ = connection.Conn.Close()
 	}
 	shelf.mutex.Unlock()
-	connection, failure := links.dial(runner, address)
+	connection, failure := links.dial(runner, address, bound)
 	if failure != nil {
 		return nil, failure
 	}
@@ -156,9 +161,14 @@
 	return min(idleBound, connection.keep-keepMargin)
 }
 
-func (links *Links) dial(runner, address string) (*Connection, error) {
+func (links *Links) dial(runner, address string, bound time.Duration) (*Connection, error) {
 	links.Counters.Dials.Add(1)
-	raw, failure := links.world.Dial(address, seam.Terms{Dial: dialBound, Untaken: untakenBound})
+	dialing, asking := dialBound, identityBound
+	if bound > 0 {
+		dialing = min(dialing, bound)
+	}
+	begun := links.world.Now()
+	raw, failure := links.world.Dial(address, seam.Terms{Dial: dialing, Untaken: untakenBound})
 	if failure != nil {
 		links.Counters.Unreachable.Add(1)
 		return nil, fault.Wrap(failure, fault.Unreachable, "runner %s at %s", runner, address)
@@ -170,7 +180,10 @@
 		connection.Identity = Identity{RunnerID: runner}
 		return connection, nil
 	}
-	content, failure := connection.Get(links.identity, identityBound)
+	if bound > 0 {
+		asking = min(asking, bound-links.world.Now().Sub(begun))
+	}
+	content, failure := connection.Get(links.identity, asking)
 	if failure == nil {
 		failure = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
 	}
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -205,13 +205,14 @@
 	})
 }
 
-// Stale gives the listed runners whose newest word, be it a report or an answer's head, is older than a bound.
+// Stale gives the runners whose newest word, be it a report or an answer's head, is older than a bound: the listed
+// ones, and those no longer listed that still have work of ours, whose loss must be learned of as well.
 func (book *Book) Stale(now time.Time, bound time.Duration) []Runner {
 	var runners []Runner
 	for _, shard := range book.shards {
 		shard.mutex.Lock()
 		for _, known := range shard.entries {
-			if known.listed && now.Sub(known.reported) >= bound {
+			if (known.listed || known.inFlight > 0) && now.Sub(known.reported) >= bound {
 				runners = append(runners, book.view(now, known, nil))
 			}
 		}
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -254,7 +254,12 @@
 // sure waits a moment for the daemon to be sure of its spec again, where it is not: it may be about to
 // learn a newer one. It tells whether it is.
 func (course *Course) sure() bool {
-	for until := course.now().Add(sureBound); ; course.yard.World.Wait(sureEvery) {
+	until := course.now().Add(sureBound)
+	// Why: nobody waits past the requester's own deadline, whatever lane the request has.
+	if wait := course.request.Wait; wait > 0 && course.begun.Add(wait).Before(until) {
+		until = course.begun.Add(wait)
+	}
+	for ; ; course.yard.World.Wait(sureEvery) {
 		snapshot, now := course.yard.Snapshot(), course.now()
 		if snapshot.Book == nil {
 			return false
@@ -559,7 +564,7 @@
 // answer may be relayed, and otherwise how the attempt ended.
 func (course *Course) pass() award.End {
 	runner := course.step.Runner
-	connection, failure := course.yard.Links.Take(runner.ID, runner.Address)
+	connection, failure := course.yard.Links.TakeWithin(runner.ID, runner.Address, course.left())
 	if failure != nil {
 		course.yard.Book.Failed(course.now(), runner.ID, string(fault.Of(failure).Kind))
 		course.countFree()
@@ -632,7 +637,11 @@
 		course.told = true
 		course.yard.Tell(*course.key, false)
 	}
-	_ = course.connection.SetDeadline(course.now().Add(writeBound))
+	bound := writeBound
+	if left := course.left(); left > 0 {
+		bound = min(bound, left)
+	}
+	_ = course.connection.SetDeadline(course.now().Add(bound))
 	if len(content) > 4*lastPart {
 		if _, failure := course.connection.Write(content[:len(content)-lastPart]); failure != nil || !course.allowed(course.connection.Identity) {
 			return false
--- a/request/course/resume_test.go
+++ b/request/course/resume_test.go
@@ -11,8 +11,12 @@
 	"testing"
 	"time"
 
+	"wardtray/connection/link"
+	"wardtray/connection/seam"
 	"wardtray/connection/wire"
+	"wardtray/process/director"
 	"wardtray/request/intake"
+	"wardtray/request/speech"
 )
 
 // goesOn answers like a runner that can begin behind an event: it gives so many events up to a whole of total, and
@@ -188,3 +192,29 @@
 		test.Errorf("%d %s", status, body)
 	}
 }
+
+// What is done before a request goes out keeps to its deadline as well: the wait for a sure spec, and the way to a runner.
+func TestDeadlineBoundsTheWayToARunner(test *testing.T) {
+	runner := start(test, "r1", events(1, done(1), true))
+	house := build(test, runner)
+	sure := house.snapshot
+	house.snapshot = &director.Snapshot{SpecEpoch: 1, Book: sure.Book}
+	begun := time.Now()
+	if status, body := house.sendWith(test, "once", "unsure", map[string]string{intake.HeaderWait: "100"}); status != 503 || time.Since(begun) > sureBound/2 {
+		test.Errorf("unsure of its spec: %d %s after %v", status, body, time.Since(begun))
+	}
+	house.snapshot = sure
+	var terms []seam.Terms
+	world := seam.Real(nil)
+	world.Dial = func(address string, given seam.Terms) (seam.Conn, error) {
+		terms = append(terms, given)
+		return nil, io.ErrClosedPipe
+	}
+	house.Links = link.New(world, speech.Own{}.Identity())
+	house.sendWith(test, "once", "dials", map[string]string{intake.HeaderWait: "100"})
+	house.Book.Served("r1")
+	house.send(test, "once", "dials in peace")
+	if len(terms) != 2 || terms[0].Dial > 100*time.Millisecond || terms[0].Dial <= 0 || terms[1].Dial <= 100*time.Millisecond {
+		test.Errorf("terms of dialing: %+v", terms)
+	}
+}
