--- a/proof/history/check_test.go
+++ b/proof/history/check_test.go
@@ -107,6 +107,10 @@
 			history.Runs[3].Whole = false
 			history.Answers[3] = &Answer{Request: "D", Status: 504, Kind: "outcome_unknown", Ran: "unknown", Daemon: "d1", Sent: at(3), Got: at(8)}
 		},
+		"resumed": func(history *History) { history.Runs[3].After = 2 },
+		"past-deadline": func(history *History) {
+			history.Answers[3].Begun, history.Answers[3].Bound, history.Answers[3].Last = at(3), 300*time.Millisecond, at(3.5)
+		},
 	}
 	for _, rule := range Rules {
 		broken := clean()
@@ -122,3 +126,46 @@
 		}
 	}
 }
+
+// resumed gives a history in which request D was gone on with by another run behind its first event.
+func resumed() *History {
+	history := clean()
+	first := history.Runs[3]
+	second := *first
+	second.Runner, second.Wanted, second.Name, second.After, second.At = "r2", "r2", "y", 1, first.At.Add(200*time.Millisecond)
+	first.Name, first.Whole = "x", false
+	history.Runs = append(history.Runs, &second)
+	answer := history.Answers[3]
+	answer.Once, answer.Resumable, answer.Head, answer.Runs = false, true, "r1", []string{"x", "y", "y"}
+	return history
+}
+
+// A stream that may be resumed goes on exactly behind what came, under its first runner's head.
+func TestResumedStreams(test *testing.T) {
+	if violations := Check(resumed()); len(violations) > 0 {
+		test.Fatalf("a proper resumption: %v", violations)
+	}
+	for name, trial := range map[string]struct {
+		change func(history *History)
+		rule   string
+	}{
+		"began anew":            {func(history *History) { history.Runs[len(history.Runs)-1].After = 0 }, "spliced"},
+		"began further on":      {func(history *History) { history.Runs[len(history.Runs)-1].After = 2 }, "spliced"},
+		"an event is missing":   {func(history *History) { history.Answers[3].IDs = []int{1, 3, 4} }, "spliced"},
+		"an event comes twice":  {func(history *History) { history.Answers[3].IDs = []int{1, 1, 2} }, "spliced"},
+		"a run nobody knows":    {func(history *History) { history.Answers[3].Runs[2] = "z" }, "spliced"},
+		"the second run's head": {func(history *History) { history.Answers[3].Head = "r2" }, "resumed"},
+		"may not be resumed":    {func(history *History) { history.Answers[3].Resumable = false }, "resumed"},
+		"ends too soon":         {func(history *History) { history.Runs[len(history.Runs)-1].Events = 3 }, "not-whole"},
+	} {
+		broken := resumed()
+		trial.change(broken)
+		found := false
+		for _, violation := range Check(broken) {
+			found = found || violation.Rule == trial.rule
+		}
+		if !found {
+			test.Errorf("%s: not noticed as %s: %v", name, trial.rule, Check(broken))
+		}
+	}
+}
--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -32,6 +32,9 @@
 	Ended  time.Time
 	Whole  bool
 	Events int
+	// Name is what its events call it; After is the id of the event behind which it began.
+	Name  string
+	After int
 	// Beside is how much other work the runner had when this came; Cold tells that it was still slow
 	// after its start, and Room is how much it could truly do at once then.
 	Beside int
@@ -65,6 +68,13 @@
 	Gone bool
 	// Again tells that the same request had been sent before.
 	Again bool
+	// Resumable tells that its stream may go on at another runner; Head is the runner that its head names.
+	Resumable bool
+	Head      string
+	// Last is when the last event came. Begun is when the daemon had the whole request, and Bound how long after
+	// that it may be held; 0: as long as it takes.
+	Last, Begun time.Time
+	Bound       time.Duration
 }
 
 // Order is one operator's change.
--- a/proof/load/mix.go
+++ b/proof/load/mix.go
@@ -28,6 +28,11 @@
 	// Families is how many different openings there are.
 	Families int
 	Text     string
+	// Resumable says that its lane's streams may go on at another runner, after pauses of at most Pause.
+	Resumable bool
+	Pause     time.Duration
+	// Wait is about how long its requesters wait at all, where they tell it; Deadline is the longest that its lane holds a request.
+	Wait, Deadline time.Duration
 }
 
 // Mix is the work of one deployment, and the pool that does it.
@@ -50,6 +55,27 @@
 	{Lane: "ruling", Share: 0.27, Once: true, Worth: 8, Patience: 4 * time.Second, Purse: 0.4, Opening: 4, OpeningTokens: 400, Own: 200, Answer: 40, Families: 6, Text: "Rule on the refund of the cancelled crossing."},
 }}
 
+// Lasting is the mix with longer answers, which may be resumed wherever they may be repeated.
+func (mix Mix) Lasting() Mix {
+	mix.Kinds = append([]Kind{}, mix.Kinds...)
+	for place := range mix.Kinds {
+		if kind := &mix.Kinds[place]; !kind.Once {
+			kind.Resumable, kind.Pause, kind.Answer = true, 500*time.Millisecond, 300
+		}
+	}
+	return mix
+}
+
+// Hurried is the mix whose requesters tell how long they wait, and whose lanes have a longest time of their own.
+func (mix Mix) Hurried() Mix {
+	mix.Kinds = append([]Kind{}, mix.Kinds...)
+	for place := range mix.Kinds {
+		kind := &mix.Kinds[place]
+		kind.Wait, kind.Deadline = kind.Patience/2, kind.Patience
+	}
+	return mix
+}
+
 // Spec is the deployment's, with one more lane for each marker.
 func (mix Mix) Spec(zones []string, markers ...string) *spec.Spec {
 	made := &spec.Spec{Pools: []spec.Pool{{Name: mix.Pool, Model: mix.Model, Weights: mix.Weights, Services: []string{mix.Service}}}}
@@ -57,7 +83,8 @@
 		made.Zones = append(made.Zones, spec.Zone{Name: zone})
 	}
 	for _, kind := range mix.Kinds {
-		made.Lanes = append(made.Lanes, spec.Lane{Name: kind.Lane, Pool: mix.Pool, Worth: kind.Worth, Patience: spec.Span(kind.Patience), Purse: kind.Purse, Repeatable: !kind.Once})
+		made.Lanes = append(made.Lanes, spec.Lane{Name: kind.Lane, Pool: mix.Pool, Worth: kind.Worth, Patience: spec.Span(kind.Patience), Purse: kind.Purse, Repeatable: !kind.Once,
+			Resumable: kind.Resumable, Pause: spec.Span(kind.Pause), Deadline: spec.Span(kind.Deadline)})
 	}
 	for _, marker := range markers {
 		made.Lanes = append(made.Lanes, spec.Lane{Name: marker, Pool: mix.Pool, Worth: 1, Patience: spec.Span(5 * time.Second), Purse: 0.1, Repeatable: true})
@@ -70,6 +97,16 @@
 	Kind   Kind
 	Family int
 	ID     string
+	// Wait is how long its requester waits; 0: not told.
+	Wait time.Duration
+}
+
+// Bound is how long the request may be held; 0: not told.
+func (drawn Drawn) Bound() time.Duration {
+	if drawn.Wait > 0 && (drawn.Kind.Deadline == 0 || drawn.Wait < drawn.Kind.Deadline) {
+		return drawn.Wait
+	}
+	return drawn.Kind.Deadline
 }
 
 // Draw takes a request from the mix; hot is the part of the requests that carry one opening.
@@ -87,6 +124,10 @@
 	if random.Float64() < hot {
 		drawn.Family = 0
 	}
+	// Why: some requesters tell nothing, and then the lane's own bound holds.
+	if kind := drawn.Kind; kind.Wait > 0 && random.Intn(4) > 0 {
+		drawn.Wait = (kind.Wait/8 + time.Duration(random.Int63n(int64(2*kind.Wait)))).Round(time.Millisecond)
+	}
 	return drawn
 }
 
@@ -111,6 +152,9 @@
 func (drawn Drawn) Headers(model string) map[string][]string {
 	headers := map[string][]string{intake.HeaderLane: {drawn.Kind.Lane}, intake.HeaderModel: {model}, intake.HeaderRequest: {drawn.ID},
 		intake.HeaderPrompt: {strconv.Itoa(drawn.PromptTokens())}, intake.HeaderAnswer: {strconv.Itoa(drawn.Kind.Answer)}}
+	if drawn.Wait > 0 {
+		headers[intake.HeaderWait] = []string{strconv.FormatInt(drawn.Wait.Milliseconds(), 10)}
+	}
 	names, tokens := drawn.Parts()
 	for place, name := range names {
 		headers[intake.HeaderPrefix] = append(headers[intake.HeaderPrefix], name+"="+strconv.Itoa(tokens[place]))
@@ -139,6 +183,7 @@
 func (ear *Ear) Line(now time.Time, line string) {
 	record := ear.Record
 	if line == "" {
+		record.Last = now
 		if record.First == 0 {
 			record.First = now.Sub(record.Sent)
 		}
--- a/proof/sim/faults.go
+++ b/proof/sim/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"wardtray/proof/load"
 )
 
 // noticed is how long the platform takes to take a dead runner off its list.
@@ -255,6 +257,8 @@
 	// Rate is how many requests come a second; Quits and Repeats are the parts of them whose requesters
 	// hang up, or send them again.
 	Rate, Quits, Repeats float64
+	// Mix, where it is given, changes the deployment's.
+	Mix func(mix load.Mix) load.Mix
 }
 
 // DefaultTrial is that of the proofs, without any harm yet.
@@ -262,6 +266,9 @@
 
 // Try founds a deployment, does harm to it under load, ends that, and judges the whole.
 func Try(seed int64, shape Shape, trial Trial) *World {
+	if trial.Mix != nil {
+		shape.Mix = trial.Mix(shape.Mix)
+	}
 	world := Found(seed, shape)
 	defer world.Close()
 	traffic := world.Traffic
--- a/proof/sim/rules.go
+++ b/proof/sim/rules.go
@@ -60,5 +60,14 @@
 	"turned away":               {Faults: []string{"control cut from data", "core killed", "list empty", "list silent", "hot key"}},
 	"turned away after a cut":   {Faults: []string{"control cut from data"}, change: func(trial *Trial) { trial.Every, trial.Rate = 400*time.Millisecond, 240 }},
 	"turned away after a crowd": {Faults: []string{"crowd"}, change: func(trial *Trial) { trial.Rate, trial.Takes = 120, 0 }},
-	"answer at once":            {Faults: []string{"runner dark", "runner mute", "runner unheard", "address taken"}},
+	"resumed": {Faults: []string{"runner killed", "runner partial", "runner frozen", "runner dark", "runner garbles", "runner unheard"}, change: func(trial *Trial) {
+		trial.AtOnce, trial.Mix = 2, load.Mix.Lasting
+	}},
+	"resumed beside changes": {Faults: []string{"runner partial", "runner drained", "data cut from control", "address taken"}, change: func(trial *Trial) {
+		often(trial)
+		trial.AtOnce, trial.Mix = 2, load.Mix.Lasting
+	}},
+	"deadline": {Faults: []string{"runner mute", "runner dark", "runner deaf", "runner slow", "all put back", "pool killed", "data cut from control", "control cut from data", "address taken"},
+		change: func(trial *Trial) { trial.AtOnce, trial.Mix = 2, load.Mix.Hurried }},
+	"answer at once": {Faults: []string{"runner dark", "runner mute", "runner unheard", "address taken"}},
 }
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -15,6 +15,7 @@
 	"wardtray/proof/history"
 	"wardtray/proof/load"
 	"wardtray/proof/standin"
+	"wardtray/request/intake"
 )
 
 // Traffic is the request path of a world: requesters, runners, and what all of them saw.
@@ -214,7 +215,8 @@
 
 func (traffic *Traffic) asker(drawn load.Drawn, zone string) *asker {
 	made := &asker{traffic: traffic, drawn: drawn, headers: drawn.Headers(traffic.Mix.Model),
-		record: &history.Answer{Request: drawn.ID, Lane: drawn.Kind.Lane, Once: drawn.Kind.Once, Patience: drawn.Kind.Patience, Zone: zone, Sent: traffic.world.Now}}
+		record: &history.Answer{Request: drawn.ID, Lane: drawn.Kind.Lane, Once: drawn.Kind.Once, Patience: drawn.Kind.Patience, Zone: zone, Sent: traffic.world.Now,
+			Resumable: drawn.Kind.Resumable, Bound: drawn.Bound()}}
 	made.ear.Record = made.record
 	traffic.judge.Asked(made.record)
 	return made
@@ -246,7 +248,7 @@
 		asker.host, asker.life, asker.record.Daemon = host, host.life, host.Address
 		host.askers = append(host.askers, asker)
 		traffic.world.spawn(host, func() {
-			asker.read = true
+			asker.read, asker.record.Begun = true, traffic.world.Now
 			host.plane.Yard.Serve(asker)
 			asker.finish(asker.record.Status == 0 || asker.record.Status == 200 && !asker.record.Done && !asker.record.Error)
 		})
@@ -319,6 +321,9 @@
 	asker.record.Status = status
 	for _, header := range headers {
 		asker.record.RetryAfter = asker.record.RetryAfter || header.Name == "Retry-After"
+		if header.Name == intake.HeaderRunner {
+			asker.record.Head = header.Value
+		}
 	}
 }
 
