--- a/request/award/outlook.go
+++ b/request/award/outlook.go
@@ -35,15 +35,17 @@
 // survey adds to a market what is forecast of the traffic.
 func (desk *Desk) survey(now time.Time, market *Market, field Field) {
 	forecast := desk.forecast
-	var usable []pressure.Runner
+	// Why: one that is only left alone for a while keeps its side. If another took its place, the openings at home
+	// there would move as well.
+	var staying []pressure.Runner
 	for _, offer := range market.Offers {
-		if offer.Usable {
-			usable = append(usable, offer.Runner)
+		if offer.Reason != pressure.ReasonLeaving {
+			staying = append(staying, offer.Runner)
 		}
 	}
 	forecast.forget(field.Runners)
-	market.Long = longRunners(usable, desk.keep())
-	short := len(usable) - len(market.Long)
+	market.Long = longRunners(staying, desk.keep())
+	short := len(staying) - len(market.Long)
 	wait := func(of *sizes, runners int) (usual, each float64) {
 		busy := forecast.busy(now, of, market.Daemons, runners)
 		each = of.left()
@@ -55,7 +57,7 @@
 	if forecast.requests > 0 {
 		fleet := forecast.paceAt(now) * float64(market.Daemons)
 		market.Pace = fleet * forecast.short.count / forecast.requests / float64(max(1, short))
-		if read := fleet * forecast.tokens / forecast.requests / float64(max(1, len(usable))); read > 0 && field.Pool.Engine.MemoryTokens > 0 {
+		if read := fleet * forecast.tokens / forecast.requests / float64(max(1, len(staying))); read > 0 && field.Pool.Engine.MemoryTokens > 0 {
 			market.Kept = seconds(keptPart * float64(field.Pool.Engine.MemoryTokens) / read)
 		}
 	}
@@ -85,12 +87,12 @@
 }
 
 // longRunners are those to which long prompts go first; all daemons agree on them by the runners' names.
-func longRunners(usable []pressure.Runner, quarters int) map[string]bool {
+func longRunners(runners []pressure.Runner, quarters int) map[string]bool {
 	long := map[string]bool{}
-	if len(usable) < leastFleet {
+	if len(runners) < leastFleet {
 		return long
 	}
-	for _, runner := range rank(usable, 0)[:(len(usable)*quarters+2)/4] {
+	for _, runner := range rank(runners, 0)[:(len(runners)*quarters+2)/4] {
 		long[runner] = true
 	}
 	return long
