--- a/request/award/award.go
+++ b/request/award/award.go
@@ -95,17 +95,28 @@
 
 // The urgencies told to runners.
 const (
+	// Ahead is that of a prompt that is read in a small part of its patience.
+	Ahead = 3
 	// Unset is the urgency of a request whose runner is told none.
 	Unset = 5
-	// Behind is that of one whose first event would come past its patience in any case.
+	// Behind is that of one whose reading alone outlasts its patience.
 	Behind = 8
+	// aheadPart is the part of its patience in which a prompt that goes ahead is read.
+	aheadPart = 0.25
 )
 
-// urgency lets those go first at a runner that can still be in time.
+// urgency lets short prompts go ahead of long ones that wait at a runner, and all of those that can be in
+// time ahead of those that can't.
 func urgency(bid Bid, quote Quote) int {
-	if bid.Patience > 0 && bid.Waited+seconds(quote.First) > bid.Patience {
+	if bid.Patience <= 0 {
+		return Unset
+	}
+	if quote.Offer.Prefill > bid.Patience.Seconds() {
 		return Behind
 	}
+	if quote.Offer.Prefill < aheadPart*bid.Patience.Seconds() {
+		return Ahead
+	}
 	return Unset
 }
 
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -269,7 +269,11 @@
 	runners, daemons := field.Runners, field.Daemons
 	market := Market{Now: now, Prices: desk.prices}
 	slots, used, places := 0.0, 0.0, 0.0
-	for _, runner := range runners {
+	for _, runner := range neverEmpty(runners) {
+		if limit := field.Pool.ConnectionLimit; limit > 0 {
+			// Why: a runner resets what it gets beyond its limit from all daemons together.
+			runner.Limit = min(runner.Limit, max(1, limit/max(1, daemons)))
+		}
 		market.Offers = append(market.Offers, Offer{Runner: runner})
 		if runner.Usable {
 			slots += float64(runner.Slots)
@@ -288,6 +292,32 @@
 	return market
 }
 
+// neverEmpty lets runners be used that are left alone, the soonest to come back first, where they are more
+// than a half: it is then more likely that something else is wrong, and a pool must not be emptied.
+func neverEmpty(runners []pressure.Runner) []pressure.Runner {
+	var alone []int
+	staying := 0
+	for place, runner := range runners {
+		if runner.Reason == pressure.ReasonLeaving {
+			continue
+		}
+		staying++
+		if !runner.Usable {
+			alone = append(alone, place)
+		}
+	}
+	excess := len(alone) - staying/2
+	if staying < leastFleet || excess <= 0 {
+		return runners
+	}
+	sort.Slice(alone, func(left, right int) bool { return runners[alone[left]].Until.Before(runners[alone[right]].Until) })
+	used := append([]pressure.Runner{}, runners...)
+	for _, place := range alone[:excess] {
+		used[place].Usable = true
+	}
+	return used
+}
+
 func (desk *Desk) inPurse(ticket *Ticket, market Market) bool {
 	return float64(desk.lanes[ticket.Lane]+1) <= max(1, ticket.Purse*market.Places)
 }
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -544,7 +544,7 @@
 		return false
 	}
 	runner, known := course.yard.Book.One(now, course.step.Runner.ID, course.yard.Daemons())
-	if !known || !runner.Usable || !Permits(snapshot.Book, pool, runner) {
+	if !known || runner.Reason == pressure.ReasonLeaving || !Permits(snapshot.Book, pool, runner) {
 		return false
 	}
 	course.epoch = snapshot.SpecEpoch
@@ -621,12 +621,9 @@
 // run is this attempt in the words of a speech.
 func (course *Course) run() speech.Run {
 	return speech.Run{Runner: course.step.Runner, Daemon: course.yard.Name, Epoch: course.epoch, Left: course.left(), After: course.after,
-		Urgency: plainUrgency, Weights: course.pool.Weights}
+		Urgency: course.step.Urgency, Weights: course.pool.Weights}
 }
 
-// plainUrgency is that of a request of which nothing special is known.
-const plainUrgency = 5
-
 // send writes the request out. A long one takes its time on the way, so that the last look comes again
 // before its last part: without that the runner has no request. It tells whether the whole went out.
 func (course *Course) send() bool {
