--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -291,9 +291,20 @@
 	return runners, true
 }
 
+// fewDaemons is up to how many daemons each asks as if it were alone.
+const fewDaemons = 12
+
+// freshness is for how long a runner's word is good enough not to be asked for.
+//
+// Why longer among many daemons: the runners are asked by all of them together, and a word that no answer brought
+// is too old for a decision a moment later anyway. Silent runners are found by those who wait for them.
+func (plane *Plane) freshness() time.Duration {
+	return plane.Yard.Speech.Fresh() * time.Duration(max(fewDaemons, len(plane.Daemons()))) / fewDaemons
+}
+
 // AskPressures asks every runner for its pressure whose word is no longer fresh, none twice at once.
 func (plane *Plane) AskPressures() {
-	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.Yard.Speech.Fresh()) {
+	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.freshness()) {
 		if _, already := plane.asking.LoadOrStore(runner.ID, true); already {
 			continue
 		}
