--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -851,6 +851,9 @@
 			continue
 		}
 		local := world.local(host)
+		if host.engine != nil {
+			continue
+		}
 		if !host.Core {
 			snapshot := host.data.Snapshot(local)
 			text += fmt.Sprintf("  %s serves %v, sequence %d, epoch %d, view %d\n", host.Address, local.Before(snapshot.Until), snapshot.Sequence,
