--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -64,6 +64,20 @@
 	length := placing.Flag("length", "Simulated time.").Default("60s").Duration()
 	placeSeed := placing.Flag("seed", "Seed.").Default("1").Int64()
 	hot := placing.Flag("hot", "Part of the requests that carry one opening.").Default("0").Float64()
+	batching := application.Command("batches", "Measure placement on engines that run requests in batches, in simulated time, beside other ways of choosing.")
+	batched := batching.Arg("deployment", "Which fleet and engines.").Required().Enum(place.DeploymentNames()...)
+	loads := batching.Flag("load", "Times the usual load; may be given several times.").Default("0.7", "1", "1.3").Float64List()
+	ways := batching.Flag("way", "Ways of choosing; may be given several times.").Default(place.ChoiceNames()...).Enums(place.ChoiceNames()...)
+	seeds := batching.Flag("seeds", "How many seeds are added up.").Default("2").Int()
+	play := place.Play{}
+	batching.Flag("length", "Simulated time.").Default("20s").DurationVar(&play.Length)
+	batching.Flag("seed", "First seed.").Default("1").Int64Var(&play.Seed)
+	batching.Flag("polls", "How old a runner's word may grow before it is asked; 0: never.").Default("1s").DurationVar(&play.Polls)
+	batching.Flag("hot", "Part of the hot lane's requests that carry one opening, for a third of the time.").Default("0").Float64Var(&play.Hot)
+	batching.Flag("hot-lane", "The hot lane.").Default("survey").EnumVar(&play.HotLane, "survey", "confirm")
+	batching.Flag("slow", "Part of the runners that are three times slower for a third of the time.").Default("0").Float64Var(&play.Slow)
+	batching.Flag("crash", "Part of the runners that crash for a third of the time.").Default("0").Float64Var(&play.Crash)
+	batching.Flag("release", "Part of the runners that are replaced one after the other.").Default("0").Float64Var(&play.Release)
 	spreading := application.Command("spread", "Measure in simulated time how a change reaches cohorts of several sizes.")
 	sizes := spreading.Flag("daemons", "Size of a cohort; may be given several times.").Default("12", "100", "1000").Ints()
 	lanes := spreading.Flag("lanes", "Lanes of the spec that is sent.").Default("10").Int()
@@ -127,6 +141,12 @@
 				os.Exit(1)
 			}
 		},
+		batching.FullCommand(): func() {
+			play.Deployment = place.Deployments[*batched]
+			if failure := place.Report(os.Stdout, play, *loads, *ways, *seeds); failure != nil {
+				end(failure)
+			}
+		},
 		placing.FullCommand(): func() {
 			setting := place.Settings[*placed]
 			setting.Length, setting.Seed, setting.Hot = *length, *placeSeed, *hot
--- a/proof/place/choices.go
+++ b/proof/place/choices.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"sort"
 
 	"wardtray/request/award"
 )
@@ -30,3 +31,17 @@
 	"two-choices":  two(func(quote award.Quote) float64 { return -quote.Offer.Load }),
 	"index-only":   Ways["index-only"],
 }
+
+// ChoiceNames gives the ways of choosing in order, wardtray's first.
+func ChoiceNames() []string { return append([]string{"wardtray"}, sortedNames(Choices)...) }
+
+// DeploymentNames gives the deployments in order.
+func DeploymentNames() []string { return sortedNames(Deployments) }
+
+func sortedNames[Value any](table map[string]Value) (names []string) {
+	for name := range table {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/proof/place/play.go
+++ b/proof/place/play.go
@@ -250,7 +250,7 @@
 		var ask func()
 		ask = func() {
 			for _, runner := range daemon.book.Stale(fleet.world.Now, fleet.play.Polls) {
-				if batch := fleet.batches[runner.ID]; batch != nil && !batch.dark {
+				if batch := fleet.batches[runner.ID]; batch != nil && !batch.dark && len(batch.reports) > 0 {
 					daemon.book.Reported(fleet.world.Now, runner.ID, batch.reports[0])
 					fleet.results[""].Probes++
 				}
