--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -30,6 +30,7 @@
 	boundProcessor     = 0.034
 	boundMemory        = 64 << 20
 	boundBytes         = 26 << 10
+	boundRecovery      = 12.0
 	boundForce         = 4.0
 	boundCoreProcessor = 0.7
 	boundCoreMemory    = 280 << 20
@@ -125,6 +126,14 @@
 	}
 }
 
+// statusBytes gives what so many daemons tell of all runners in their status.
+func statusBytes(daemons float64) func(run Run) (float64, bool) {
+	return func(run Run) (float64, bool) {
+		each, found := run.figure("award", "status.bytes_per_runner")
+		return each * float64(run.Runners) * daemons / mebibyte, found
+	}
+}
+
 // lines are the rows whose figures are fitted.
 var lines = []line{
 	{role: "data daemon", what: "control state held (heap)", unit: "MiB", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.heap", 1.0/mebibyte), aim: aimDaemons, today: today, bound: boundMemory / mebibyte,
@@ -141,6 +150,8 @@
 		design: designDocument, mechanism: "the whole document, directory included, goes to each daemon a few times; news of one item would be level"},
 	{role: "data daemon", what: "bytes for 37,000 changes a day", unit: "KiB/s", series: "daemons", phase: "change", value: added("change", "daemon.bytes_all", "acknowledged.count", aimChanges/1024), aim: aimDaemons, today: today, bound: boundBytes / 1024,
 		design: designDocument, mechanism: "as above: changes of named items on the wire, the directory apart from the spec"},
+	{role: "data daemon", what: "of it over the border of a region", unit: "KiB/s", series: "daemons", phase: "change", value: added("change", "daemon.bytes_other_region", "acknowledged.count", aimChanges/1024), aim: aimDaemons, today: today,
+		mechanism: "rumors cross borders one time of three; a region's first daemons could take the document over once"},
 	{role: "data daemon", what: "processor time in quiet", unit: "% of a core", series: "daemons", phase: "quiet", value: figure("quiet", "daemon.processor", 100), aim: aimDaemons, today: today, bound: boundProcessor * 100,
 		mechanism: "level by design; the hollow process's own time is in it"},
 	{role: "data daemon", what: "processor time for 37,000 changes a day, 20 lanes", unit: "% of a core", series: "daemons", phase: "change", value: added("change", "daemon.processor", "acknowledged.count", 100*aimChanges), aim: aimDaemons, today: today, bound: boundProcessor * 100,
@@ -220,8 +231,18 @@
 		mechanism: "a daemon serves only while most of the whole directory, or the head, vouches for it"},
 	{role: "data daemon", what: "part of the greater side that serves while regions are apart", unit: "of 1", series: "faults", phase: "cut", value: figure("cut", "greater.serving", 1), aim: aimDaemons, today: today, bound: 1, least: true,
 		mechanism: "keeps the head"},
-	{role: "chain", what: "whole again after its tail and a zone are back", unit: "s", series: "faults", phase: "zone", value: figure("zone", "chain.seconds", 1), aim: aimDaemons, today: today, bound: 12,
+	{role: "data daemon", what: "all serve again once a lost rack is back", unit: "s", series: "faults", phase: "rack", value: figure("rack", "recovered.seconds", 1), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "a daemon that restarts asks the head for a tick and the document"},
+	{role: "data daemon", what: "all serve again once a lost zone and its core are back", unit: "s", series: "faults", phase: "zone", value: figure("zone", "recovered.seconds", 1), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "as above"},
+	{role: "data daemon", what: "all serve again once a lost head is back", unit: "s", series: "faults", phase: "head", value: figure("head", "recovered.seconds", 1), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "a new view, then a claim of a second"},
+	{role: "chain", what: "whole again after its tail and a zone are back", unit: "s", series: "faults", phase: "zone", value: figure("zone", "chain.seconds", 1), aim: aimDaemons, today: today, bound: boundRecovery,
 		mechanism: "a single vote; does not depend on the daemons"},
+	{role: "operator's client", what: "one daemon's answer to a status question", unit: "MiB", series: "award", phase: "award", value: statusBytes(1), aim: aimRunners, bound: 64,
+		mechanism: "a line for each runner; the client takes 64 MiB"},
+	{role: "operator's client", what: "the answers of all daemons to one status question", unit: "MiB", series: "award", phase: "award", value: statusBytes(aimDaemons), aim: aimRunners,
+		mechanism: "every daemon tells of every runner; a zone's sum told by one of its daemons would do"},
 	{role: "data daemon", what: "award: processor time of one among all runners", unit: "µs", series: "award", phase: "award", value: figure("award", "microseconds", 1), aim: aimRunners, today: 18,
 		design: designAward, mechanism: "every runner of the fleet is copied and sorted for each award; a book kept by pool would look at 278"},
 	{role: "data daemon", what: "award: processor time at 20.6 requests a second", unit: "% of a core", series: "award", phase: "award", value: figure("award", "microseconds", aimRequests/aimDaemons/1e4), aim: aimRunners, today: 18, bound: 10,
