--- a/proof/hollow/fit.go
+++ b/proof/hollow/fit.go
@@ -35,7 +35,12 @@
 		return Fit{Points: len(points)}, false
 	}
 	best := Fit{Scatter: math.Inf(1)}
-	for _, power := range []int{1, 2} {
+	powers := []int{1, 2}
+	// Why: three points lie near a square through two terms whatever they are.
+	if len(sizes) == leastPoints {
+		powers = powers[:1]
+	}
+	for _, power := range powers {
 		made := fitPower(points, power)
 		// Why: a square is only believed where it is clearly nearer; two terms always follow noise a little.
 		if made.Scatter < 0.8*best.Scatter {
--- a/proof/hollow/hollow_test.go
+++ b/proof/hollow/hollow_test.go
@@ -90,6 +90,15 @@
 	}
 }
 
+func TestFitWantsFourSizesForASquare(test *testing.T) {
+	if fit, fine := FitPoints([]Point{{10, 100}, {20, 400}, {30, 900}}); !fine || fit.Power != 1 {
+		test.Errorf("%+v", fit)
+	}
+	if fit, fine := FitPoints([]Point{{10, 100}, {20, 400}, {30, 900}, {40, 1600}}); !fine || fit.Power != 2 {
+		test.Errorf("%+v", fit)
+	}
+}
+
 func TestFitTakesWhatFallsAsLevel(test *testing.T) {
 	fit, fine := FitPoints([]Point{{12, 1.1}, {60, 1}, {120, 0.9}})
 	if !fine || fit.Slope != 0 || math.Abs(fit.At(3500)-1) > 1e-9 || fit.Scatter < 0.05 {
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -160,6 +160,8 @@
 		told := short(at)
 		if seen {
 			told += ", seen"
+		} else if far := line.aim / fit.Greatest; far >= 2 {
+			told += fmt.Sprintf(", %.0f-fold", far)
 		}
 		today := ""
 		if line.today > 0 {
