--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -214,7 +214,9 @@
 	if documents := daemon.director.Counters().Documents; documents != daemon.documents {
 		daemon.documents = documents
 		// Why: from the first document on, a machine that carries thousands has more to do than at full speed it could.
-		worker.host.setPace(worker.host.plan.Slow)
+		if !worker.host.documented.Swap(true) {
+			worker.host.setPace(worker.host.plan.Slow)
+		}
 		if epoch := daemon.director.Snapshot(now).SpecEpoch; epoch != daemon.epoch {
 			daemon.epoch = epoch
 			worker.arrivals[epoch] = append(worker.arrivals[epoch], monotonic())
--- a/proof/hollow/host.go
+++ b/proof/hollow/host.go
@@ -128,6 +128,8 @@
 	links    []*link
 	side     atomic.Pointer[map[int]bool]
 	clock    atomic.Pointer[pace]
+	// documented tells that a daemon has taken a document in.
+	documented atomic.Bool
 }
 
 // pace is how the daemons' time follows the machine's from a moment on.
@@ -245,7 +247,10 @@
 	"end":   func(host *host, order Order) Report { return host.each(order, (*worker).quietEnd) },
 	"cut":   (*host).orderCut,
 	"pace": func(host *host, order Order) Report {
-		host.setPace(order.Slow)
+		// Why: once there is a document, full speed is more than the machine can carry.
+		if order.Slow >= host.plan.Slow || !host.documented.Load() {
+			host.setPace(order.Slow)
+		}
 		return Report{}
 	},
 	"report": func(host *host, order Order) Report { return host.report(order, false) },
