A copy of an operation is known as one before its answer can come

Ruled out: a refused change in effect; both 503 came from a sick head, and the third copy was accepted.

--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -170,15 +170,17 @@
 	if order.Status == 503 {
 		delete(checker.refused, order.Operation)
 	}
-	again := checker.Send(host, proto.Clone(ask).(*wire.OperatorAsk))
-	again.Again = true
-	return again
+	return checker.send(host, proto.Clone(ask).(*wire.OperatorAsk), true)
 }
 
 // Send has an operator send a change through a core; what comes back is checked.
 func (checker *Checker) Send(host *Host, ask *wire.OperatorAsk) *Order {
+	return checker.send(host, ask, false)
+}
+
+func (checker *Checker) send(host *Host, ask *wire.OperatorAsk, again bool) *Order {
 	world := checker.world
-	order := &Order{Operation: ask.Operation, Verb: ask.Verb, Base: ask.Base, Sent: world.Now, Outcome: "unknown"}
+	order := &Order{Operation: ask.Operation, Verb: ask.Verb, Base: ask.Base, Sent: world.Now, Outcome: "unknown", Again: again}
 	checker.Orders = append(checker.Orders, order)
 	told := checker.tell(order, ask)
 	if !host.up || host.frozen {
