--- a/process/corehost/host.go
+++ b/process/corehost/host.go
@@ -58,6 +58,10 @@
 
 // New opens the data folder and restores the node. Nothing is sent or answered yet.
 func New(startup *startup.Startup, log *slog.Logger) (*Host, error) {
+	// Why: who can't remember must neither vote nor count as a copy, and ending again and again helps nobody.
+	if startup.Idle {
+		return &Host{startup: startup, log: log}, nil
+	}
 	if failure := os.MkdirAll(startup.Folder, 0o750); failure != nil {
 		return nil, fault.Wrap(failure, fault.DiskFailed, "making the data folder")
 	}
@@ -92,6 +96,11 @@
 
 // Run serves until the context ends, then leaves the chain if the others can spare this machine.
 func (host *Host) Run(running context.Context) error {
+	if host.startup.Idle {
+		host.log.Warn("no disk on this machine: standing by")
+		<-running.Done()
+		return nil
+	}
 	if failure := host.transport.Listen(); failure != nil {
 		return failure
 	}
--- a/process/startup/startup.go
+++ b/process/startup/startup.go
@@ -54,6 +54,8 @@
 	Repeats Repeats `json:"repeats,omitempty"`
 	// Registered says that runners register themselves, so that there is no platform's list.
 	Registered bool `json:"registered,omitempty"`
+	// Idle says that this machine has no disk, so that a wtcore on it stands by and takes no part.
+	Idle bool `json:"-"`
 	// Adapter is the name of the platform that the settings came from; empty: none.
 	Adapter string `json:"-"`
 	// Log is debug, info, warn or error.
@@ -138,7 +140,7 @@
 	for number, founder := range startup.Founders {
 		place(fmt.Sprintf("founders[%d]", number), founder)
 	}
-	if needs.Folder == (startup.Folder == "") {
+	if needs.Folder == (startup.Folder == "") && !startup.Idle {
 		flaw("folder: wtcore needs one, wtdata must have none")
 	}
 	if needs.Folder && startup.Folder != "" {
