Read once more: tables made once, one abort, one asking, what nothing used is gone

Found by reading the whole change; behaviour stays as it is. - Per line of an event a table of closures was made and the line copied three times; per answer and per request others. The tables stand at their packages now, and an event is read into its own bytes once. - Lose and Hurry aborted alike, reports and the watch asked alike: one piece each. Left as they are: the two harnesses of proof/place step alike, hollow hosts and fleets add the same sums, wtcore's HTTP port is not tried again as the others are.

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -47,8 +47,6 @@
 	idle     time.Time
 	// keep is how long the runner lets it stay idle; 0: not told.
 	keep time.Duration
-	// Used tells that it carried a request before.
-	Used bool
 	// heard is when it last carried a byte from the runner, or was taken for a request.
 	heard atomic.Pointer[time.Time]
 	// waits tells that a request went out over it and no event of its answer has come; again, that this request
@@ -74,6 +72,11 @@
 	connection.heard.Store(&now)
 }
 
+// silence is how long ago the connection last carried a byte from the runner, or was taken for a request.
+func (connection *Connection) silence(now time.Time) time.Duration {
+	return now.Sub(*connection.heard.Load())
+}
+
 // Read notes that the runner answers.
 func (connection *Connection) Read(into []byte) (int, error) {
 	count, failure := connection.Conn.Read(into)
@@ -132,7 +135,6 @@
 			shelf.busy = append(shelf.busy, connection)
 			shelf.mutex.Unlock()
 			links.Counters.Reused.Add(1)
-			connection.Used = true
 			connection.touch()
 			return connection, nil
 		}
@@ -247,20 +249,24 @@
 	defer shelf.mutex.Unlock()
 	var lively []*Connection
 	for _, connection := range shelf.busy {
-		if now.Sub(*connection.heard.Load()) < livelyBound {
+		if connection.silence(now) < livelyBound {
 			lively = append(lively, connection)
 			continue
 		}
-		links.Counters.Lost.Add(1)
-		_ = connection.Conn.Close()
+		links.abort(connection)
 	}
 	for _, connection := range shelf.idle {
-		links.Counters.Lost.Add(1)
-		_ = connection.Conn.Close()
+		links.abort(connection)
 	}
 	shelf.idle, shelf.busy = nil, lively
 }
 
+// abort ends a connection under its user.
+func (links *Links) abort(connection *Connection) {
+	links.Counters.Lost.Add(1)
+	_ = connection.Conn.Close()
+}
+
 // Silent lists the runners for whose first event somebody has waited for so long without a byte on any of
 // the runner's connections: they may be dark, or only busy.
 func (links *Links) Silent(bound time.Duration) []string {
@@ -281,7 +287,7 @@
 	defer shelf.mutex.Unlock()
 	waited := false
 	for _, connection := range shelf.busy {
-		quiet := now.Sub(*connection.heard.Load()) >= bound
+		quiet := connection.silence(now) >= bound
 		if !quiet && !connection.waits.Load() {
 			return false
 		}
@@ -299,9 +305,8 @@
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
 	for _, connection := range shelf.busy {
-		if connection.waits.Load() && connection.again.Load() && now.Sub(*connection.heard.Load()) >= bound {
-			links.Counters.Lost.Add(1)
-			_ = connection.Conn.Close()
+		if connection.waits.Load() && connection.again.Load() && connection.silence(now) >= bound {
+			links.abort(connection)
 		}
 	}
 }
--- a/process/datahost/host.go
+++ b/process/datahost/host.go
@@ -66,22 +66,18 @@
 
 // New makes the process with the product's own speech; nothing listens yet.
 func New(startup *startup.Startup, log *slog.Logger) (*Host, error) {
-	return NewAdapted(nil)(startup, log)
+	return NewAdapted(startup, nil, log)
 }
 
-// NewAdapted gives what makes the process on a platform; with a nil adapter everything is the product's own.
-func NewAdapted(adapter *Adapter) func(startup *startup.Startup, log *slog.Logger) (*Host, error) {
-	return func(startup *startup.Startup, log *slog.Logger) (*Host, error) { return build(startup, adapter, log) }
-}
-
-func build(startup *startup.Startup, adapter *Adapter, log *slog.Logger) (*Host, error) {
+// NewAdapted makes the process on a platform; with a nil adapter everything is the product's own.
+func NewAdapted(startup *startup.Startup, adapter *Adapter, log *slog.Logger) (*Host, error) {
 	host := &Host{startup: startup, adapter: adapter, log: log,
 		platform: &fasthttp.Client{ReadTimeout: pollBound, WriteTimeout: pollBound, MaxResponseBodySize: maximumList, MaxConnsPerHost: 4}}
 	var local net.Addr
 	if place, _, failure := net.SplitHostPort(startup.Address); failure == nil {
 		local = &net.TCPAddr{IP: net.ParseIP(place)}
 	}
-	var spoken speech.Speech = speech.Own{}
+	var spoken speech.Speech
 	if adapter != nil {
 		spoken = adapter.Speech
 	}
--- a/process/plane/plane.go
+++ b/process/plane/plane.go
@@ -305,14 +305,21 @@
 // AskPressures asks every runner for its pressure whose word is no longer fresh, none twice at once.
 func (plane *Plane) AskPressures() {
 	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.freshness()) {
-		if _, already := plane.asking.LoadOrStore(runner.ID, true); already {
-			continue
-		}
-		plane.world.Go(func() {
-			defer plane.asking.Delete(runner.ID)
-			plane.askPressure(runner)
-		})
+		plane.askOnce(runner, pressureBound, func() {})
+	}
+}
+
+// askOnce asks a runner beside the caller's work, unless it is being asked already; unheard runs if it gives no answer.
+func (plane *Plane) askOnce(runner pressure.Runner, bound time.Duration, unheard func()) {
+	if _, already := plane.asking.LoadOrStore(runner.ID, true); already {
+		return
 	}
+	plane.world.Go(func() {
+		defer plane.asking.Delete(runner.ID)
+		if !plane.ask(runner, bound) {
+			unheard()
+		}
+	})
 }
 
 // Watch asks runners that are waited for in silence whether they are there at all. One that does not say so is
@@ -321,24 +328,12 @@
 // Why asked: a runner that reads a long prompt is as silent as a dark one, but it answers this at once.
 func (plane *Plane) Watch() {
 	for _, runner := range plane.Yard.Links.Silent(silentBound) {
-		known, found := plane.Yard.Book.One(plane.world.Now(), runner, nil)
-		if !found {
-			continue
-		}
-		if _, already := plane.asking.LoadOrStore(runner, true); already {
-			continue
+		if known, found := plane.Yard.Book.One(plane.world.Now(), runner, nil); found {
+			plane.askOnce(known, watchBound, func() { plane.Yard.Links.Hurry(runner, silentBound) })
 		}
-		plane.world.Go(func() {
-			defer plane.asking.Delete(runner)
-			if !plane.ask(known, watchBound) {
-				plane.Yard.Links.Hurry(runner, silentBound)
-			}
-		})
 	}
 }
 
-func (plane *Plane) askPressure(runner pressure.Runner) { plane.ask(runner, pressureBound) }
-
 // ask asks a runner for its pressure within a bound; it tells whether there was an answer.
 func (plane *Plane) ask(runner pressure.Runner, bound time.Duration) bool {
 	connection, failure := plane.Yard.Links.Take(runner.ID, runner.Address)
--- a/proof/place/report.go
+++ b/proof/place/report.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -19,12 +20,7 @@
 			if failure != nil {
 				return failure
 			}
-			lanes := make([]string, 0, len(sums))
-			for lane := range sums {
-				lanes = append(lanes, lane)
-			}
-			sort.Strings(lanes)
-			for _, lane := range lanes {
+			for _, lane := range slices.Sorted(maps.Keys(sums)) {
 				earned := sums[lane]
 				name := lane
 				if lane == "" {
--- a/proof/place/settings.go
+++ b/proof/place/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -40,12 +42,7 @@
 			if failure != nil {
 				return failure
 			}
-			lanes := make([]string, 0, len(results))
-			for lane := range results {
-				lanes = append(lanes, lane)
-			}
-			sort.Strings(lanes)
-			for _, lane := range lanes {
+			for _, lane := range slices.Sorted(maps.Keys(results)) {
 				result := results[lane]
 				name := lane
 				if lane == "" {
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -174,7 +174,7 @@
 		requester.Last()
 	}
 	if failure := course.read(); failure != nil {
-		course.refuse(course.refusalOf(failure))
+		course.refuse(*course.refusalOf(failure))
 		return
 	}
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Requests++ })
@@ -374,9 +374,6 @@
 	return !course.until.IsZero() && !course.now().Before(course.until)
 }
 
-// repeatable tells whether a second run does no harm.
-func (course *Course) repeatable() bool { return course.lane.Repeatable }
-
 // read checks the request against the newest spec.
 func (course *Course) read() error {
 	request, failure := course.yard.Speech.Read(course.requester)
@@ -425,8 +422,7 @@
 		}
 		// Why: the spec may have taken the lane or its pool away since the last attempt.
 		if failure := course.proper(); failure != nil {
-			refusal := course.refusalOf(failure)
-			return &refusal
+			return course.refusalOf(failure)
 		}
 		course.desk.Enter(course.now(), course.ticket)
 		course.step = course.yard.Await(course.ticket.Steps)
@@ -455,9 +451,9 @@
 	}
 }
 
-// after_ gives what may follow an attempt that ended so.
+// following gives what may follow an attempt that ended so.
 func (course *Course) following(end award.End) award.Verdict {
-	verdict := award.After(end, course.repeatable())
+	verdict := award.After(end, course.lane.Repeatable)
 	// Why: what was relayed stands; a stream that may be resumed goes on behind it at another runner.
 	if end == award.Broken && course.lane.Resumable {
 		verdict.Again, verdict.Spends = true, true
@@ -491,9 +487,9 @@
 }
 
 // refusalOf tells what a fault means for the requester.
-func (course *Course) refusalOf(failure error) speech.Refusal {
+func (course *Course) refusalOf(failure error) *speech.Refusal {
 	found := fault.Of(failure)
-	return *course.refusal(found.Kind, found.Detail, award.DidNotRun, course.comeback(found.Kind))
+	return course.refusal(found.Kind, found.Detail, award.DidNotRun, course.comeback(found.Kind))
 }
 
 // refusal gives what to tell of a request that gets no stream, or no more of one.
@@ -651,7 +647,7 @@
 		return false
 	}
 	course.sends++
-	course.connection.Sent(course.repeatable() && course.mayTry())
+	course.connection.Sent(course.lane.Repeatable && course.mayTry())
 	course.desk.Sent(course.sentAt, course.ticket, course.step)
 	return true
 }
@@ -662,14 +658,14 @@
 	if left > 0 {
 		// Why: a run that can't be repeated is worth something up to the requester's own deadline, and a silent runner
 		// may yet answer. One that can be is better begun anew at another runner while that is in time.
-		if !course.repeatable() || !course.mayTry() {
+		if !course.lane.Repeatable || !course.mayTry() {
 			return left
 		}
 		return min(left, max(patience, left/2))
 	}
 	// Why: a run that can't be repeated is given its patience once more before its outcome is called unknown;
 	// one that can be is better begun anew. Longer than that nobody waits for a runner that seems well.
-	if !course.repeatable() {
+	if !course.lane.Repeatable {
 		return max(patience+leastBound, 2*patience)
 	}
 	return patience + leastBound
@@ -698,26 +694,28 @@
 	if course.word.Report != nil {
 		course.yard.Book.Reported(course.now(), runner.ID, *course.word.Report)
 	}
-	said := map[speech.Said]func() award.End{
-		speech.Runs: course.begin, speech.Ended: course.whole, speech.Failed: course.failed,
-		speech.PutBack: func() award.End {
-			course.keep()
-			course.desk.PutBack(course.now(), course.ticket, course.step)
-			return award.PutBack
-		},
-		speech.Elsewhere: func() award.End {
-			// Why: the address has gone over to another runner; whoever waits for the former one waits in vain.
-			course.yard.Book.Failed(course.now(), runner.ID, "another runner answers at its address")
-			return award.PutBack
-		},
-	}
-	if follow := said[course.word.Said]; follow != nil {
-		return follow()
+	if follow := follows[course.word.Said]; follow != nil {
+		return follow(course)
 	}
 	course.yard.Book.Failed(course.now(), runner.ID, "gave an answer that tells nothing")
 	return award.Doubt
 }
 
+// follows is what is done with what a head says.
+var follows = map[speech.Said]func(course *Course) award.End{
+	speech.Runs: (*Course).begin, speech.Ended: (*Course).whole, speech.Failed: (*Course).failed,
+	speech.PutBack: func(course *Course) award.End {
+		course.keep()
+		course.desk.PutBack(course.now(), course.ticket, course.step)
+		return award.PutBack
+	},
+	speech.Elsewhere: func(course *Course) award.End {
+		// Why: the address has gone over to another runner; whoever waits for the former one waits in vain.
+		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "another runner answers at its address")
+		return award.PutBack
+	},
+}
+
 // head reads the head of the answer that belongs to this request; what is late for another is read and dropped.
 func (course *Course) head() error {
 	for range strayBound {
@@ -781,7 +779,7 @@
 func (course *Course) failed() award.End {
 	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "failed a run")
 	// Why: nothing of a resumed stream's later failure may be passed on; the answer has its head already.
-	if course.repeatable() && course.mayTry() {
+	if course.lane.Repeatable && course.mayTry() {
 		return award.Doubt
 	}
 	return course.whole()
--- a/request/speech/speech.go
+++ b/request/speech/speech.go
@@ -4,6 +4,7 @@
 package speech
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"strconv"
@@ -167,7 +168,10 @@
 		outgoing.Header.Add(intake.HeaderPrefix, part+"="+strconv.Itoa(request.PartTokens[place]))
 	}
 	outgoing.SetBodyRaw(request.Body)
-	return Bytes(outgoing)
+	content := &bytes.Buffer{}
+	// Why: writing to memory can't fail.
+	_, _ = outgoing.WriteTo(content)
+	return content.Bytes()
 }
 
 // counted gives a count that may be left out.
--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -32,6 +32,8 @@
 	Data []byte
 	// Raw are the event's own bytes, with the blank line that ends it.
 	Raw []byte
+	// id is the id as it came; nil: none.
+	id []byte
 }
 
 // Done tells whether this is a run's own last event.
@@ -61,7 +63,11 @@
 	Events int `json:"events"`
 }
 
-var blankLine = []byte("\n\n")
+var (
+	blank     = []byte(" ")
+	colon     = []byte(":")
+	blankLine = []byte("\n\n")
+)
 
 // Ready tells whether a whole event is here already, so that taking it makes nobody wait.
 func (reader *Reader) Ready() bool {
@@ -72,6 +78,13 @@
 	return bytes.Contains(held, blankLine)
 }
 
+// fields takes in what a line of an event says, by its name.
+var fields = map[string]func(event *Event, value []byte){
+	"id":    func(event *Event, value []byte) { event.id = value },
+	"event": func(event *Event, value []byte) { event.Name = string(value) },
+	"data":  func(event *Event, value []byte) { event.Data = value },
+}
+
 // Next gives the next event, or io.EOF after a run that ended whole. Anything out of order, too long or cut
 // short is a RunFailed fault.
 func (reader *Reader) Next() (Event, error) {
@@ -81,10 +94,11 @@
 		}
 		return Event{}, io.EOF
 	}
-	event, id, named := Event{}, "", false
+	event := Event{}
 	for {
-		line, failure := reader.line()
-		event.Raw = append(event.Raw, line...)
+		begun := len(event.Raw)
+		raw, failure := reader.line(event.Raw)
+		event.Raw = raw
 		if failure == io.EOF && !reader.rules.Counted {
 			reader.ended = true
 			// Why: what follows the last blank line belongs to the body and is passed on with it.
@@ -100,9 +114,9 @@
 		if len(event.Raw) > MaximumEvent {
 			return Event{}, fault.New(fault.RunFailed, "an event of more than %d bytes", MaximumEvent)
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(raw[begun:], "\r\n")
 		if len(line) == 0 {
-			if id == "" && event.Name == "" && event.Data == nil {
+			if len(event.id) == 0 && event.Name == "" && event.Data == nil {
 				if reader.rules.Counted {
 					event.Raw = nil
 					continue
@@ -113,24 +127,21 @@
 			}
 			break
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		fields := map[string]func(){
-			"id":    func() { id, named = string(value), true },
-			"event": func() { event.Name = string(value) },
-			"data":  func() { event.Data = append([]byte{}, value...) },
+		name, value, told := bytes.Cut(line, colon)
+		if !told {
+			value = []byte{}
 		}
 		if take := fields[string(name)]; take != nil {
-			take()
+			take(&event, bytes.TrimPrefix(value, blank))
 		}
 	}
-	if !named && !reader.rules.Counted {
+	if event.id == nil && !reader.rules.Counted {
 		event.ID = reader.last
 		return event, nil
 	}
-	number, failure := strconv.Atoi(id)
+	number, failure := strconv.Atoi(string(event.id))
 	if failure != nil || number <= reader.last || reader.rules.Counted && number != reader.last+1 {
-		return Event{}, fault.New(fault.RunFailed, "event %q follows event %d", id, reader.last)
+		return Event{}, fault.New(fault.RunFailed, "event %q follows event %d", event.id, reader.last)
 	}
 	event.ID = number
 	if reader.rules.Counted {
@@ -156,29 +167,22 @@
 	return event, nil
 }
 
-// Last gives the id of the last event that was read.
-func (reader *Reader) Last() int { return reader.last }
-
-// Ended tells whether the run's own end was read.
-func (reader *Reader) Ended() bool { return reader.ended }
-
 // End reads on to the end of the body, so that the connection can be used again.
 func (reader *Reader) End() bool {
 	_, failure := reader.source.ReadByte()
 	return failure == io.EOF
 }
 
-// line gives the next line with its end.
-func (reader *Reader) line() ([]byte, error) {
-	var line []byte
-	for {
+// line puts the next line with its end behind what was read before.
+func (reader *Reader) line(raw []byte) ([]byte, error) {
+	for begun := len(raw); ; {
 		part, failure := reader.source.ReadSlice('\n')
-		line = append(line, part...)
+		raw = append(raw, part...)
 		if failure != bufio.ErrBufferFull {
-			return line, failure
+			return raw, failure
 		}
-		if len(line) > MaximumEvent {
-			return line, fault.New(fault.RunFailed, "a line of more than %d bytes", MaximumEvent)
+		if len(raw)-begun > MaximumEvent {
+			return raw, fault.New(fault.RunFailed, "a line of more than %d bytes", MaximumEvent)
 		}
 	}
 }
