--- a/cmd/wtcore/main.go
+++ b/cmd/wtcore/main.go
@@ -2,9 +2,9 @@
 package main
 
 import (
+	"wardtray/config/startup"
 	"wardtray/platform"
 	"wardtray/process/daemon"
-	"wardtray/process/startup"
 )
 
 const help = `wtcore is the control plane of a wardtray fleet; it runs on each machine with a disk.
--- a/cmd/wtctl/main.go
+++ b/cmd/wtctl/main.go
@@ -13,11 +13,11 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"wardtray/epoch/spec"
-	"wardtray/epoch/spec/nginx"
-	"wardtray/process/core"
+	"wardtray/config"
+	"wardtray/config/nginx"
+	"wardtray/control/core"
+	"wardtray/control/operator"
 	"wardtray/process/fault"
-	"wardtray/process/operator"
 	"wardtray/request/intake"
 )
 
@@ -131,9 +131,9 @@
 	importing := application.Command("import", "Read an nginx configuration's upstreams into a spec to be reviewed; notes go to standard error.")
 	importFile := importing.Arg("file", "The configuration.").Required().String()
 	commands[importing.FullCommand()] = func() (int, error) {
-		made, notes, failure := nginx.Import(*importFile)
-		if failure != nil {
-			return exitRefused, failure
+		made, notes, err := nginx.Import(*importFile)
+		if err != nil {
+			return exitRefused, err
 		}
 		for _, note := range notes {
 			fmt.Fprintln(errors, note)
@@ -141,9 +141,9 @@
 		return exitFine, here.print(json.RawMessage(made.Encode()))
 	}
 
-	chosen, failure := application.Parse(arguments)
+	chosen, err := application.Parse(arguments)
 	if ended {
-		// Why: kingpin ends alike when help is asked for and when no command is given.
+		// Kingpin ends alike when help is asked for and when no command is given.
 		for _, argument := range arguments {
 			if strings.HasPrefix(argument, "--help") || argument == "-h" || argument == "help" {
 				return exitFine
@@ -151,16 +151,16 @@
 		}
 		return exitUsage
 	}
-	if failure != nil {
-		fmt.Fprintf(errors, "wtctl: %v; see wtctl --help\n", failure)
+	if err != nil {
+		fmt.Fprintf(errors, "wtctl: %v; see wtctl --help\n", err)
 		return exitUsage
 	}
 	here.client, here.json = operator.New(*cores), *asJSON
-	code, failure = commands[chosen]()
-	if failure != nil {
-		fmt.Fprintf(errors, "wtctl: %v\n", failure)
+	code, err = commands[chosen]()
+	if err != nil {
+		fmt.Fprintf(errors, "wtctl: %v\n", err)
 		codes := map[fault.Kind]int{fault.Unreachable: exitUnreachable, fault.BadStartup: exitUsage}
-		if code = codes[fault.Of(failure).Kind]; code == exitFine {
+		if code = codes[fault.Of(err).Kind]; code == exitFine {
 			code = exitRefused
 		}
 	}
@@ -172,8 +172,8 @@
 		return operation
 	}
 	var bytes [8]byte
-	if _, failure := rand.Read(bytes[:]); failure != nil {
-		panic(failure) // Why: an id that might repeat could give a change another's outcome.
+	if _, err := rand.Read(bytes[:]); err != nil {
+		panic(err) // An id that might repeat could give a change another's outcome.
 	}
 	return "wtctl-" + hex.EncodeToString(bytes[:])
 }
@@ -181,9 +181,9 @@
 var outcomeCodes = map[string]int{"accepted": exitFine, "found": exitFine, "empty": exitFine, "refused": exitRefused, "unknown": exitUnknown, "pending": exitUnknown}
 
 // told prints an answer and gives the exit code that fits.
-func (here *context) told(reply core.Reply, failure error) (int, error) {
-	if failure != nil {
-		return exitRefused, failure
+func (here *context) told(reply core.Reply, err error) (int, error) {
+	if err != nil {
+		return exitRefused, err
 	}
 	if here.json {
 		return outcomeCodes[reply.Outcome], here.print(reply)
@@ -212,9 +212,9 @@
 }
 
 func (here *context) get(errors io.Writer) (int, error) {
-	reply, failure := here.client.Get()
-	if failure != nil {
-		return exitRefused, failure
+	reply, err := here.client.Get()
+	if err != nil {
+		return exitRefused, err
 	}
 	if here.json || reply.Outcome == "refused" {
 		return here.told(reply, nil)
@@ -228,60 +228,60 @@
 }
 
 func readFile(path string, input io.Reader) ([]byte, error) {
-	// Why: kingpin hands a lone dash on as an empty argument.
+	// Kingpin hands a lone dash on as an empty argument.
 	if path == "-" || path == "" {
-		content, failure := io.ReadAll(io.LimitReader(input, spec.MaximumBytes+1))
-		return content, fault.Wrap(failure, fault.BadStartup, "reading standard input")
+		content, err := io.ReadAll(io.LimitReader(input, config.MaximumBytes+1))
+		return content, fault.Wrap(err, fault.BadStartup, "reading standard input")
 	}
-	content, failure := os.ReadFile(path)
-	return content, fault.Wrap(failure, fault.BadStartup, "reading the spec")
+	content, err := os.ReadFile(path)
+	return content, fault.Wrap(err, fault.BadStartup, "reading the spec")
 }
 
 // change reads a file and sends it, built on the epoch named or on the present one.
 func (here *context) change(send func(client *operator.Client, content []byte, change operator.Change) (core.Reply, error),
 	path, base string, change operator.Change, input io.Reader) (int, error) {
-	content, failure := readFile(path, input)
-	if failure != nil {
-		return exitUsage, failure
+	content, err := readFile(path, input)
+	if err != nil {
+		return exitUsage, err
 	}
 	if base == "" {
-		reply, failure := here.client.Get()
-		if failure != nil {
-			return exitRefused, failure
+		reply, err := here.client.Get()
+		if err != nil {
+			return exitRefused, err
 		}
 		if reply.Outcome == "refused" {
 			return here.told(reply, nil)
 		}
 		change.Base = reply.Epoch
-	} else if change.Base, failure = strconv.ParseUint(base, 10, 64); failure != nil {
+	} else if change.Base, err = strconv.ParseUint(base, 10, 64); err != nil {
 		return exitUsage, fault.New(fault.BadStartup, "--base %q is no whole number", base)
 	}
 	return here.told(send(here.client, content, change))
 }
 
 func (here *context) diff(path string, input io.Reader) (int, error) {
-	content, failure := readFile(path, input)
-	if failure != nil {
-		return exitUsage, failure
+	content, err := readFile(path, input)
+	if err != nil {
+		return exitUsage, err
 	}
-	wanted, failure := spec.Parse(content)
-	if failure != nil {
-		return exitRefused, failure
+	wanted, err := config.Parse(content)
+	if err != nil {
+		return exitRefused, err
 	}
-	reply, failure := here.client.Get()
-	if failure != nil {
-		return exitRefused, failure
+	reply, err := here.client.Get()
+	if err != nil {
+		return exitRefused, err
 	}
-	present := &spec.Spec{}
+	present := &config.Spec{}
 	if len(reply.Spec) > 0 {
-		if present, failure = spec.Parse(reply.Spec); failure != nil {
-			return exitRefused, failure
+		if present, err = config.Parse(reply.Spec); err != nil {
+			return exitRefused, err
 		}
 	}
-	changes := spec.Diff(present, wanted)
+	changes := config.Diff(present, wanted)
 	flaws := wanted.Check()
 	if here.json {
-		failure = here.print(map[string]any{"epoch": reply.Epoch, "changes": changes, "flaws": flaws})
+		err = here.print(map[string]any{"epoch": reply.Epoch, "changes": changes, "flaws": flaws})
 	} else {
 		fmt.Fprintf(here.output, "against epoch %d\n", reply.Epoch)
 		for _, change := range changes {
@@ -291,13 +291,13 @@
 			fmt.Fprintf(here.output, "! %s: %s\n", flaw.Path, flaw.Detail)
 		}
 	}
-	return min(1, len(changes)+len(flaws)), failure
+	return min(1, len(changes)+len(flaws)), err
 }
 
 func (here *context) explain(daemon string, headers map[string]string) (int, error) {
-	content, failure := here.client.Explain(daemon, headers, []byte(`{"prompt":"-"}`))
-	if failure != nil {
-		return exitRefused, failure
+	content, err := here.client.Explain(daemon, headers, []byte(`{"prompt":"-"}`))
+	if err != nil {
+		return exitRefused, err
 	}
 	if here.json {
 		return exitFine, here.print(content)
--- a/cmd/wtctl/main_test.go
+++ b/cmd/wtctl/main_test.go
@@ -10,18 +10,18 @@
 )
 
 // standIn answers as a wtcore does, by a table of paths.
-func standIn(test *testing.T, answers map[string]string) string {
+func standIn(t *testing.T, answers map[string]string) string {
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		fmt.Fprint(writer, answers[request.Method+" "+request.URL.Path])
 	}))
-	test.Cleanup(server.Close)
+	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
 const present = `{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","model":"m","weights":"w","services":["s"]}],"lanes":[{"name":"l","pool":"p","worth":1,"patience":"1s","purse":0.5,"repeatable":false}]}`
 
-func TestExitCodes(test *testing.T) {
-	address := standIn(test, map[string]string{
+func TestExitCodes(t *testing.T) {
+	address := standIn(t, map[string]string{
 		"GET /v1/spec":            `{"outcome":"found","epoch":4,"spec":` + present + `}`,
 		"PUT /v1/spec":            `{"outcome":"refused","epoch":4,"kind":"invalid_spec","detail":"1 faults","remedy":"mend it","flaws":[{"path":"lanes[0].purse","detail":"wants more"}]}`,
 		"PATCH /v1/spec":          `{"outcome":"accepted","epoch":9}`,
@@ -57,14 +57,14 @@
 		var output, errors bytes.Buffer
 		code := run(append([]string{"--core", address}, step.arguments...), strings.NewReader(step.input), &output, &errors)
 		if code != step.code || !strings.Contains(output.String(), step.says) {
-			test.Errorf("%s: code %d, output %s, errors %s", name, code, output.String(), errors.String())
+			t.Errorf("%s: code %d, output %s, errors %s", name, code, output.String(), errors.String())
 		}
 		if code != exitFine && step.says == "" && errors.Len() == 0 {
-			test.Errorf("%s: nothing said", name)
+			t.Errorf("%s: nothing said", name)
 		}
 	}
 	var output, errors bytes.Buffer
 	if code := run([]string{"--core", "127.0.0.1:1", "get"}, strings.NewReader(""), &output, &errors); code != exitUnreachable || !strings.Contains(errors.String(), "remedy") {
-		test.Errorf("nobody there: %d %s", code, errors.String())
+		t.Errorf("nobody there: %d %s", code, errors.String())
 	}
 }
--- a/cmd/wtctl/show.go
+++ b/cmd/wtctl/show.go
@@ -7,16 +7,16 @@
 	"sort"
 	"text/tabwriter"
 
+	"wardtray/control/operator"
 	"wardtray/process/fault"
-	"wardtray/process/operator"
 	"wardtray/request/award"
 )
 
 // status prints one part of the fleet, or all, and warns of lost redundancy.
 func (here *context) status(part string) (int, error) {
-	fleet, failure := here.client.Status()
-	if failure != nil {
-		return exitRefused, failure
+	fleet, err := here.client.Status()
+	if err != nil {
+		return exitRefused, err
 	}
 	if here.json {
 		return exitFine, here.print(fleet)
@@ -181,8 +181,8 @@
 		Prices award.Prices
 		Bid    award.Bid
 	}{}
-	if failure := json.Unmarshal(content, &told); failure != nil {
-		return fault.Wrap(failure, fault.Malformed, "the daemon's answer")
+	if err := json.Unmarshal(content, &told); err != nil {
+		return fault.Wrap(err, fault.Malformed, "the daemon's answer")
 	}
 	fmt.Fprintf(output, "step: %s", told.Step.Kind)
 	if told.Step.Kind == award.Pass {
--- a/cmd/wtdata/main.go
+++ b/cmd/wtdata/main.go
@@ -2,9 +2,9 @@
 package main
 
 import (
+	"wardtray/config/startup"
 	"wardtray/platform"
 	"wardtray/process/daemon"
-	"wardtray/process/startup"
 )
 
 const help = `wtdata is the data plane of a wardtray fleet; it runs on every machine.
--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -91,9 +91,9 @@
 		},
 		spreading.FullCommand(): func() {
 			for _, size := range *sizes {
-				spread, failure := sim.MeasureSpread(1, size, *lanes)
-				if failure != nil {
-					end(failure)
+				spread, err := sim.MeasureSpread(1, size, *lanes)
+				if err != nil {
+					end(err)
 				}
 				fmt.Printf("%d daemons, %d lanes: half %v, 99%% %v, all %v after the commit; acknowledged %v after it was sent; in quiet %.1f messages, %.0f bytes (%.0f to other zones) a second and daemon; the change %.0f bytes a daemon\n",
 					size, *lanes, spread.Half, spread.Most, spread.All, spread.Acknowledged, spread.Messages, spread.Bytes, spread.AcrossBytes, spread.ChangeBytes)
@@ -143,15 +143,15 @@
 		},
 		batching.FullCommand(): func() {
 			play.Deployment = place.Deployments[*batched]
-			if failure := place.Report(os.Stdout, play, *loads, *ways, *seeds); failure != nil {
-				end(failure)
+			if err := place.Report(os.Stdout, play, *loads, *ways, *seeds); err != nil {
+				end(err)
 			}
 		},
 		placing.FullCommand(): func() {
 			setting := place.Settings[*placed]
 			setting.Length, setting.Seed, setting.Hot = *length, *placeSeed, *hot
-			if failure := place.Table(os.Stdout, setting, *rates); failure != nil {
-				end(failure)
+			if err := place.Table(os.Stdout, setting, *rates); err != nil {
+				end(err)
 			}
 		},
 		simulate.FullCommand(): func() {
@@ -174,15 +174,15 @@
 		return
 	}
 	if run := hollows[called]; run != nil {
-		if failure := run(); failure != nil {
-			end(failure)
+		if err := run(); err != nil {
+			end(err)
 		}
 		return
 	}
 	if *binaries == "" {
-		self, failure := os.Executable()
-		if failure != nil {
-			end(failure)
+		self, err := os.Executable()
+		if err != nil {
+			end(err)
 		}
 		*binaries = filepath.Dir(self)
 	}
@@ -193,10 +193,10 @@
 	clean := true
 	for _, name := range chosen {
 		fmt.Printf("--- %s, %s, seed %d\n", *deployment, name, *seed)
-		held, failure := fleet.Prove(fleet.Shapes[*deployment], fleet.Scenarios[name], fleet.Options{Binaries: *binaries, Folder: *folder,
+		held, err := fleet.Prove(fleet.Shapes[*deployment], fleet.Scenarios[name], fleet.Options{Binaries: *binaries, Folder: *folder,
 			Seconds: *seconds, Seed: *seed, Rate: *rate, Output: os.Stdout, Keep: *keep})
-		if failure != nil {
-			end(failure)
+		if err != nil {
+			end(err)
 		}
 		clean = clean && held
 	}
@@ -322,7 +322,7 @@
 	}
 }
 
-func end(failure error) {
-	fmt.Fprintln(os.Stderr, "wtproof:", failure)
+func end(err error) {
+	fmt.Fprintln(os.Stderr, "wtproof:", err)
 	os.Exit(1)
 }
--- a/epoch/spec/annotations.go
+++ b/config/annotations.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"sort"
@@ -33,7 +33,7 @@
 	for !lexer.IsDelim('}') {
 		name := lexer.String()
 		lexer.WantColon()
-		// Why: the reader's text is reused, and annotations outlive it.
+		// The reader's text is reused, and annotations outlive it.
 		read[name] = append(easyjson.RawMessage{}, lexer.Raw()...)
 		lexer.WantComma()
 	}
--- a/epoch/spec/book.go
+++ b/config/book.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import "strings"
 
@@ -89,7 +89,7 @@
 	if found == nil {
 		return nil
 	}
-	// Why: every prefix ends with a slash, so only the places after one can be its end; a path with more
+	// Every prefix ends with a slash, so only the places after one can be its end; a path with more
 	// slashes than any prefix is long costs nothing.
 	for end := min(len(path), found.longest); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
 		if path[end-1] != '/' {
@@ -128,7 +128,7 @@
 // Host gives the form in which hosts are compared: in small letters, without a port.
 func Host(authority string) string {
 	if colon := strings.LastIndexByte(authority, ':'); colon >= 0 {
-		// Why: the colons of a bare IPv6 address are no port's.
+		// The colons of a bare IPv6 address are no port's.
 		if host := authority[:colon]; !strings.Contains(host, ":") || strings.HasSuffix(host, "]") {
 			authority = host
 		}
--- a/epoch/spec/book_test.go
+++ b/config/book_test.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 	return NewBook(spec)
 }
 
-func TestRouteIsTheLongestPrefixOfTheHost(test *testing.T) {
+func TestRouteIsTheLongestPrefixOfTheHost(t *testing.T) {
 	book := routed("a.example/", "a.example/x/", "a.example/x/y/", "b.example/x/", "[::1]:80/v/")
 	for asked, want := range map[string]string{
 		"a.example /": "0", "a.example /x": "0", "a.example /x/": "1", "a.example /x/z": "1", "a.example /x/y": "1", "a.example /x/y/": "2",
@@ -29,16 +29,16 @@
 			got = lane.Name
 		}
 		if got != want {
-			test.Errorf("%s goes to %q", asked, got)
+			t.Errorf("%s goes to %q", asked, got)
 		}
 	}
 	if book.Route("", "") != nil {
-		test.Error("nothing has a lane")
+		t.Error("nothing has a lane")
 	}
 }
 
 // The quick search agrees with the definition on drawn prefixes and paths.
-func TestRouteAgreesWithItsDefinition(test *testing.T) {
+func TestRouteAgreesWithItsDefinition(t *testing.T) {
 	random := rand.New(rand.NewSource(7))
 	path := func(most int) string {
 		made := "/"
@@ -67,13 +67,13 @@
 				}
 			}
 			if got := book.Route(host, asked); got != want {
-				test.Fatalf("%v: %s%s goes to %v, not %v", places, host, asked, got, want)
+				t.Fatalf("%v: %s%s goes to %v, not %v", places, host, asked, got, want)
 			}
 		}
 	}
 }
 
-func TestSplitGoesByItsWeights(test *testing.T) {
+func TestSplitGoesByItsWeights(t *testing.T) {
 	spec := &Spec{Pools: []Pool{{Name: "p"}, {Name: "q"}, {Name: "r"}}, Lanes: []Lane{{Name: "l", Split: []Share{
 		{Pool: "p", Weight: 60}, {Pool: "r", Weight: 0}, {Pool: "q", Weight: 10}, {Pool: "p", Weight: 30}}}, {Name: "m", Pool: "q"}, {Name: "n", Pool: "gone"}}}
 	book := NewBook(spec)
@@ -83,15 +83,15 @@
 		names += pool.Name
 	}
 	if names != "pq" {
-		test.Errorf("the pools are %q", names)
+		t.Errorf("the pools are %q", names)
 	}
 	for point, want := range map[float64]string{0: "p", 0.59: "p", 0.6: "q", 0.699: "q", 0.7: "p", 0.9999: "p", 1: "p"} {
 		if got := book.PoolAt(lane, point).Name; got != want {
-			test.Errorf("%v goes to %s", point, got)
+			t.Errorf("%v goes to %s", point, got)
 		}
 	}
 	if book.PoolAt(book.Lanes["m"], 0.3).Name != "q" || book.PoolAt(book.Lanes["n"], 0.3) != nil || len(book.PoolsOf(book.Lanes["n"])) != 0 {
-		test.Error("one pool, or one that is not there")
+		t.Error("one pool, or one that is not there")
 	}
 }
 
--- a/epoch/spec/change.go
+++ b/config/change.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"fmt"
@@ -15,21 +15,21 @@
 	if len(content) > MaximumBytes {
 		return nil, fault.New(fault.TooLarge, "a change of %d bytes; at most %d", len(content), MaximumBytes)
 	}
-	if failure := strict.Check(content); failure != nil {
-		return nil, failure
+	if err := strict.Check(content); err != nil {
+		return nil, err
 	}
 	parsed := &Change{}
-	if failure := easyjson.Unmarshal(content, parsed); failure != nil {
-		return nil, fault.New(fault.Malformed, "%v", failure)
+	if err := easyjson.Unmarshal(content, parsed); err != nil {
+		return nil, fault.New(fault.Malformed, "%v", err)
 	}
 	return parsed, nil
 }
 
 // Encode writes the change.
 func (change *Change) Encode() []byte {
-	content, failure := easyjson.Marshal(change)
-	if failure != nil {
-		panic(failure) // Why: plain fields always marshal; anything else is a defect of ours.
+	content, err := easyjson.Marshal(change)
+	if err != nil {
+		panic(err) // Plain fields always marshal; anything else is a defect of ours.
 	}
 	return content
 }
@@ -57,7 +57,7 @@
 		}
 	}
 	for _, flaw := range next.Check() {
-		// Why: who wrote the change knows its places, and not those of the whole spec.
+		// Who wrote the change knows its places, and not those of the whole spec.
 		entry, rest, _ := strings.Cut(flaw.Path, "]")
 		if origin, found := origins[entry+"]"]; found {
 			flaw.Path = origin + rest
--- a/epoch/spec/change_test.go
+++ b/config/change_test.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"fmt"
@@ -8,42 +8,42 @@
 	"wardtray/process/fault"
 )
 
-func TestChangeKeepsPlacesAndLeavesThePresentAlone(test *testing.T) {
-	present, failure := Parse([]byte(`{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","services":["s"]},{"name":"q","services":["t"]}],
+func TestChangeKeepsPlacesAndLeavesThePresentAlone(t *testing.T) {
+	present, err := Parse([]byte(`{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","services":["s"]},{"name":"q","services":["t"]}],
 "lanes":[{"name":"k","pool":"p","patience":"1s"},{"name":"l","pool":"p","patience":"1s"},{"name":"m","pool":"q","patience":"1s"}],"annotations":{"x":1,"y":2}}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	before := string(present.Encode())
-	change, failure := ParseChange([]byte(`{"upsert":{"zones":[{"name":"b","closed":true}],"lanes":[{"name":"n","pool":"p","patience":"1s"},{"name":"l","pool":"p","patience":"2s","worth":5}]},
+	change, err := ParseChange([]byte(`{"upsert":{"zones":[{"name":"b","closed":true}],"lanes":[{"name":"n","pool":"p","patience":"1s"},{"name":"l","pool":"p","patience":"2s","worth":5}]},
 "remove":{"lanes":["m","gone"],"pools":["q"],"zones":["a"]},"limits":{"body_bytes":7},"annotations":{"x":null,"z":{"a": 1}}}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	next, flaws := change.Apply(present)
 	if len(flaws) > 0 || string(present.Encode()) != before {
-		test.Fatalf("%v; the present spec is now %s", flaws, present.Encode())
+		t.Fatalf("%v; the present spec is now %s", flaws, present.Encode())
 	}
-	want, failure := Parse([]byte(`{"zones":[{"name":"b","closed":true}],"pools":[{"name":"p","services":["s"]}],
+	want, err := Parse([]byte(`{"zones":[{"name":"b","closed":true}],"pools":[{"name":"p","services":["s"]}],
 "lanes":[{"name":"k","pool":"p","patience":"1s"},{"name":"l","pool":"p","patience":"2s","worth":5},{"name":"n","pool":"p","patience":"1s"}],
 "limits":{"body_bytes":7},"annotations":{"y":2,"z":{"a": 1}}}`))
-	if failure != nil || string(next.Encode()) != string(want.Encode()) {
-		test.Fatalf("%v: got %s", failure, next.Encode())
+	if err != nil || string(next.Encode()) != string(want.Encode()) {
+		t.Fatalf("%v: got %s", err, next.Encode())
 	}
 }
 
-func TestBadChangesAreMalformed(test *testing.T) {
+func TestBadChangesAreMalformed(t *testing.T) {
 	for name, text := range map[string]string{"nothing": "", "a list": "[]", "unknown": `{"add":{}}`, "twice": `{"upsert":{},"upsert":{}}`, "behind": `{}{}`,
 		"unknown list": `{"remove":{"lane":[]}}`, "wrong type": `{"remove":{"lanes":[1]}}`, "bad lane": `{"upsert":{"lanes":[{"name":"l","pols":"p"}]}}`} {
-		if _, failure := ParseChange([]byte(text)); !fault.Is(failure, fault.Malformed) {
-			test.Errorf("%s: %v", name, failure)
+		if _, err := ParseChange([]byte(text)); !fault.Is(err, fault.Malformed) {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
 }
 
 // A change agrees with its definition on drawn lists: entries that stay or are replaced keep their order,
 // those that are new follow in the order given.
-func TestChangeAgreesWithItsDefinition(test *testing.T) {
+func TestChangeAgreesWithItsDefinition(t *testing.T) {
 	random := rand.New(rand.NewSource(3))
 	names := func() (drawn []string) {
 		for _, place := range random.Perm(8)[:random.Intn(6)] {
@@ -79,10 +79,10 @@
 		present.Pools, present.Lanes = []Pool{{Name: "p", Services: []string{"s"}}}, Lanes{{Name: "l", Pool: "p", Worth: 1, Purse: 1, Patience: Span(1e9)}}
 		next, flaws := change.Apply(present)
 		if clash != (len(flaws) > 0) {
-			test.Fatalf("%+v: %v", change, flaws)
+			t.Fatalf("%+v: %v", change, flaws)
 		}
 		if !clash && fmt.Sprint(next.Zones) != fmt.Sprint(want) {
-			test.Fatalf("%+v\nto    %v\ngives %v\nwants %v", change, present.Zones, next.Zones, want)
+			t.Fatalf("%+v\nto    %v\ngives %v\nwants %v", change, present.Zones, next.Zones, want)
 		}
 	}
 }
--- a/epoch/spec/check.go
+++ b/config/check.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"fmt"
@@ -98,7 +98,7 @@
 // Check lists every flaw, in the order of the document.
 func (spec *Spec) Check() []Flaw {
 	checker := &checker{}
-	// Why: a list left out is more likely forgotten than meant, and would take everything away. The same goes
+	// A list left out is more likely forgotten than meant, and would take everything away. The same goes
 	// for one that is empty where zones are listed; who lists none has nothing that would be served there.
 	least := min(1, len(spec.Zones))
 	for _, list := range []struct {
--- a/epoch/spec/diff.go
+++ b/config/diff.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"sort"
@@ -39,9 +39,9 @@
 func entries(spec *Spec) map[string]string {
 	entries := map[string]string{}
 	add := func(name string, entry easyjson.Marshaler) {
-		content, failure := easyjson.Marshal(entry)
-		if failure != nil {
-			panic(failure) // Why: plain fields always marshal; anything else is a defect of ours.
+		content, err := easyjson.Marshal(entry)
+		if err != nil {
+			panic(err) // Plain fields always marshal; anything else is a defect of ours.
 		}
 		entries[name] = string(content)
 	}
@@ -54,7 +54,7 @@
 	for place := range spec.Lanes {
 		add("lane "+spec.Lanes[place].Name, &spec.Lanes[place])
 	}
-	// Why: what a spec does not bound or annotate is no entry, or an empty spec would have one.
+	// What a spec does not bound or annotate is no entry, or an empty spec would have one.
 	if spec.Limits != (Limits{}) {
 		add("limits", &spec.Limits)
 	}
--- a/epoch/spec/nginx/nginx.go
+++ b/config/nginx/nginx.go
@@ -9,7 +9,7 @@
 
 	crossplane "github.com/nginxinc/nginx-go-crossplane"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/process/fault"
 )
 
@@ -26,7 +26,7 @@
 const defaultPatience = 60 * time.Second
 
 type importer struct {
-	spec  spec.Spec
+	spec  config.Spec
 	pools map[string]bool
 	lanes map[string]bool
 	notes []Note
@@ -35,15 +35,15 @@
 
 // Import reads a file and what it includes. A file that can't be read whole gives a Malformed fault
 // with its line, and no spec.
-func Import(path string) (*spec.Spec, []Note, error) {
-	payload, failure := crossplane.Parse(path, &crossplane.ParseOptions{StopParsingOnError: true, CombineConfigs: true, SkipDirectiveContextCheck: true})
-	if failure != nil {
-		return nil, nil, fault.New(fault.Malformed, "%v; mend this line and import again", failure)
+func Import(path string) (*config.Spec, []Note, error) {
+	payload, err := crossplane.Parse(path, &crossplane.ParseOptions{StopParsingOnError: true, CombineConfigs: true, SkipDirectiveContextCheck: true})
+	if err != nil {
+		return nil, nil, fault.New(fault.Malformed, "%v; mend this line and import again", err)
 	}
-	reader := &importer{pools: map[string]bool{}, lanes: map[string]bool{}, spec: spec.Spec{Zones: []spec.Zone{{Name: "imported"}}}}
+	reader := &importer{pools: map[string]bool{}, lanes: map[string]bool{}, spec: config.Spec{Zones: []config.Zone{{Name: "imported"}}}}
 	for _, config := range payload.Config {
 		reader.file = config.File
-		// Why: locations name upstreams that may stand further down.
+		// Locations name upstreams that may stand further down.
 		reader.walk(config.Parsed, "", map[string]func(directive *crossplane.Directive, context string){"upstream": reader.upstream})
 		reader.walk(config.Parsed, "", map[string]func(directive *crossplane.Directive, context string){"location": reader.location, "upstream": func(*crossplane.Directive, string) {}})
 	}
@@ -118,7 +118,7 @@
 	if pool != directive.Args[0] {
 		reader.note(directive, "upstream %q is pool %q", directive.Args[0], pool)
 	}
-	reader.spec.Pools = append(reader.spec.Pools, spec.Pool{Name: pool, Model: pool, Weights: "imported", Services: []string{pool}})
+	reader.spec.Pools = append(reader.spec.Pools, config.Pool{Name: pool, Model: pool, Weights: "imported", Services: []string{pool}})
 	reader.note(directive, "pool %q: model, weights and service are placeholders; name the real ones", pool)
 	for _, inside := range directive.Block {
 		if inside.Directive == "server" {
@@ -131,7 +131,7 @@
 
 func (reader *importer) location(directive *crossplane.Directive, context string) {
 	path := directive.Args[len(directive.Args)-1]
-	lane := spec.Lane{Worth: 1, Purse: 1, Patience: spec.Span(defaultPatience)}
+	lane := config.Lane{Worth: 1, Purse: 1, Patience: config.Span(defaultPatience)}
 	var rest []*crossplane.Directive
 	for _, inside := range directive.Block {
 		takes := map[string]func(){
@@ -143,15 +143,15 @@
 				}
 			},
 			"proxy_read_timeout": func() {
-				length, failure := time.ParseDuration(inside.Args[0])
-				if failure != nil {
-					length, failure = time.ParseDuration(inside.Args[0] + "s")
+				length, err := time.ParseDuration(inside.Args[0])
+				if err != nil {
+					length, err = time.ParseDuration(inside.Args[0] + "s")
 				}
-				if failure != nil {
+				if err != nil {
 					rest = append(rest, inside)
 					return
 				}
-				lane.Patience = spec.Span(length)
+				lane.Patience = config.Span(length)
 			},
 		}
 		if take := takes[inside.Directive]; take != nil {
--- a/epoch/spec/spec.go
+++ b/config/spec.go
@@ -1,6 +1,6 @@
 // Package spec is the one document that operators write: lanes, pools and zones. It is read by
 // generated easyjson code, checked whole, and kept in one canonical form.
-package spec
+package config
 
 import (
 	"fmt"
@@ -37,8 +37,8 @@
 	if !lexer.Ok() {
 		return
 	}
-	length, failure := time.ParseDuration(text)
-	if failure != nil {
+	length, err := time.ParseDuration(text)
+	if err != nil {
 		lexer.AddError(fmt.Errorf("%q is no length of time; write it as in 1.5s", text))
 		return
 	}
@@ -192,12 +192,12 @@
 	if len(content) > MaximumBytes {
 		return nil, fault.New(fault.TooLarge, "a spec of %d bytes; at most %d", len(content), MaximumBytes)
 	}
-	if failure := strict.Check(content); failure != nil {
-		return nil, failure
+	if err := strict.Check(content); err != nil {
+		return nil, err
 	}
 	parsed := &Spec{}
-	if failure := easyjson.Unmarshal(content, parsed); failure != nil {
-		return nil, fault.New(fault.Malformed, "%v", failure)
+	if err := easyjson.Unmarshal(content, parsed); err != nil {
+		return nil, fault.New(fault.Malformed, "%v", err)
 	}
 	return parsed, nil
 }
@@ -205,17 +205,17 @@
 // Decode reads a spec that wardtray itself has encoded after checking it.
 func Decode(content []byte) (*Spec, error) {
 	decoded := &Spec{}
-	if failure := easyjson.Unmarshal(content, decoded); failure != nil {
-		return nil, fault.Wrap(failure, fault.Internal, "reading a spec that was checked before")
+	if err := easyjson.Unmarshal(content, decoded); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "reading a spec that was checked before")
 	}
 	return decoded, nil
 }
 
 // Encode gives the canonical form.
 func (spec *Spec) Encode() []byte {
-	content, failure := easyjson.Marshal(spec)
-	if failure != nil {
-		panic(failure) // Why: plain fields always marshal; anything else is a defect of ours.
+	content, err := easyjson.Marshal(spec)
+	if err != nil {
+		panic(err) // Plain fields always marshal; anything else is a defect of ours.
 	}
 	return content
 }
--- a/epoch/spec/spec_test.go
+++ b/config/spec_test.go
@@ -1,4 +1,4 @@
-package spec
+package config
 
 import (
 	"strings"
@@ -10,25 +10,25 @@
 const good = `{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","model":"m","weights":"w","services":["s"]}],
 "lanes":[{"name":"l","pool":"p","worth":1,"patience":"1s","purse":0.5,"repeatable":false}]}`
 
-func TestBadTextIsMalformed(test *testing.T) {
+func TestBadTextIsMalformed(t *testing.T) {
 	for name, text := range map[string]string{
 		"nothing": "", "blanks": "  ", "no object": "5", "cut short": good[:40], "text after": good + "{}",
 		"unknown field": strings.Replace(good, `"worth"`, `"worht"`, 1), "field twice": strings.Replace(good, `"worth":1`, `"worth":1,"worth":2`, 1),
 		"wrong type": strings.Replace(good, `"worth":1`, `"worth":"1"`, 1), "no span": strings.Replace(good, `"1s"`, `"soon"`, 1),
 		"bad text": strings.Replace(good, `"m"`, "\"\xff\"", 1), "deep": strings.Repeat("[", 100),
 	} {
-		if _, failure := Parse([]byte(text)); !fault.Is(failure, fault.Malformed) {
-			test.Errorf("%s: %v", name, failure)
+		if _, err := Parse([]byte(text)); !fault.Is(err, fault.Malformed) {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
 }
 
-func TestEveryFlawIsListedWithItsPath(test *testing.T) {
-	parsed, failure := Parse([]byte(`{"zones":[{"name":"a","closed":false},{"name":"a","closed":true}],
+func TestEveryFlawIsListedWithItsPath(t *testing.T) {
+	parsed, err := Parse([]byte(`{"zones":[{"name":"a","closed":false},{"name":"a","closed":true}],
 "pools":[{"name":"P!","model":"","weights":"w","services":[]}],
 "lanes":[{"name":"l","pool":"nowhere","worth":0,"patience":"0s","purse":0,"repeatable":false}]}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	var paths []string
 	for _, flaw := range parsed.Check() {
@@ -36,29 +36,29 @@
 	}
 	want := "zones[1].name pools[0].name pools[0].model pools[0].services lanes[0].pool lanes[0].worth lanes[0].patience lanes[0].purse"
 	if got := strings.Join(paths, " "); got != want {
-		test.Fatalf("flaws at %s", got)
+		t.Fatalf("flaws at %s", got)
 	}
-	empty, failure := Parse([]byte(`{}`))
-	if failure != nil || len(empty.Check()) != 3 {
-		test.Fatalf("an empty document: %v %v", failure, empty.Check())
+	empty, err := Parse([]byte(`{}`))
+	if err != nil || len(empty.Check()) != 3 {
+		t.Fatalf("an empty document: %v %v", err, empty.Check())
 	}
-	fine, failure := Parse([]byte(good))
-	if failure != nil || len(fine.Check()) != 0 {
-		test.Fatalf("a good one: %v %v", failure, fine.Check())
+	fine, err := Parse([]byte(good))
+	if err != nil || len(fine.Check()) != 0 {
+		t.Fatalf("a good one: %v %v", err, fine.Check())
 	}
 	if changes := Diff(empty, fine); len(changes) != 3 || !strings.HasPrefix(changes[0], "+ lane l") {
-		test.Fatalf("the difference: %v", changes)
+		t.Fatalf("the difference: %v", changes)
 	}
 }
 
 // with gives the good spec with one text in the place of another.
-func with(test *testing.T, old, fresh string) *Spec {
+func with(t *testing.T, old, fresh string) *Spec {
 	if !strings.Contains(good, old) {
-		test.Fatalf("%s is not in the good spec", old)
+		t.Fatalf("%s is not in the good spec", old)
 	}
-	parsed, failure := Parse([]byte(strings.Replace(good, old, fresh, 1)))
-	if failure != nil {
-		test.Fatalf("%s: %v", fresh, failure)
+	parsed, err := Parse([]byte(strings.Replace(good, old, fresh, 1)))
+	if err != nil {
+		t.Fatalf("%s: %v", fresh, err)
 	}
 	return parsed
 }
@@ -71,7 +71,7 @@
 )
 
 // TestEveryFieldHasItsBounds breaks one field at a time; the path of the flaw names it.
-func TestEveryFieldHasItsBounds(test *testing.T) {
+func TestEveryFieldHasItsBounds(t *testing.T) {
 	long := strings.Repeat("x", 257)
 	second := lane + `"patience":"1s","purse":1,"repeatable":false,"authority":"H.example:80","path_prefix":"/a/"},
 {"name":"m","pool":"p","authority":"h.EXAMPLE","path_prefix":"/a/",`
@@ -127,45 +127,45 @@
 		{"annotations", whole, `"annotations":{"a":"` + strings.Repeat("x", 256<<10) + `"},` + whole},
 	}
 	for _, broken := range cases {
-		flaws := with(test, broken.old, broken.fresh).Check()
+		flaws := with(t, broken.old, broken.fresh).Check()
 		if len(flaws) != 1 || flaws[0].Path != broken.path {
-			test.Errorf("%s: %v", broken.path, flaws)
+			t.Errorf("%s: %v", broken.path, flaws)
 		}
 	}
 }
 
-func TestWhatIsLeftOutHasItsDefault(test *testing.T) {
-	parsed := with(test, `"worth":1,"patience":"1s","purse":0.5,`, `"patience":"1s",`)
+func TestWhatIsLeftOutHasItsDefault(t *testing.T) {
+	parsed := with(t, `"worth":1,"patience":"1s","purse":0.5,`, `"patience":"1s",`)
 	if len(parsed.Check()) > 0 || parsed.Lanes[0].Worth != 1 || parsed.Lanes[0].Purse != 1 {
-		test.Fatalf("%v %+v", parsed.Check(), parsed.Lanes[0])
+		t.Fatalf("%v %+v", parsed.Check(), parsed.Lanes[0])
 	}
-	bare := with(test, `"model":"m","weights":"w",`, ``)
+	bare := with(t, `"model":"m","weights":"w",`, ``)
 	if len(bare.Check()) > 0 || !bare.Pools[0].Runs("any") {
-		test.Fatalf("a pool of any model: %v", bare.Check())
+		t.Fatalf("a pool of any model: %v", bare.Check())
 	}
-	if named := with(test, whole, whole); named.Pools[0].Runs("any") || !named.Pools[0].Runs("m") {
-		test.Fatal("a pool of one model serves another")
+	if named := with(t, whole, whole); named.Pools[0].Runs("any") || !named.Pools[0].Runs("m") {
+		t.Fatal("a pool of one model serves another")
 	}
-	empty, failure := Parse([]byte(`{"zones":[],"pools":[],"lanes":[]}`))
-	if failure != nil || len(empty.Check()) > 0 {
-		test.Fatalf("a spec that holds nothing on purpose: %v %v", failure, empty.Check())
+	empty, err := Parse([]byte(`{"zones":[],"pools":[],"lanes":[]}`))
+	if err != nil || len(empty.Check()) > 0 {
+		t.Fatalf("a spec that holds nothing on purpose: %v %v", err, empty.Check())
 	}
 	if !NewBook(empty).Open("anywhere") || NewBook(parsed).Open("anywhere") || !NewBook(parsed).Open("a") {
-		test.Fatal("a spec without zones leaves all open, one with zones only those it names")
+		t.Fatal("a spec without zones leaves all open, one with zones only those it names")
 	}
 }
 
-func TestAnnotationsComeBackAsTheyCame(test *testing.T) {
+func TestAnnotationsComeBackAsTheyCame(t *testing.T) {
 	text := `{"z":1.50,"a":{"x":[1, 2],"b":null},"m":"é\u0041"}`
-	parsed := with(test, lane, lane+`"annotations":`+text+`,`)
+	parsed := with(t, lane, lane+`"annotations":`+text+`,`)
 	for range 20 {
-		again, failure := Parse(parsed.Encode())
-		if failure != nil || string(again.Encode()) != string(parsed.Encode()) {
-			test.Fatalf("another form each time: %v", failure)
+		again, err := Parse(parsed.Encode())
+		if err != nil || string(again.Encode()) != string(parsed.Encode()) {
+			t.Fatalf("another form each time: %v", err)
 		}
 		for name, want := range map[string]string{"z": "1.50", "a": `{"x":[1, 2],"b":null}`, "m": `"é\u0041"`} {
 			if got := string(again.Lanes[0].Annotations[name]); got != want {
-				test.Fatalf("%s is %s", name, got)
+				t.Fatalf("%s is %s", name, got)
 			}
 		}
 	}
@@ -174,14 +174,14 @@
 func FuzzParse(fuzz *testing.F) {
 	fuzz.Add([]byte(good))
 	fuzz.Add([]byte(`{"zones":[{"name":"a","closed":1}]}`))
-	fuzz.Fuzz(func(test *testing.T, content []byte) {
-		parsed, failure := Parse(content)
-		if failure != nil {
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
+		parsed, err := Parse(content)
+		if err != nil {
 			return
 		}
-		again, failure := Parse(parsed.Encode())
-		if failure != nil || len(Diff(parsed, again)) > 0 {
-			test.Fatalf("the canonical form reads back as another: %v", failure)
+		again, err := Parse(parsed.Encode())
+		if err != nil || len(Diff(parsed, again)) > 0 {
+			t.Fatalf("the canonical form reads back as another: %v", err)
 		}
 		parsed.Check()
 	})
--- a/process/startup/flags.go
+++ b/config/startup/flags.go
@@ -24,17 +24,17 @@
 	if text == "" {
 		return defaultDrain, nil
 	}
-	length, failure := time.ParseDuration(text)
-	if failure == nil && length > 10*time.Minute {
+	length, err := time.ParseDuration(text)
+	if err == nil && length > 10*time.Minute {
 		return 0, fault.New(fault.BadStartup, "too long")
 	}
-	return length, failure
+	return length, err
 }
 
 // DrainTime gives the checked drain setting, or the default.
 func (startup *Startup) DrainTime() time.Duration {
-	length, failure := parseDrain(startup.Drain)
-	if failure != nil {
+	length, err := parseDrain(startup.Drain)
+	if err != nil {
 		return defaultDrain
 	}
 	return length
@@ -42,7 +42,7 @@
 
 // span gives a checked length of time, or what holds by default.
 func span(text string, otherwise time.Duration) time.Duration {
-	if length, failure := time.ParseDuration(text); failure == nil {
+	if length, err := time.ParseDuration(text); err == nil {
 		return length
 	}
 	return otherwise
@@ -67,9 +67,9 @@
 // FromCommandLine reads flags and file of a daemon, checks them, and gives the startup. On a fault
 // it prints every flaw and ends the process with ExitBadStartup.
 func FromCommandLine(name, help string, needs Needs) *Startup {
-	startup, failure := Parse(name, help, needs, os.Args[1:], os.Exit)
-	if failure != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, failure)
+	startup, err := Parse(name, help, needs, os.Args[1:], os.Exit)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		os.Exit(ExitBadStartup)
 	}
 	return startup
@@ -99,16 +99,16 @@
 		application.Flag("platform", "URL of the platform's list of runners.").StringVar(&given.Platform)
 		application.Flag("drain", "How long requests are still taken after SIGTERM.").StringVar(&given.Drain)
 	}
-	if _, failure := application.Parse(arguments); failure != nil {
-		return nil, fault.Wrap(failure, fault.BadStartup, "flags")
+	if _, err := application.Parse(arguments); err != nil {
+		return nil, fault.Wrap(err, fault.BadStartup, "flags")
 	}
 	read := func() (*Startup, error) { return Read(*file) }
 	if adapter != "" {
 		read = needs.Adapters[adapter]
 	}
-	startup, failure := read()
-	if failure != nil {
-		return nil, failure
+	startup, err := read()
+	if err != nil {
+		return nil, err
 	}
 	startup.Adapter = adapter
 	for _, pair := range []struct{ to, from *string }{
--- a/process/startup/startup.go
+++ b/config/startup/startup.go
@@ -77,15 +77,15 @@
 	if path == "" {
 		return startup, nil
 	}
-	content, failure := os.ReadFile(path)
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.BadStartup, "reading %s", path)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadStartup, "reading %s", path)
 	}
-	if failure := strict.Check(content); failure != nil {
-		return nil, fault.New(fault.BadStartup, "%s: %s", path, fault.Of(failure).Detail)
+	if err := strict.Check(content); err != nil {
+		return nil, fault.New(fault.BadStartup, "%s: %s", path, fault.Of(err).Detail)
 	}
-	if failure := easyjson.Unmarshal(content, startup); failure != nil {
-		return nil, fault.Wrap(failure, fault.BadStartup, "%s", path)
+	if err := easyjson.Unmarshal(content, startup); err != nil {
+		return nil, fault.Wrap(err, fault.BadStartup, "%s", path)
 	}
 	return startup, nil
 }
@@ -110,8 +110,8 @@
 	var flaws []string
 	flaw := func(format string, values ...any) { flaws = append(flaws, fmt.Sprintf(format, values...)) }
 	place := func(name, value string) {
-		host, port, failure := net.SplitHostPort(value)
-		if failure != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
+		host, port, err := net.SplitHostPort(value)
+		if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
 			flaw("%s: %q is no ip:port", name, value)
 		}
 	}
@@ -144,19 +144,19 @@
 		flaw("folder: wtcore needs one, wtdata must have none")
 	}
 	if needs.Folder && startup.Folder != "" {
-		if information, failure := os.Stat(startup.Folder); failure == nil && !information.IsDir() {
+		if information, err := os.Stat(startup.Folder); err == nil && !information.IsDir() {
 			flaw("folder: %q is no folder", startup.Folder)
 		}
 	}
 	if needs.Platform && !(startup.Registered && startup.Platform == "") {
-		if parsed, failure := url.Parse(startup.Platform); failure != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		if parsed, err := url.Parse(startup.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
 			flaw("platform: %q is no http URL", startup.Platform)
 		}
 	} else if startup.Platform != "" {
 		flaw("platform: only wtdata has one")
 	}
 	if startup.Drain != "" {
-		if length, failure := parseDrain(startup.Drain); failure != nil || length < 0 {
+		if length, err := parseDrain(startup.Drain); err != nil || length < 0 {
 			flaw("drain: %q is no length of time from 0s to 10m", startup.Drain)
 		}
 	}
@@ -164,7 +164,7 @@
 		if length.text == "" {
 			continue
 		}
-		if parsed, failure := time.ParseDuration(length.text); failure != nil || parsed <= 0 || parsed > time.Hour {
+		if parsed, err := time.ParseDuration(length.text); err != nil || parsed <= 0 || parsed > time.Hour {
 			flaw("%s: %q is no length of time up to 1h", length.name, length.text)
 		}
 	}
--- a/process/startup/startup_easyjson.go
+++ b/config/startup/startup_easyjson.go
@@ -17,7 +17,7 @@
 	_ easyjson.Marshaler
 )
 
-func easyjson9e48c2f1DecodeWardtrayProcessStartup(in *jlexer.Lexer, out *Startup) {
+func easyjson9e48c2f1DecodeWardtrayConfigStartup(in *jlexer.Lexer, out *Startup) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -195,7 +195,7 @@
 		in.Consumed()
 	}
 }
-func easyjson9e48c2f1EncodeWardtrayProcessStartup(out *jwriter.Writer, in Startup) {
+func easyjson9e48c2f1EncodeWardtrayConfigStartup(out *jwriter.Writer, in Startup) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -315,27 +315,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Startup) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson9e48c2f1EncodeWardtrayProcessStartup(&w, v)
+	easyjson9e48c2f1EncodeWardtrayConfigStartup(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Startup) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson9e48c2f1EncodeWardtrayProcessStartup(w, v)
+	easyjson9e48c2f1EncodeWardtrayConfigStartup(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Startup) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson9e48c2f1DecodeWardtrayProcessStartup(&r, v)
+	easyjson9e48c2f1DecodeWardtrayConfigStartup(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Startup) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson9e48c2f1DecodeWardtrayProcessStartup(l, v)
+	easyjson9e48c2f1DecodeWardtrayConfigStartup(l, v)
 }
-func easyjson9e48c2f1DecodeWardtrayProcessStartup1(in *jlexer.Lexer, out *Repeats) {
+func easyjson9e48c2f1DecodeWardtrayConfigStartup1(in *jlexer.Lexer, out *Repeats) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -381,7 +381,7 @@
 		in.Consumed()
 	}
 }
-func easyjson9e48c2f1EncodeWardtrayProcessStartup1(out *jwriter.Writer, in Repeats) {
+func easyjson9e48c2f1EncodeWardtrayConfigStartup1(out *jwriter.Writer, in Repeats) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -417,23 +417,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Repeats) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson9e48c2f1EncodeWardtrayProcessStartup1(&w, v)
+	easyjson9e48c2f1EncodeWardtrayConfigStartup1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Repeats) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson9e48c2f1EncodeWardtrayProcessStartup1(w, v)
+	easyjson9e48c2f1EncodeWardtrayConfigStartup1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Repeats) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson9e48c2f1DecodeWardtrayProcessStartup1(&r, v)
+	easyjson9e48c2f1DecodeWardtrayConfigStartup1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Repeats) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson9e48c2f1DecodeWardtrayProcessStartup1(l, v)
+	easyjson9e48c2f1DecodeWardtrayConfigStartup1(l, v)
 }
--- /dev/null
+++ b/config/startup/startup_test.go
@@ -0,0 +1,65 @@
+package startup
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wardtray/process/fault"
+)
+
+func parse(t *testing.T, needs Needs, arguments ...string) (*Startup, error) {
+	t.Helper()
+	return Parse("x", "x", needs, arguments, func(int) { t.Fatal("the parser wanted to end the process") })
+}
+
+var proper = []string{"--address", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "a", "--seed", "127.0.0.1:1", "--seed", "127.0.0.2:1"}
+
+func TestEveryFlawIsNamedAtOnce(t *testing.T) {
+	_, err := parse(t, Needs{Platform: true}, "--address", "here", "--http", "127.0.0.1:0", "--seed", "x", "--seed", "x", "--platform", "ftp://y", "--drain", "soon", "--log", "loud")
+	if !fault.Is(err, fault.BadStartup) {
+		t.Fatal(err)
+	}
+	for _, flaw := range []string{"address:", "http:", "zone:", "seeds[0]:", "seeds[1]:", "twice", "platform:", "drain:", "log:", "remedy"} {
+		if !strings.Contains(err.Error(), flaw) {
+			t.Errorf("%q is not named in %v", flaw, err)
+		}
+	}
+}
+
+func TestFlagsGoOverTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "startup.json")
+	text := `{"address":"127.0.0.9:9","http":"127.0.0.1:2","zone":"b","seeds":["127.0.0.1:1"],"platform":"http://127.0.0.1:3/x","drain":"5s"}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, err := parse(t, Needs{Platform: true}, "--startup", path, "--address", "127.0.0.1:1")
+	if err != nil || read.Address != "127.0.0.1:1" || read.Zone != "b" || read.DrainTime() != 5*time.Second || read.Founders[0] != "127.0.0.1:1" {
+		t.Fatalf("%+v %v", read, err)
+	}
+	for name, bad := range map[string]string{"unknown": `{"adress":"x"}`, "twice": `{"zone":"a","zone":"b"}`, "type": `{"seeds":"x"}`, "cut": `{"zone":`} {
+		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := parse(t, Needs{Platform: true}, append([]string{"--startup", path}, proper...)...); !fault.Is(err, fault.BadStartup) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestEachProgramHasItsOwnNeeds(t *testing.T) {
+	if _, err := parse(t, Needs{Folder: true}, proper...); !fault.Is(err, fault.BadStartup) {
+		t.Error("wtcore without a folder")
+	}
+	if _, err := parse(t, Needs{Folder: true}, append([]string{"--folder", t.TempDir()}, proper...)...); err != nil {
+		t.Error(err)
+	}
+	if _, err := parse(t, Needs{Platform: true}, append([]string{"--folder", "x"}, proper...)...); !fault.Is(err, fault.BadStartup) {
+		t.Error("wtdata with a folder")
+	}
+	if _, err := parse(t, Needs{Platform: true}, append([]string{"--platform", "http://127.0.0.1:3/x"}, proper...)...); err != nil {
+		t.Error(err)
+	}
+}
--- a/process/core/mend.go
+++ b/control/core/mend.go
@@ -5,8 +5,8 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/view"
+	"wardtray/coordination/view"
+	"wardtray/wire"
 )
 
 const (
@@ -37,7 +37,7 @@
 		return
 	}
 	if node.agent.Voted() {
-		// Why: a keeper that has voted grants no claims, so a vote left open must be brought to its end by somebody.
+		// A keeper that has voted grants no claims, so a vote left open must be brought to its end by somebody.
 		if node.votedSince.IsZero() {
 			node.votedSince = now
 		}
@@ -48,7 +48,7 @@
 		return
 	}
 	node.votedSince = time.Time{}
-	// Why: whoever has just begun has heard nobody yet, which says nothing about them.
+	// Whoever has just begun has heard nobody yet, which says nothing about them.
 	if now.Sub(node.begun) < suspicion {
 		return
 	}
@@ -98,7 +98,7 @@
 	if len(founders) != len(node.startup.Founders) {
 		return
 	}
-	// Why: one proposer is enough; the others come in only if its attempts fail for long.
+	// One proposer is enough; the others come in only if its attempts fail for long.
 	if founders[0].Id != node.self.Id && now.Sub(node.begun) < 5*time.Second {
 		return
 	}
@@ -190,7 +190,7 @@
 		changed = true
 	}
 	next.Floor = node.floor(current.Floor, len(next.Chain))
-	// Why: whoever is left holds all that was acknowledged. A chain below its floor takes no changes, but
+	// Whoever is left holds all that was acknowledged. A chain below its floor takes no changes, but
 	// it teaches those who come back; waiting for a lost member instead would stop it for good.
 	if len(next.Chain) == 0 {
 		next.Chain, changed = current.Chain, false
@@ -248,7 +248,7 @@
 		if id != node.self.Id {
 			member, learned = node.peers[id].member, node.peers[id].beat.LearnedView
 		}
-		// Why: copies in many zones outlive the loss of one.
+		// Copies in many zones outlive the loss of one.
 		if learned == current.Epoch && node.hears(now, id, tail) && node.hears(now, tail, id) &&
 			(chosen == nil || crowds[member.Zone] < crowds[chosen.Zone]) {
 			chosen = member
--- a/process/core/node.go
+++ b/control/core/node.go
@@ -10,15 +10,15 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/chain"
-	"wardtray/epoch/spec"
-	"wardtray/epoch/view"
-	"wardtray/process/claim"
-	"wardtray/process/cohort"
-	"wardtray/process/machine"
-	"wardtray/process/registry"
-	"wardtray/process/rumor"
+	"wardtray/config"
+	"wardtray/control/registry"
+	"wardtray/coordination/chain"
+	"wardtray/coordination/gossip"
+	"wardtray/coordination/lease"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/peersampling"
+	"wardtray/coordination/view"
+	"wardtray/wire"
 )
 
 const (
@@ -79,10 +79,10 @@
 
 	agent  *view.Agent
 	chain  *chain.Chain
-	holder *claim.Holder
-	keeper *claim.Keeper
-	rumors *rumor.Store
-	cohort *cohort.Cohort
+	holder *lease.Holder
+	keeper *lease.Keeper
+	rumors *gossip.Store
+	cohort *peersampling.Cohort
 
 	peers      map[string]*peer
 	begun      time.Time
@@ -130,23 +130,23 @@
 	for _, record := range records {
 		Replay(memory, record)
 	}
-	node := &Node{nonce: random.Uint64(), holder: claim.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
+	node := &Node{nonce: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
 		self:  &wire.Member{Id: memory.Id, Address: startup.Address, Zone: startup.Zone, Http: startup.HTTP},
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
 	node.head.daemons, node.head.refused, node.head.commits = map[string]*daemon{}, map[string]bool{}, map[uint64]time.Time{}
 	node.chain = chain.New(memory.Id, memory.Document, memory.Pending, node.outbox, node.addressOf, node.onCommit)
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
-	node.cohort = cohort.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
-	node.rumors = rumor.New(startup.Zone, node.outbox, random, node.partners, func(time.Time, *wire.Register) {})
+	node.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
+	node.rumors = gossip.New(startup.Zone, node.outbox, random, node.partners, func(time.Time, *wire.Register) {})
 	node.rumored, node.registrar = &wire.Document{}, node.newRegistrar(now)
 	node.table()
 	if memory.Document != nil && memory.Document.Sequence > 0 {
 		node.publish(now)
 	}
 	node.founding, node.cleared = memory.Founding, memory.Cleared
-	node.keeper = claim.Restore(now, node.agent.Current(), memory.Cleared)
+	node.keeper = lease.Restore(now, node.agent.Current(), memory.Cleared)
 	if startup.Founding && !memory.Founding && node.agent.Current().Epoch == 0 {
-		// Why: a founder that is killed before there is a view must still be one when it starts again.
+		// A founder that is killed before there is a view must still be one when it starts again.
 		node.founding, node.replacing = true, true
 		node.outbox.Replace(now, node.Memory(), func(time.Time) { node.replacing, node.diskFailed = false, false })
 	}
@@ -197,9 +197,9 @@
 	parcels, writes := node.outbox.Drain()
 	for _, parcel := range parcels {
 		parcel.Envelope.From, parcel.Envelope.Sender, parcel.Envelope.Zone = node.self.Address, node.self.Id, node.self.Zone
-		// Why: whoever has heard of a view acts in none before it, even while its disk is still busy with that.
+		// Whoever has heard of a view acts in none before it, even while its disk is still busy with that.
 		parcel.Envelope.Epoch = node.agent.Newest().Epoch
-		// Why: digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
+		// Digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
 		if digest := parcel.Envelope.GetDigest(); digest != nil {
 			digest.Runners = node.registrar.Sum()
 		}
@@ -222,7 +222,7 @@
 		node.chain.Aligned(now, envelope.Sender, body.ChainHold)
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_LearnAsk) {
-		// Why: what a tail has, every member before it has, so in its own view all of it is committed; and what
+		// What a tail has, every member before it has, so in its own view all of it is committed; and what
 		// was learned in a view counts only until the next.
 		node.chain.Teach(envelope.From, body.LearnAsk)
 	})
@@ -283,7 +283,7 @@
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_Digest) {
 		node.rumors.Digest(now, envelope.From, envelope.Zone, body.Digest)
-		// Why: a daemon that reads a platform's list keeps no book and tells 0.
+		// A daemon that reads a platform's list keeps no book and tells 0.
 		if body.Digest.Runners != 0 {
 			node.registrar.Compare(now, envelope.From, body.Digest.Runners)
 		}
@@ -353,7 +353,7 @@
 // until a whole memory has been written anew.
 func (node *Node) DiskFailed(now time.Time) {
 	node.counters.DiskFailures++
-	// Why: every record asked for meanwhile fails too; if each put the next try off, there would never be one.
+	// Every record asked for meanwhile fails too; if each put the next try off, there would never be one.
 	if !node.diskFailed || node.replacing {
 		node.retryDisk = now.Add(time.Second)
 	}
@@ -372,7 +372,7 @@
 
 // Tick does what is due.
 func (node *Node) Tick(now time.Time) {
-	// Why: whoever was frozen has heard nobody, which says nothing about them.
+	// Whoever was frozen has heard nobody, which says nothing about them.
 	if now.Sub(node.lastTick) > frozenAfter {
 		for _, peer := range node.peers {
 			if !peer.gone {
@@ -404,7 +404,7 @@
 	if node.swept.IsZero() {
 		node.swept = now
 	}
-	// Why: damage is found while this machine still knows what must be there, and not only when it starts.
+	// Damage is found while this machine still knows what must be there, and not only when it starts.
 	if now.Sub(node.swept) >= sweepEvery && !node.diskFailed && !node.replacing {
 		node.swept = now
 		node.outbox.Sweep(now)
@@ -478,11 +478,11 @@
 		return
 	}
 	current := node.agent.Current()
-	// Why: a machine of another fleet, say one that was founded apart in a test, is none of ours.
+	// A machine of another fleet, say one that was founded apart in a test, is none of ours.
 	if beat.Fleet != "" && current.Fleet != "" && beat.Fleet != current.Fleet {
 		return
 	}
-	// Why: an address has one machine; a new identity there means that the old one is gone for good.
+	// An address has one machine; a new identity there means that the old one is gone for good.
 	for id, peer := range node.peers {
 		if peer.member.Address == beat.Member.Address && id != beat.Member.Id {
 			delete(node.peers, id)
@@ -490,7 +490,7 @@
 	}
 	former := node.peers[beat.Member.Id]
 	node.peers[beat.Member.Id] = &peer{member: beat.Member, beat: beat, heard: now}
-	// Why: whoever hears less or is about to leave may have to be replaced at once.
+	// Whoever hears less or is about to leave may have to be replaced at once.
 	if former != nil && (len(former.beat.Heard) != len(beat.Heard) || former.beat.Leaving != beat.Leaving || former.beat.Sick != beat.Sick) {
 		defer node.tendView(now)
 	}
@@ -606,7 +606,7 @@
 		node.head.begun, node.head.reign = time.Time{}, current.HeadSince
 	}
 	node.failWaiters(now)
-	// Why: neither the new head nor whoever could join should wait for a round.
+	// Neither the new head nor whoever could join should wait for a round.
 	node.lastClaim, node.lastBeat, node.lastLearn = time.Time{}, time.Time{}, time.Time{}
 	node.tendKeeping(now)
 	node.tendClaim(now)
@@ -627,22 +627,22 @@
 func (node *Node) publish(now time.Time) {
 	document := node.chain.Committed()
 	carried := &wire.Document{Sequence: document.Sequence, SpecEpoch: document.SpecEpoch, PackedSpec: node.packed(document), Directory: document.Directory}
-	value, failure := proto.MarshalOptions{Deterministic: true}.Marshal(carried)
-	if failure == nil {
-		node.rumors.Put(now, &wire.Register{Key: DocumentKey, Epoch: document.Sequence, Value: value}, rumor.Hops)
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(carried)
+	if err == nil {
+		node.rumors.Put(now, &wire.Register{Key: DocumentKey, Epoch: document.Sequence, Value: value}, gossip.Hops)
 	}
 }
 
 // packed gives the document's spec compressed; a change of the directory alone does not compress it anew.
 func (node *Node) packed(document *wire.Document) []byte {
 	if node.packedSpec == nil || node.packedEpoch != document.SpecEpoch {
-		node.packedEpoch, node.packedSpec = document.SpecEpoch, spec.Pack(document.Spec)
+		node.packedEpoch, node.packedSpec = document.SpecEpoch, config.Pack(document.Spec)
 	}
 	return node.packedSpec
 }
 
 // partners gives whom rumors go to: the directory's daemons, the neighbours and the disk machines.
-func (node *Node) partners() []rumor.Partner {
+func (node *Node) partners() []gossip.Partner {
 	zones := map[string]string{}
 	for _, line := range node.cohort.Lines() {
 		zones[line.Address] = line.Zone
@@ -654,9 +654,9 @@
 		zones[node.addressOf(member)] = member.Zone
 	}
 	delete(zones, node.self.Address)
-	partners := make([]rumor.Partner, 0, len(zones))
+	partners := make([]gossip.Partner, 0, len(zones))
 	for address, zone := range zones {
-		partners = append(partners, rumor.Partner{Address: address, Zone: zone})
+		partners = append(partners, gossip.Partner{Address: address, Zone: zone})
 	}
 	sort.Slice(partners, func(left, right int) bool { return partners[left].Address < partners[right].Address })
 	return partners
--- a/process/core/node_test.go
+++ b/control/core/node_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // Found by the simulator: a machine that restarted numbered its questions from 1 again, and the head's
 // answer to a question of its earlier life was given to another operator's change.
-func TestQuestionsOfTwoLivesDiffer(test *testing.T) {
+func TestQuestionsOfTwoLivesDiffer(t *testing.T) {
 	tokens := map[string]bool{}
 	for life := range 2 {
 		node := New(time.Unix(0, 0), Startup{Address: "127.0.0.1:1", Zone: "a"}, &wire.Memory{Id: "same"}, nil, rand.New(rand.NewSource(int64(life))))
@@ -18,24 +18,24 @@
 		node.Ask(time.Unix(0, 0), &wire.OperatorAsk{Verb: "get"}, func(int, []byte) { answers++ })
 		for token := range node.asks {
 			if tokens[token] {
-				test.Fatalf("token %s again", token)
+				t.Fatalf("token %s again", token)
 			}
 			tokens[token] = true
 			// An answer to a question that nobody asked in this life changes nothing.
 			node.onOperatorAnswer(&wire.OperatorAnswer{Token: "same/1", Status: 200, Body: []byte("{}")})
 			if answers != 0 {
-				test.Fatal("a stranger's answer was given")
+				t.Fatal("a stranger's answer was given")
 			}
 		}
 	}
 	if len(tokens) != 2 {
-		test.Fatalf("%d tokens", len(tokens))
+		t.Fatalf("%d tokens", len(tokens))
 	}
 }
 
 // A head that found changes in its history which it does not know to be committed promises nothing:
 // they may have been acknowledged by the head before it.
-func TestHeadPromisesNothingBeforeItsHistoryIsCommitted(test *testing.T) {
+func TestHeadPromisesNothingBeforeItsHistoryIsCommitted(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	self, other := &wire.Member{Id: "a", Address: "127.0.0.1:1", Zone: "a"}, &wire.Member{Id: "b", Address: "127.0.0.2:1", Zone: "b"}
 	memory := &wire.Memory{Id: "a", View: &wire.View{Epoch: 3, Fleet: "f", Floor: 1, Chain: []*wire.Member{self, other}, Keepers: []*wire.Member{self, other, {Id: "c", Address: "127.0.0.3:1", Zone: "c"}}},
@@ -73,13 +73,13 @@
 	}
 	run(now.Add(4*time.Second), false)
 	if !node.holder.Valid(now, 3) {
-		test.Fatal("no claim, so that nothing was put to the test")
+		t.Fatal("no claim, so that nothing was put to the test")
 	}
 	if node.Leading(now) || grants > 0 {
-		test.Fatalf("leads %v, granted %d ticks", node.Leading(now), grants)
+		t.Fatalf("leads %v, granted %d ticks", node.Leading(now), grants)
 	}
 	run(now.Add(time.Second), true)
 	if !node.Leading(now) || grants == 0 {
-		test.Fatalf("leads %v, granted %d ticks, once its history is committed", node.Leading(now), grants)
+		t.Fatalf("leads %v, granted %d ticks, once its history is committed", node.Leading(now), grants)
 	}
 }
--- a/process/core/orders.go
+++ b/control/core/orders.go
@@ -6,9 +6,9 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
 const (
@@ -100,14 +100,14 @@
 	Kind      string          `json:"kind,omitempty"`
 	Detail    string          `json:"detail,omitempty"`
 	Remedy    string          `json:"remedy,omitempty"`
-	Flaws     []spec.Flaw     `json:"flaws,omitempty"`
+	Flaws     []config.Flaw   `json:"flaws,omitempty"`
 	Spec      json.RawMessage `json:"spec,omitempty"`
 }
 
 func (reply Reply) encode() []byte {
-	content, failure := json.Marshal(reply)
-	if failure != nil {
-		panic(failure) // Why: only a spec that is no JSON could fail here, and none is ever stored.
+	content, err := json.Marshal(reply)
+	if err != nil {
+		panic(err) // Only a spec that is no JSON could fail here, and none is ever stored.
 	}
 	return content
 }
@@ -146,9 +146,9 @@
 			node.giveUp(open)
 			continue
 		}
-		// Why: a machine whose disk hangs still knows whom to ask, though it can't act under that view itself.
+		// A machine whose disk hangs still knows whom to ask, though it can't act under that view itself.
 		current := node.agent.Newest()
-		// Why: another view has another head or tail, which need not be left waiting.
+		// Another view has another head or tail, which need not be left waiting.
 		if current.Epoch == 0 || open.view == current.Epoch && now.Sub(open.sent) < askAgain {
 			continue
 		}
@@ -200,7 +200,7 @@
 	if open == nil {
 		return
 	}
-	// Why: a refusal by one head says nothing of another head that was asked too and may yet accept.
+	// A refusal by one head says nothing of another head that was asked too and may yet accept.
 	if writes(open.message) && message.Status != 200 && len(open.passed) > 1 {
 		node.giveUp(open)
 		return
@@ -222,11 +222,11 @@
 // under a valid claim, with everything it found there committed.
 func (node *Node) leading(now time.Time) bool {
 	current := node.agent.Current()
-	// Why: others act by a newer view as soon as this machine says that it has heard of it.
+	// Others act by a newer view as soon as this machine says that it has heard of it.
 	if !node.chain.Head() || node.agent.Newest().Epoch > current.Epoch || !node.holder.Valid(now, current.Epoch) {
 		return false
 	}
-	// Why: a claim that runs out for a while lets nobody else act; only a new reign does.
+	// A claim that runs out for a while lets nobody else act; only a new reign does.
 	if node.head.begun.IsZero() {
 		node.head.begun, node.head.mark = now, node.chain.Latest().Sequence
 		node.head.daemons = map[string]*daemon{}
@@ -341,19 +341,19 @@
 		return
 	}
 	if outcome := find(latest.Outcomes, message.Operation); outcome != nil {
-		// Why: the same operation again gets the first one's outcome, never a second effect.
+		// The same operation again gets the first one's outcome, never a second effect.
 		node.await(now, message, outcome.Sequence, outcome.SpecEpoch)
 		return
 	}
 	refuse := func(status int, reply Reply) {
-		// Why: a spec that is not committed yet may be lost with this head. What is refused because of it might
+		// A spec that is not committed yet may be lost with this head. What is refused because of it might
 		// then be accepted from a copy that came in elsewhere. Once it is committed, no copy can ever be.
 		if status != 503 && latest.SpecEpoch != node.chain.Committed().SpecEpoch {
 			node.park(now, message)
 			return
 		}
 		node.counters.Refused++
-		// Why: the asker sends again what it thinks lost; a late copy must not be accepted after a refusal was told.
+		// The asker sends again what it thinks lost; a late copy must not be accepted after a refusal was told.
 		if len(node.head.refused) >= 4*maximumAsks {
 			node.head.refused = map[string]bool{}
 		}
@@ -365,15 +365,15 @@
 			fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)))
 		return
 	}
-	changed, flaws, failure := node.changed(message, latest)
-	if failure != nil {
-		found := fault.Of(failure)
+	changed, flaws, err := node.changed(message, latest)
+	if err != nil {
+		found := fault.Of(err)
 		statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413, fault.InvalidSpec: 422}
 		refuse(statuses[found.Kind], refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
 		return
 	}
 	if message.HasEpoch && message.Epoch <= latest.SpecEpoch {
-		flaws = append(flaws, spec.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
+		flaws = append(flaws, config.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
 	}
 	if len(flaws) > 0 {
 		reply := refusal(fault.InvalidSpec, latest.SpecEpoch, message.Operation, fmt.Sprintf("%d faults", len(flaws)))
@@ -385,19 +385,19 @@
 	if message.HasEpoch {
 		epoch = message.Epoch
 	}
-	// Why: named changes may grow a spec beyond what could be read again.
-	if len(content) > spec.MaximumBytes {
-		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), spec.MaximumBytes)))
+	// Named changes may grow a spec beyond what could be read again.
+	if len(content) > config.MaximumBytes {
+		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), config.MaximumBytes)))
 		return
 	}
 	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
-	// Why: a sick disk would hold this change up for as long as it takes the others to notice.
+	// A sick disk would hold this change up for as long as it takes the others to notice.
 	if node.sick(now) {
 		refuse(503, refusal(fault.DiskFailed, latest.SpecEpoch, message.Operation, "the head's disk does not keep up"))
 		return
 	}
-	if failure := node.chain.Enter(now, entry); failure != nil {
-		found := fault.Of(failure)
+	if err := node.chain.Enter(now, entry); err != nil {
+		found := fault.Of(err)
 		refuse(503, refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
 		return
 	}
@@ -406,26 +406,26 @@
 }
 
 // changed gives the spec that an order asks for, and its flaws.
-func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*spec.Spec, []spec.Flaw, error) {
+func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*config.Spec, []config.Flaw, error) {
 	if message.Verb == "apply" {
-		parsed, failure := spec.Parse(message.Spec)
-		if failure != nil {
-			return nil, nil, failure
+		parsed, err := config.Parse(message.Spec)
+		if err != nil {
+			return nil, nil, err
 		}
 		return parsed, parsed.Check(), nil
 	}
-	present := &spec.Spec{Zones: []spec.Zone{}, Pools: []spec.Pool{}, Lanes: spec.Lanes{}}
+	present := &config.Spec{Zones: []config.Zone{}, Pools: []config.Pool{}, Lanes: config.Lanes{}}
 	if len(latest.Spec) > 0 {
-		read, failure := spec.Decode(latest.Spec)
-		if failure != nil {
-			return nil, nil, failure
+		read, err := config.Decode(latest.Spec)
+		if err != nil {
+			return nil, nil, err
 		}
 		present = read
 	}
 	if message.Verb == "change" {
-		change, failure := spec.ParseChange(message.Spec)
-		if failure != nil {
-			return nil, nil, failure
+		change, err := config.ParseChange(message.Spec)
+		if err != nil {
+			return nil, nil, err
 		}
 		next, flaws := change.Apply(present)
 		return next, flaws, nil
@@ -496,7 +496,7 @@
 	if document.Sequence < sequence || node.head.begun.IsZero() {
 		return false
 	}
-	// Why: a chain that shrank since the change came in has fewer copies than a change needs.
+	// A chain that shrank since the change came in has fewer copies than a change needs.
 	if current := node.agent.Current(); len(current.Chain) < int(current.Floor) || node.growing(now) {
 		return false
 	}
@@ -504,7 +504,7 @@
 	if !found {
 		seen = node.head.begun
 	}
-	// Why: daemons that missed the last change of the directory still go by the one before it.
+	// Daemons that missed the last change of the directory still go by the one before it.
 	directories := [][]*wire.Member{document.Directory, document.FormerDirectory}
 	for _, directory := range directories {
 		if !node.mostKnow(directory, sequence, seen) {
@@ -512,7 +512,7 @@
 		}
 	}
 	ticks := node.startup.Staleness + leaseMargin
-	// Why: the head before this one may have granted ticks to anybody in the directory, until this reign began.
+	// The head before this one may have granted ticks to anybody in the directory, until this reign began.
 	if now.Sub(node.head.begun) < ticks {
 		for _, directory := range directories {
 			for _, member := range directory {
@@ -522,7 +522,7 @@
 			}
 		}
 	}
-	// Why: every tick granted since the commit obliges its daemon to know the change, so only older ticks can still mislead one.
+	// Every tick granted since the commit obliges its daemon to know the change, so only older ticks can still mislead one.
 	if found && now.Sub(seen) >= ticks {
 		return true
 	}
@@ -562,7 +562,7 @@
 		known = &daemon{}
 		node.head.daemons[address] = known
 	}
-	// Why: what it was granted or told since it was tried may be for a new process at its address.
+	// What it was granted or told since it was tried may be for a new process at its address.
 	if known != nil && known.granted.Before(tried) && known.asked.Before(tried) {
 		known.gone, known.sequence, known.asks = tried, 0, 0
 		node.answerWaiters(now)
@@ -604,14 +604,14 @@
 			if node.head.firstDaemon.IsZero() {
 				node.head.firstDaemon = now
 			}
-			// Why: a new life shows that the old one's process, with its tick, has ended.
+			// A new life shows that the old one's process, with its tick, has ended.
 			if known.life != message.Life {
 				known.life, known.granted, known.asks = message.Life, time.Time{}, 0
 			}
-			// Why: a daemon that began anew knows less than it once confirmed, so the last word counts, not the greatest.
+			// A daemon that began anew knows less than it once confirmed, so the last word counts, not the greatest.
 			known.zone, known.http, known.sequence, known.asked, known.leaving = message.Zone, message.Http, message.Sequence, now, message.Leaving
 			known.asks++
-			// Why: the next head waits for all of the directory, and so for whoever may hold a tick of this one's.
+			// The next head waits for all of the directory, and so for whoever may hold a tick of this one's.
 			if document := node.chain.Committed(); holds(document.Directory, envelope.From) {
 				known.granted = now
 				grant.Granted, grant.Sequence, grant.Milliseconds = true, document.Sequence, uint32(node.startup.Staleness.Milliseconds())
@@ -639,7 +639,7 @@
 	}
 	directory := append(present, arrived...)
 	sort.Slice(directory, func(left, right int) bool { return directory[left].Address < directory[right].Address })
-	if failure := node.chain.Enter(now, &wire.Entry{Directory: directory, SpecEpoch: document.SpecEpoch}); failure != nil {
+	if err := node.chain.Enter(now, &wire.Entry{Directory: directory, SpecEpoch: document.SpecEpoch}); err != nil {
 		node.counters.Refused++
 	}
 }
@@ -670,7 +670,7 @@
 			present = append(present, member)
 		}
 	}
-	// Why: an empty directory lets anybody in unasked; the last known daemons stay until another comes.
+	// An empty directory lets anybody in unasked; the last known daemons stay until another comes.
 	if len(present) == 0 {
 		return append(present, directory...)
 	}
--- a/process/core/orders_test.go
+++ b/control/core/orders_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
+	"wardtray/config"
+	"wardtray/wire"
 )
 
 // lone is a chain of one machine whose disk answers when it is let.
@@ -62,8 +62,8 @@
 	given := &given{}
 	lone.node.Ask(lone.now, ask, func(status int, body []byte) {
 		given.status = status
-		if failure := json.Unmarshal(body, &given.reply); failure != nil {
-			panic(failure)
+		if err := json.Unmarshal(body, &given.reply); err != nil {
+			panic(err)
 		}
 	})
 	lone.settle()
@@ -91,10 +91,10 @@
 	return &wire.OperatorAsk{Verb: "change", Operation: operation, Base: base, HasBase: true, Epoch: epoch, HasEpoch: epoch > 0, Spec: []byte(content)}
 }
 
-func (lone *lone) lanes(test *testing.T) (names string) {
-	held, failure := spec.Decode(lone.node.Chain().Committed().Spec)
-	if failure != nil {
-		test.Fatal(failure)
+func (lone *lone) lanes(t *testing.T) (names string) {
+	held, err := config.Decode(lone.node.Chain().Committed().Spec)
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, lane := range held.Lanes {
 		names += lane.Name
@@ -102,7 +102,7 @@
 	return names
 }
 
-func TestEpochsMayClimbUnevenly(test *testing.T) {
+func TestEpochsMayClimbUnevenly(t *testing.T) {
 	lone := newLone()
 	for _, step := range []struct {
 		ask    *wire.OperatorAsk
@@ -125,15 +125,15 @@
 	} {
 		got := lone.send(step.ask)
 		if got.status != step.status || got.reply.Epoch != step.epoch || step.path != "" && (len(got.reply.Flaws) != 1 || got.reply.Flaws[0].Path != step.path) {
-			test.Errorf("%s: %d %+v", step.ask.Operation, got.status, got.reply)
+			t.Errorf("%s: %d %+v", step.ask.Operation, got.status, got.reply)
 		}
 	}
-	if got := lone.lanes(test); got != "c" || lone.node.Chain().Committed().SpecEpoch != 900 {
-		test.Errorf("the lanes are %s", got)
+	if got := lone.lanes(t); got != "c" || lone.node.Chain().Committed().SpecEpoch != 900 {
+		t.Errorf("the lanes are %s", got)
 	}
 }
 
-func TestChangesLandWholeOrNotAtAll(test *testing.T) {
+func TestChangesLandWholeOrNotAtAll(t *testing.T) {
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a", "b", "c"))
 	for path, content := range map[string]string{
@@ -146,27 +146,27 @@
 	} {
 		got := lone.send(change(path, 1, 0, content))
 		if got.status != 422 || len(got.reply.Flaws) == 0 || got.reply.Flaws[0].Path != path {
-			test.Errorf("%s: %d %+v", path, got.status, got.reply)
+			t.Errorf("%s: %d %+v", path, got.status, got.reply)
 		}
 	}
 	for name, content := range map[string]string{"no text": ``, "cut": `{"upsert":`, "unknown": `{"up":{}}`, "twice": `{"remove":{},"remove":{}}`, "unknown inside": `{"remove":{"lane":["a"]}}`} {
 		if got := lone.send(change(name, 1, 0, content)); got.status != 400 {
-			test.Errorf("%s: %d %+v", name, got.status, got.reply)
+			t.Errorf("%s: %d %+v", name, got.status, got.reply)
 		}
 	}
-	if got := lone.lanes(test); got != "abc" || lone.node.Chain().Committed().SpecEpoch != 1 {
-		test.Fatalf("the lanes are %s after refusals", got)
+	if got := lone.lanes(t); got != "abc" || lone.node.Chain().Committed().SpecEpoch != 1 {
+		t.Fatalf("the lanes are %s after refusals", got)
 	}
 	got := lone.send(change("fine", 1, 0, `{"upsert":{"pools":[{"name":"q","services":["t"]}],"lanes":[{"name":"d","pool":"q","patience":"1s"},{"name":"b","pool":"q","patience":"3s"}]},"remove":{"lanes":["a","never"]},"limits":{"body_bytes":5}}`))
-	held, failure := spec.Decode(lone.node.Chain().Committed().Spec)
-	if failure != nil || got.status != 200 || lone.lanes(test) != "bcd" || held.Lanes[0].Pool != "q" || held.Limits.BodyBytes != 5 || held.Lanes[0].Worth != 1 {
-		test.Fatalf("%d %+v %v %+v", got.status, got.reply, failure, held)
+	held, err := config.Decode(lone.node.Chain().Committed().Spec)
+	if err != nil || got.status != 200 || lone.lanes(t) != "bcd" || held.Lanes[0].Pool != "q" || held.Limits.BodyBytes != 5 || held.Lanes[0].Worth != 1 {
+		t.Fatalf("%d %+v %v %+v", got.status, got.reply, err, held)
 	}
 }
 
 // What is refused because of a spec that is not committed yet waits until it is: with this head that spec
 // may be lost, and a copy of the change that came in elsewhere be accepted.
-func TestRefusalsWaitForWhatTheyRestOn(test *testing.T) {
+func TestRefusalsWaitForWhatTheyRestOn(t *testing.T) {
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a"))
 	lone.stalled = true
@@ -176,33 +176,33 @@
 	read := lone.send(&wire.OperatorAsk{Verb: "get"})
 	lone.run(600 * time.Millisecond)
 	if under.status != 0 || stale.status != 0 || invalid.status != 0 {
-		test.Fatalf("answered before anything is on the disk: %d %d %d", under.status, stale.status, invalid.status)
+		t.Fatalf("answered before anything is on the disk: %d %d %d", under.status, stale.status, invalid.status)
 	}
 	if read.status != 200 || read.reply.Epoch != 1 {
-		test.Fatalf("a read gives what is committed: %d %+v", read.status, read.reply)
+		t.Fatalf("a read gives what is committed: %d %+v", read.status, read.reply)
 	}
 	lone.stalled = false
 	lone.settle()
 	if under.status != 200 || under.reply.Epoch != 5 || stale.status != 409 || stale.reply.Epoch != 5 || invalid.status != 422 {
-		test.Fatalf("answered once it is: %d %d %d", under.status, stale.status, invalid.status)
+		t.Fatalf("answered once it is: %d %d %d", under.status, stale.status, invalid.status)
 	}
 }
 
 // A head or tail that may not answer yet answers as soon as it may, without being asked again.
-func TestQuestionsWaitForTheClaim(test *testing.T) {
+func TestQuestionsWaitForTheClaim(t *testing.T) {
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a"))
 	lone.now = lone.now.Add(3 * time.Second)
 	read, changed := lone.send(&wire.OperatorAsk{Verb: "get"}), lone.send(apply("second", 1, 0, "b"))
 	if read.status != 0 || changed.status != 0 {
-		test.Fatalf("answered without a claim: %d %d", read.status, changed.status)
+		t.Fatalf("answered without a claim: %d %d", read.status, changed.status)
 	}
 	lone.run(50 * time.Millisecond)
-	if read.status != 200 || lone.lanes(test) != "b" {
-		test.Fatalf("a claim did not suffice: %d, lanes %s", read.status, lone.lanes(test))
+	if read.status != 200 || lone.lanes(t) != "b" {
+		t.Fatalf("a claim did not suffice: %d, lanes %s", read.status, lone.lanes(t))
 	}
 	lone.run(Staleness + leaseMargin)
 	if changed.status != 200 {
-		test.Fatalf("the change: %d %+v", changed.status, changed.reply)
+		t.Fatalf("the change: %d %+v", changed.status, changed.reply)
 	}
 }
--- a/process/core/registry.go
+++ b/control/core/registry.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/registry"
+	"wardtray/control/registry"
+	"wardtray/wire"
 )
 
 // isolatedAfter is after how long without a message a core takes itself to be alone.
--- a/process/core/status.go
+++ b/control/core/status.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"wardtray/process/registry"
+	"wardtray/control/registry"
 )
 
 // Status is what a disk machine tells of itself.
--- a/process/corehost/host.go
+++ b/control/corehost/host.go
@@ -16,14 +16,14 @@
 
 	"github.com/fasthttp/router"
 
-	"wardtray/connection/transport"
-	"wardtray/connection/wire"
-	"wardtray/process/core"
-	"wardtray/process/drive"
+	"wardtray/config/startup"
+	"wardtray/control/core"
+	"wardtray/control/drive"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/snapshot"
 	"wardtray/process/fault"
-	"wardtray/process/machine"
-	"wardtray/process/slots"
-	"wardtray/process/startup"
+	"wardtray/transport"
+	"wardtray/wire"
 )
 
 const (
@@ -42,7 +42,7 @@
 	node      *core.Node
 	transport *transport.Transport
 	writes    *drive.Waitlist
-	store     *slots.Store
+	store     *snapshot.Store
 	begun     time.Time
 	lastView  uint64
 }
@@ -50,7 +50,7 @@
 // Seed gives a seed for a process's private random source.
 func Seed() int64 {
 	var bytes [8]byte
-	if _, failure := crypto.Read(bytes[:]); failure != nil {
+	if _, err := crypto.Read(bytes[:]); err != nil {
 		return time.Now().UnixNano()
 	}
 	return int64(binary.BigEndian.Uint64(bytes[:]))
@@ -58,16 +58,16 @@
 
 // New opens the data folder and restores the node. Nothing is sent or answered yet.
 func New(startup *startup.Startup, log *slog.Logger) (*Host, error) {
-	// Why: who can't remember must neither vote nor count as a copy, and ending again and again helps nobody.
+	// Who can't remember must neither vote nor count as a copy, and ending again and again helps nobody.
 	if startup.Idle {
 		return &Host{startup: startup, log: log}, nil
 	}
-	if failure := os.MkdirAll(startup.Folder, 0o750); failure != nil {
-		return nil, fault.Wrap(failure, fault.DiskFailed, "making the data folder")
+	if err := os.MkdirAll(startup.Folder, 0o750); err != nil {
+		return nil, fault.Wrap(err, fault.DiskFailed, "making the data folder")
 	}
-	restored, failure := drive.Restore(slots.Directory(startup.Folder), identity, time.Now().UTC().Format("20060102T150405"))
-	if failure != nil {
-		return nil, failure
+	restored, err := drive.Restore(snapshot.Directory(startup.Folder), identity, time.Now().UTC().Format("20060102T150405"))
+	if err != nil {
+		return nil, err
 	}
 	if restored.Lost != nil {
 		log.Error("memory can't be trusted; this machine joins as a new one", "cause", restored.Lost.Error())
@@ -88,8 +88,8 @@
 
 func identity() string {
 	var bytes [12]byte
-	if _, failure := crypto.Read(bytes[:]); failure != nil {
-		panic(failure) // Why: an identity that might repeat is worse than no start.
+	if _, err := crypto.Read(bytes[:]); err != nil {
+		panic(err) // An identity that might repeat is worse than no start.
 	}
 	return hex.EncodeToString(bytes[:])
 }
@@ -101,13 +101,13 @@
 		<-running.Done()
 		return nil
 	}
-	if failure := host.transport.Listen(); failure != nil {
-		return failure
+	if err := host.transport.Listen(); err != nil {
+		return err
 	}
 	defer host.transport.Close()
-	server, failure := host.serve()
-	if failure != nil {
-		return failure
+	server, err := host.serve()
+	if err != nil {
+		return err
 	}
 	host.log.Info("started", "id", host.node.Self().Id, "view", host.node.View().Epoch)
 	go host.carry()
@@ -150,7 +150,7 @@
 	host.transport.Send(parcels)
 	for _, write := range writes {
 		if !host.writes.Offer(write) {
-			// Why: a disk this far behind is as good as failed, and waiting here would stop the whole node.
+			// A disk this far behind is as good as failed, and waiting here would stop the whole node.
 			host.node.DiskFailed(time.Now())
 		}
 	}
@@ -173,8 +173,8 @@
 		}
 		drive.Carry(host.store, batch, func(sequence uint64) {
 			host.step(func(now time.Time) { host.node.Synced(now, sequence) })
-		}, func(failure error) {
-			host.log.Error("disk failed", "cause", failure.Error())
+		}, func(err error) {
+			host.log.Error("disk failed", "cause", err.Error())
 			host.step(func(now time.Time) { host.node.DiskFailed(now) })
 		})
 	}
--- a/process/corehost/http.go
+++ b/control/corehost/http.go
@@ -9,10 +9,10 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
-	"wardtray/process/core"
+	"wardtray/config"
+	"wardtray/control/core"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
 const requestBound = 10 * time.Second
@@ -36,15 +36,15 @@
 		Answer(context, 404, core.Reply{Outcome: "refused", Kind: string(fault.NotFound), Detail: string(context.Path())})
 	}
 	server := &fasthttp.Server{Handler: routes.Handler, Name: "wtcore", ReadTimeout: requestBound, WriteTimeout: requestBound,
-		IdleTimeout: time.Minute, MaxRequestBodySize: spec.MaximumBytes + 1024, ReadBufferSize: 16 << 10, Concurrency: 1024,
+		IdleTimeout: time.Minute, MaxRequestBodySize: config.MaximumBytes + 1024, ReadBufferSize: 16 << 10, Concurrency: 1024,
 		CloseOnShutdown: true, NoDefaultDate: true}
-	listener, failure := net.Listen("tcp", host.startup.HTTP)
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.BadStartup, "listening on %s", host.startup.HTTP)
+	listener, err := net.Listen("tcp", host.startup.HTTP)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadStartup, "listening on %s", host.startup.HTTP)
 	}
 	go func() {
-		if failure := server.Serve(listener); failure != nil {
-			host.log.Error("the HTTP side ended", "cause", failure.Error())
+		if err := server.Serve(listener); err != nil {
+			host.log.Error("the HTTP side ended", "cause", err.Error())
 		}
 	}()
 	return server, nil
@@ -55,8 +55,8 @@
 	if reply.Kind != "" && reply.Remedy == "" {
 		reply.Remedy = (&fault.Fault{Kind: fault.Kind(reply.Kind)}).Remedy()
 	}
-	content, failure := json.Marshal(reply)
-	if failure != nil {
+	content, err := json.Marshal(reply)
+	if err != nil {
 		content = []byte(`{"outcome":"refused","kind":"internal"}`)
 	}
 	context.SetContentType("application/json")
@@ -72,7 +72,7 @@
 
 // ask puts a question to the chain; its answer comes within the bound of the control plane.
 func (host *Host) ask(message *wire.OperatorAsk) <-chan answer {
-	// Why: without an id of its own an operation could neither be asked for nor told from a repeat.
+	// Without an id of its own an operation could neither be asked for nor told from a repeat.
 	if message.Operation == "" && message.Verb != "get" {
 		message.Operation = identity()
 	}
@@ -92,8 +92,8 @@
 	select {
 	case got := <-host.ask(message):
 		reply := core.Reply{}
-		if failure := json.Unmarshal(got.body, &reply); failure != nil {
-			return 500, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.Internal), Detail: failure.Error()}
+		if err := json.Unmarshal(got.body, &reply); err != nil {
+			return 500, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.Internal), Detail: err.Error()}
 		}
 		return got.status, reply
 	case <-timer.C:
@@ -104,9 +104,9 @@
 // order turns a request into a question to the chain and waits for the answer.
 func (host *Host) order(verb string) fasthttp.RequestHandler {
 	return func(context *fasthttp.RequestCtx) {
-		message, failure := question(verb, context)
-		if failure != nil {
-			found := fault.Of(failure)
+		message, err := question(verb, context)
+		if err != nil {
+			found := fault.Of(err)
 			Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(found.Kind), Detail: found.Detail})
 			return
 		}
@@ -132,13 +132,13 @@
 	if len(message.Operation) > 128 {
 		return nil, fault.New(fault.Malformed, "operation: at most 128 bytes")
 	}
-	var failure error
-	if message.Base, message.HasBase, failure = number(context, "base"); failure != nil {
-		return nil, failure
+	var err error
+	if message.Base, message.HasBase, err = number(context, "base"); err != nil {
+		return nil, err
 	}
 	if verb == "apply" || verb == "change" {
-		if message.Epoch, message.HasEpoch, failure = number(context, "epoch"); failure != nil {
-			return nil, failure
+		if message.Epoch, message.HasEpoch, err = number(context, "epoch"); err != nil {
+			return nil, err
 		}
 		if !message.HasBase {
 			return nil, fault.New(fault.Malformed, "base: a spec must name the epoch it was built on (0 for the first)")
@@ -154,8 +154,8 @@
 	if len(text) == 0 {
 		return 0, false, nil
 	}
-	value, failure := strconv.ParseUint(string(text), 10, 64)
-	if failure != nil {
+	value, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
 		return 0, false, fault.New(fault.Malformed, "%s: not a whole number", name)
 	}
 	return value, true, nil
@@ -179,9 +179,9 @@
 		Uptime: now.Sub(host.begun).Round(time.Millisecond).String(), Core: host.node.Status(now), Counters: host.node.Counters()}
 	host.mutex.Unlock()
 	status.Wire = WireCounters(host.transport)
-	content, failure := json.Marshal(status)
-	if failure != nil {
-		Answer(context, 500, core.Reply{Outcome: "refused", Kind: string(fault.Internal), Detail: failure.Error()})
+	content, err := json.Marshal(status)
+	if err != nil {
+		Answer(context, 500, core.Reply{Outcome: "refused", Kind: string(fault.Internal), Detail: err.Error()})
 		return
 	}
 	context.SetContentType("application/json")
--- a/process/corehost/runners.go
+++ b/control/corehost/runners.go
@@ -7,10 +7,10 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/wire"
-	"wardtray/process/core"
+	"wardtray/control/core"
+	"wardtray/control/registry"
 	"wardtray/process/fault"
-	"wardtray/process/registry"
+	"wardtray/wire"
 )
 
 // Register takes a runner's call and waits, well under a second, until it may be acknowledged.
@@ -48,9 +48,9 @@
 	routes.GET("/v1/runners", host.listRunners)
 	routes.PUT("/v1/runners/{id}", func(context *fasthttp.RequestCtx) {
 		id, _ := context.UserValue("id").(string)
-		line, failure := registry.Read(id, context.PostBody())
-		if failure != nil {
-			AnswerFault(context, failure)
+		line, err := registry.Read(id, context.PostBody())
+		if err != nil {
+			AnswerFault(context, err)
 			return
 		}
 		answerRunner(context, host.Register(line))
@@ -66,8 +66,8 @@
 }
 
 // AnswerFault refuses what can't be read.
-func AnswerFault(context *fasthttp.RequestCtx, failure error) {
-	found := fault.Of(failure)
+func AnswerFault(context *fasthttp.RequestCtx, err error) {
+	found := fault.Of(err)
 	statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413}
 	detail := found.Detail
 	if cause := found.Unwrap(); cause != nil {
@@ -118,9 +118,9 @@
 		}
 		lines = append(lines, line)
 	}
-	content, failure := json.Marshal(map[string]any{"runners": lines})
-	if failure != nil {
-		Answer(context, 500, core.Reply{Outcome: "refused", Kind: string(fault.Internal), Detail: failure.Error()})
+	content, err := json.Marshal(map[string]any{"runners": lines})
+	if err != nil {
+		Answer(context, 500, core.Reply{Outcome: "refused", Kind: string(fault.Internal), Detail: err.Error()})
 		return
 	}
 	context.SetContentType("application/json")
--- a/process/corehost/wire.go
+++ b/control/corehost/wire.go
@@ -1,6 +1,6 @@
 package corehost
 
-import "wardtray/connection/transport"
+import "wardtray/transport"
 
 // WireCounters gives a transport's counters by name.
 func WireCounters(carrier *transport.Transport) map[string]any {
--- a/process/drive/disk.go
+++ b/control/drive/disk.go
@@ -5,23 +5,23 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"wardtray/coordination/machine"
+	"wardtray/coordination/snapshot"
 	"wardtray/process/fault"
-	"wardtray/process/machine"
-	"wardtray/process/slots"
 )
 
 // Carry carries out writes in order on a store and tells of each that is synced. Records that come
 // together are synced together. After a failure nothing more is written until a whole memory is.
-func Carry(store *slots.Store, writes []machine.Write, synced func(sequence uint64), failed func(failure error)) {
+func Carry(store *snapshot.Store, writes []machine.Write, synced func(sequence uint64), failed func(err error)) {
 	var records [][]byte
 	last, broken := uint64(0), false
 	sync := func() {
 		if len(records) == 0 || broken {
 			return
 		}
-		if failure := store.Append(records...); failure != nil {
+		if err := store.Append(records...); err != nil {
 			broken = true
-			failed(failure)
+			failed(err)
 			return
 		}
 		records = nil
@@ -30,9 +30,9 @@
 	for _, write := range writes {
 		if write.Sweep {
 			sync()
-			if failure := store.Verify(); failure != nil {
+			if err := store.Verify(); err != nil {
 				broken = true
-				failed(failure)
+				failed(err)
 			} else if !broken {
 				synced(write.Sequence)
 			}
@@ -40,22 +40,22 @@
 		}
 		if write.Memory != nil {
 			sync()
-			content, failure := proto.Marshal(write.Memory)
-			if failure == nil {
-				failure = store.Replace(content)
+			content, err := proto.Marshal(write.Memory)
+			if err == nil {
+				err = store.Replace(content)
 			}
-			if failure != nil {
+			if err != nil {
 				broken = true
-				failed(failure)
+				failed(err)
 				continue
 			}
 			records, broken = nil, false
 			synced(write.Sequence)
 			continue
 		}
-		content, failure := proto.Marshal(write.Record)
-		if failure != nil {
-			failed(fault.Wrap(failure, fault.Internal, "encoding a record"))
+		content, err := proto.Marshal(write.Record)
+		if err != nil {
+			failed(fault.Wrap(err, fault.Internal, "encoding a record"))
 			broken = true
 			continue
 		}
--- a/process/drive/drive_test.go
+++ b/control/drive/drive_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 func record(sequence uint64) machine.Write {
@@ -12,17 +12,17 @@
 }
 
 // A write lost to a full waitlist must not be followed by a later one: a completion stands for all before it.
-func TestNothingPassesAfterALostWrite(test *testing.T) {
+func TestNothingPassesAfterALostWrite(t *testing.T) {
 	waitlist := NewWaitlist(2)
 	if !waitlist.Offer(record(1)) || !waitlist.Offer(record(2)) || waitlist.Offer(record(3)) {
-		test.Fatal("the bound")
+		t.Fatal("the bound")
 	}
 	<-waitlist.Writes
 	<-waitlist.Writes
 	if waitlist.Offer(record(4)) {
-		test.Fatal("a write passed after a lost one")
+		t.Fatal("a write passed after a lost one")
 	}
 	if !waitlist.Offer(machine.Write{Sequence: 5, Memory: &wire.Memory{}}) || !waitlist.Offer(record(6)) {
-		test.Fatal("a whole memory did not mend it")
+		t.Fatal("a whole memory did not mend it")
 	}
 }
--- a/process/drive/restore.go
+++ b/control/drive/restore.go
@@ -3,20 +3,20 @@
 import (
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
+	"wardtray/coordination/snapshot"
 	"wardtray/process/fault"
-	"wardtray/process/slots"
+	"wardtray/wire"
 )
 
 // Folder is a data folder from which a memory that can't be trusted can be set aside.
 type Folder interface {
-	slots.Folder
+	snapshot.Folder
 	SetAside(mark string) error
 }
 
 // Restored is what a data folder gave.
 type Restored struct {
-	Store   *slots.Store
+	Store   *snapshot.Store
 	Memory  *wire.Memory
 	Records []*wire.Record
 	// Fresh tells that the identity is new; Lost is why an older memory was set aside, if one was.
@@ -28,42 +28,42 @@
 // can't be trusted: an identity lives on its disk and ends with it.
 func Restore(folder Folder, identity func() string, mark string) (Restored, error) {
 	restored := Restored{}
-	store, recovered, failure := slots.Open(folder)
-	if failure == nil && !recovered.Blank {
+	store, recovered, err := snapshot.Open(folder)
+	if err == nil && !recovered.Blank {
 		restored.Store = store
-		restored.Memory, restored.Records, failure = decode(recovered)
-		if failure == nil {
+		restored.Memory, restored.Records, err = decode(recovered)
+		if err == nil {
 			return restored, nil
 		}
 	}
-	if fault.Is(failure, fault.NoMemory) {
-		restored.Lost = failure
-		if failure := folder.SetAside(mark); failure != nil {
-			return Restored{}, fault.Wrap(failure, fault.DiskFailed, "setting the old memory aside")
+	if fault.Is(err, fault.NoMemory) {
+		restored.Lost = err
+		if err := folder.SetAside(mark); err != nil {
+			return Restored{}, fault.Wrap(err, fault.DiskFailed, "setting the old memory aside")
 		}
-		store, _, failure = slots.Open(folder)
+		store, _, err = snapshot.Open(folder)
 	}
-	if failure != nil {
-		return Restored{}, failure
+	if err != nil {
+		return Restored{}, err
 	}
 	restored.Store, restored.Fresh, restored.Memory = store, true, &wire.Memory{Id: identity()}
-	content, failure := proto.Marshal(restored.Memory)
-	if failure != nil {
-		return Restored{}, fault.Wrap(failure, fault.Internal, "encoding the first memory")
+	content, err := proto.Marshal(restored.Memory)
+	if err != nil {
+		return Restored{}, fault.Wrap(err, fault.Internal, "encoding the first memory")
 	}
 	return restored, store.Replace(content)
 }
 
-func decode(recovered slots.Recovered) (*wire.Memory, []*wire.Record, error) {
+func decode(recovered snapshot.Recovered) (*wire.Memory, []*wire.Record, error) {
 	memory := &wire.Memory{}
-	if failure := proto.Unmarshal(recovered.Memory, memory); failure != nil {
-		return nil, nil, fault.Wrap(failure, fault.NoMemory, "decoding the slot")
+	if err := proto.Unmarshal(recovered.Memory, memory); err != nil {
+		return nil, nil, fault.Wrap(err, fault.NoMemory, "decoding the slot")
 	}
 	var records []*wire.Record
 	for _, content := range recovered.Records {
 		record := &wire.Record{}
-		if failure := proto.Unmarshal(content, record); failure != nil {
-			return nil, nil, fault.Wrap(failure, fault.NoMemory, "decoding the log")
+		if err := proto.Unmarshal(content, record); err != nil {
+			return nil, nil, fault.Wrap(err, fault.NoMemory, "decoding the log")
 		}
 		records = append(records, record)
 	}
--- a/process/drive/waitlist.go
+++ b/control/drive/waitlist.go
@@ -1,6 +1,6 @@
 package drive
 
-import "wardtray/process/machine"
+import "wardtray/coordination/machine"
 
 // Waitlist holds the writes that a disk has not begun. It is bounded, and it never lets a write pass
 // that would follow a lost one: after an overflow it takes nothing until a whole memory comes, which
--- a/process/operator/client.go
+++ b/control/operator/client.go
@@ -12,9 +12,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wardtray/process/core"
-	"wardtray/process/corehost"
-	"wardtray/process/datahost"
+	"wardtray/control/core"
+	"wardtray/control/corehost"
+	"wardtray/edge/datahost"
 	"wardtray/process/fault"
 )
 
@@ -44,8 +44,8 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.SetBody(body)
-	if failure := client.http.DoTimeout(request, response, bound); failure != nil {
-		return 0, nil, fault.Wrap(failure, fault.Unreachable, "%s", address)
+	if err := client.http.DoTimeout(request, response, bound); err != nil {
+		return 0, nil, fault.Wrap(err, fault.Unreachable, "%s", address)
 	}
 	return response.StatusCode(), append([]byte{}, response.Body()...), nil
 }
@@ -54,14 +54,14 @@
 func (client *Client) ask(method, path string, body []byte) (core.Reply, error) {
 	var last error
 	for _, address := range client.Cores {
-		_, content, failure := client.call(method, address, path, body, answerBound)
-		if failure != nil {
-			last = failure
+		_, content, err := client.call(method, address, path, body, answerBound)
+		if err != nil {
+			last = err
 			continue
 		}
 		reply := core.Reply{}
-		if failure := json.Unmarshal(content, &reply); failure != nil {
-			last = fault.Wrap(failure, fault.Malformed, "the answer of %s", address)
+		if err := json.Unmarshal(content, &reply); err != nil {
+			last = fault.Wrap(err, fault.Malformed, "the answer of %s", address)
 			continue
 		}
 		return reply, nil
@@ -171,8 +171,8 @@
 }
 
 func (client *Client) one(address string, into any) bool {
-	status, content, failure := client.call("GET", address, "/v1/status", nil, statusBound)
-	return failure == nil && status == 200 && json.Unmarshal(content, into) == nil
+	status, content, err := client.call("GET", address, "/v1/status", nil, statusBound)
+	return err == nil && status == 200 && json.Unmarshal(content, into) == nil
 }
 
 // Explain asks a data daemon where a request would go. The headers are those of a request.
@@ -186,8 +186,8 @@
 		request.Header.Set(name, value)
 	}
 	request.SetBody(body)
-	if failure := client.http.DoTimeout(request, response, statusBound); failure != nil {
-		return nil, fault.Wrap(failure, fault.Unreachable, "%s", daemon)
+	if err := client.http.DoTimeout(request, response, statusBound); err != nil {
+		return nil, fault.Wrap(err, fault.Unreachable, "%s", daemon)
 	}
 	content := append([]byte{}, response.Body()...)
 	if response.StatusCode() != 200 {
@@ -195,7 +195,7 @@
 			Kind   fault.Kind
 			Detail string
 		}{}
-		if failure := json.Unmarshal(content, &refusal); failure != nil || refusal.Kind == "" {
+		if err := json.Unmarshal(content, &refusal); err != nil || refusal.Kind == "" {
 			return nil, fault.New(fault.Unreachable, "%s answers %d", daemon, response.StatusCode())
 		}
 		return nil, fault.New(refusal.Kind, "%s", refusal.Detail)
--- a/process/registry/book.go
+++ b/control/registry/book.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 const (
@@ -191,7 +191,7 @@
 	}
 	for _, id := range book.ids() {
 		held, version := book.entries[id], theirs[id]
-		// Why: of runners that are gone nobody needs to learn who never knew them.
+		// Of runners that are gone nobody needs to learn who never knew them.
 		if version == nil && live[held.line.State] || version != nil && order(held.line.State, held.line.Call, version.State, version.Call) > 0 {
 			news = append(news, book.told(now, held))
 		}
--- a/process/registry/book_test.go
+++ b/control/registry/book_test.go
@@ -11,8 +11,8 @@
 	"github.com/leanovate/gopter/prop"
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 var begun = time.Unix(1_700_000_000, 0)
@@ -53,7 +53,7 @@
 	return book
 }
 
-func TestJoinIsTheSameInEveryOrder(test *testing.T) {
+func TestJoinIsTheSameInEveryOrder(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
 	properties.Property("commutative, associative, idempotent", prop.ForAll(func(seed int64) bool {
 		random := rand.New(rand.NewSource(seed))
@@ -89,7 +89,7 @@
 		}
 		return true
 	}, gen.Int64()))
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
 // pair are two exchanges whose messages reach each other.
@@ -134,7 +134,7 @@
 
 // Whatever two processes missed, one comparison of their sums makes their live runners the same, and then
 // they say nothing more.
-func TestSumsThatDifferAreMended(test *testing.T) {
+func TestSumsThatDifferAreMended(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(2))
 	properties.Property("one round", prop.ForAll(func(seed int64) bool {
 		random := rand.New(rand.NewSource(seed))
@@ -153,63 +153,63 @@
 			return pair.carry(begun) == 0
 		}()
 	}, gen.Int64()))
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
-func TestListIsAnotherOneOnlyWhenSomethingChanged(test *testing.T) {
+func TestListIsAnotherOneOnlyWhenSomethingChanged(t *testing.T) {
 	book := NewBook()
 	cold := &wire.Runner{RunnerId: "b", State: Cold, ColdMilliseconds: 2000, Call: 1, Address: "x"}
 	book.Take(begun, []*wire.Runner{{RunnerId: "a", State: Ready, Call: 1, Address: "y"}, cold})
 	first := book.Runners(begun)
 	if len(first) != 2 || first[1].State != Cold {
-		test.Fatal(first)
+		t.Fatal(first)
 	}
 	book.Take(begun.Add(time.Second), []*wire.Runner{cold})
 	if again := book.Runners(begun.Add(1999 * time.Millisecond)); &again[0] != &first[0] {
-		test.Fatal("another list without a change")
+		t.Fatal("another list without a change")
 	}
 	warm := book.Runners(begun.Add(2 * time.Second))
 	if &warm[0] == &first[0] || warm[1].State != Ready || first[1].State != Cold {
-		test.Fatal(warm)
+		t.Fatal(warm)
 	}
 	// What is told to others later is what is left then.
 	if told := book.All(begun.Add(500 * time.Millisecond))[1]; told.State != Cold || told.ColdMilliseconds != 1500 {
-		test.Fatal(told)
+		t.Fatal(told)
 	}
 	book.Take(begun, []*wire.Runner{{RunnerId: "a", State: Draining, Call: 2}, {RunnerId: "b", State: Silent, Call: 2}})
 	if left := book.Runners(begun.Add(3 * time.Second)); len(left) != 1 || left[0].State != Draining {
-		test.Fatal(left)
+		t.Fatal(left)
 	}
 	book.Take(begun, []*wire.Runner{{RunnerId: "a", State: Gone, Call: 2}})
 	if left := book.Runners(begun.Add(3 * time.Second)); left == nil || len(left) != 0 {
-		test.Fatal(left)
+		t.Fatal(left)
 	}
 	book.Prune(begun.Add(remembered - time.Second))
 	if book.Line("a") == nil {
-		test.Fatal("forgotten too early")
+		t.Fatal("forgotten too early")
 	}
 	book.Prune(begun.Add(remembered + time.Second))
 	if book.Line("a") != nil || book.Line("b") != nil {
-		test.Fatal("never forgotten")
+		t.Fatal("never forgotten")
 	}
 }
 
-func TestMemoryIsBounded(test *testing.T) {
+func TestMemoryIsBounded(t *testing.T) {
 	book := NewBook()
 	for number := range MaximumRunners + 10 {
 		book.Take(begun.Add(time.Duration(number)), []*wire.Runner{{RunnerId: fmt.Sprint("g", number), State: Gone}})
 	}
 	if len(book.entries) != MaximumRunners || book.Line("g0") != nil || book.Line(fmt.Sprint("g", MaximumRunners+9)) == nil {
-		test.Fatal(len(book.entries))
+		t.Fatal(len(book.entries))
 	}
 	for number := range MaximumRunners + 10 {
 		book.Take(begun, []*wire.Runner{{RunnerId: fmt.Sprint("r", number), State: Ready}})
 	}
 	if len(book.entries) != MaximumRunners || len(book.Runners(begun)) != MaximumRunners {
-		test.Fatal(len(book.entries))
+		t.Fatal(len(book.entries))
 	}
 	book.Take(begun, []*wire.Runner{{RunnerId: "", State: Ready}, {RunnerId: "odd", State: "odd"}})
 	if book.Line("odd") != nil {
-		test.Fatal("an odd line was taken")
+		t.Fatal("an odd line was taken")
 	}
 }
--- a/process/registry/call.go
+++ b/control/registry/call.go
@@ -9,10 +9,10 @@
 
 	"github.com/mailru/easyjson"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/process/fault"
 	"wardtray/process/strict"
+	"wardtray/wire"
 )
 
 //go:generate go tool easyjson -disallow_unknown_fields -output_filename call_easyjson.go call.go
@@ -41,7 +41,7 @@
 	// State is ready, or draining ahead of a planned end.
 	State string `json:"state"`
 	// Cold is for how long it is still slow after its start.
-	Cold spec.Span `json:"cold,omitempty"`
+	Cold config.Span `json:"cold,omitempty"`
 	// Call goes up with every call of one life, so that a late one can be told.
 	Call uint64 `json:"call"`
 }
@@ -54,12 +54,12 @@
 	if len(content) > MaximumCall {
 		return nil, fault.New(fault.TooLarge, "a call has at most %d bytes", MaximumCall)
 	}
-	if failure := strict.Check(content); failure != nil {
-		return nil, failure
+	if err := strict.Check(content); err != nil {
+		return nil, err
 	}
 	call := Call{}
-	if failure := easyjson.Unmarshal(content, &call); failure != nil {
-		return nil, fault.Wrap(failure, fault.Malformed, "the call")
+	if err := easyjson.Unmarshal(content, &call); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "the call")
 	}
 	return call.Line(id)
 }
@@ -101,10 +101,10 @@
 }
 
 func place(address string) bool {
-	host, port, failure := net.SplitHostPort(address)
-	if failure != nil || net.ParseIP(host) == nil {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
 		return false
 	}
-	number, failure := strconv.ParseUint(port, 10, 16)
-	return failure == nil && number > 0
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
 }
--- a/process/registry/exchange.go
+++ b/control/registry/exchange.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 // digestEvery is how often, at most, a process asks for what it may have missed.
@@ -44,7 +44,7 @@
 // Digest answers a digest with what its sender lacks, and with our own where the sender holds more.
 func (exchange *Exchange) Digest(now time.Time, from string, message *wire.RunnerDigest) {
 	news, lacking := exchange.compare(now, message)
-	// Why: an empty answer is one too; a process that has just begun waits for it.
+	// An empty answer is one too; a process that has just begun waits for it.
 	if len(news) > 0 || message.AnswerWanted {
 		exchange.send(from, &wire.RunnerNews{Runners: news, Answer: message.AnswerWanted})
 	}
--- a/process/registry/line.go
+++ b/control/registry/line.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"hash/fnv"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // The states of a line. A runner is gone once it has said so; it is silent where nobody hears it.
@@ -60,7 +60,7 @@
 		call[place] = byte(line.Call >> (8 * place))
 	}
 	call[8] = byte(stages[line.State])
-	_, _ = hash.Write([]byte(line.RunnerId)) // Why: writing to a hash can't fail.
+	_, _ = hash.Write([]byte(line.RunnerId)) // Writing to a hash can't fail.
 	_, _ = hash.Write(call[:])
 	mixed := hash.Sum64()
 	mixed ^= mixed >> 33
--- a/process/registry/registrar.go
+++ b/control/registry/registrar.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 const (
@@ -156,7 +156,7 @@
 		registrar.begin(now, line, answer)
 		return
 	}
-	// Why: a core that stops just after an acknowledgement must not be the only one that knows.
+	// A core that stops just after an acknowledgement must not be the only one that knows.
 	registrar.unanswered = append(registrar.unanswered, answer)
 	if len(registrar.around(now)) == 0 {
 		registrar.flush(now)
@@ -240,7 +240,7 @@
 
 // join answers a call that changes nothing: at once, or with the news of a leaving runner that is under way.
 func (registrar *Registrar) join(now time.Time, held *wire.Runner, outcome Outcome, answer func(outcome Outcome)) {
-	// Why: a core that only heard of it from another can't know whether that one lived to tell the daemons.
+	// A core that only heard of it from another can't know whether that one lived to tell the daemons.
 	if stages[held.State] > 0 && !registrar.spread[held.RunnerId] {
 		registrar.begin(now, held, answer)
 		return
@@ -322,7 +322,7 @@
 		return
 	}
 	if !complete && 2*round.confirmed < round.daemons {
-		// Why: this core would promise what it can't keep; the runner had better ask another. A daemon that so
+		// This core would promise what it can't keep; the runner had better ask another. A daemon that so
 		// many others leave behind awards nothing for long, and learns of it before it does so again.
 		if passed < loneBound {
 			return
@@ -330,7 +330,7 @@
 		outcome = Unheard
 	}
 	if outcome == Unheard {
-		// Why: the next call of this runner must not be answered as though the daemons had been told.
+		// The next call of this runner must not be answered as though the daemons had been told.
 		delete(registrar.spread, round.runner)
 		delete(registrar.rounds, nonce)
 		registrar.counters.Refused++
@@ -480,7 +480,7 @@
 			continue
 		}
 		known := registrar.heard[id]
-		// Why: what another core has just told counts as heard now, for nobody can say when it was.
+		// What another core has just told counts as heard now, for nobody can say when it was.
 		if known == nil || known.call < line.Call {
 			registrar.note(now, id, line.Call, false)
 			known = registrar.heard[id]
@@ -513,11 +513,11 @@
 			delete(registrar.spread, id)
 		}
 	}
-	// Why: a core that hears neither the others nor most runners is itself the one that is cut off.
+	// A core that hears neither the others nor most runners is itself the one that is cut off.
 	if now.Before(registrar.graceUntil) || !registrar.surroundings.Joined(now) && 2*direct < count {
 		return
 	}
-	// Why: most runners at once are more likely kept from calling by something between them and us; acting on
+	// Most runners at once are more likely kept from calling by something between them and us; acting on
 	// it would stop all service.
 	if len(quiet) >= crowdLeast && 2*len(quiet) > count {
 		quiet = longQuiet
--- a/process/registry/registrar_test.go
+++ b/control/registry/registrar_test.go
@@ -6,16 +6,16 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/coordination/machine"
 	"wardtray/process/fault"
-	"wardtray/process/machine"
+	"wardtray/wire"
 )
 
 const beat = time.Second
 
 // desk is a registrar with what it sends and is told.
 type desk struct {
-	test      *testing.T
+	t         *testing.T
 	outbox    *machine.Outbox
 	registrar *Registrar
 	daemons   []string
@@ -24,8 +24,8 @@
 	now       time.Time
 }
 
-func newDesk(test *testing.T) *desk {
-	made := &desk{test: test, outbox: machine.NewOutbox(), daemons: []string{"d0", "d1"}, joined: true, now: begun}
+func newDesk(t *testing.T) *desk {
+	made := &desk{t: t, outbox: machine.NewOutbox(), daemons: []string{"d0", "d1"}, joined: true, now: begun}
 	made.registrar = NewRegistrar(begun, beat, 7, made.outbox, Surroundings{Daemons: func(time.Time) []string { return made.daemons },
 		Cores: func() []string { return []string{"c1"} }, Joined: func(time.Time) bool { return made.joined },
 		Isolated: func(time.Time) bool { return made.isolated }})
@@ -47,7 +47,7 @@
 	got := new(Outcome)
 	desk.registrar.Register(desk.now, line, func(outcome Outcome) {
 		if *got != "" {
-			desk.test.Error("answered twice")
+			desk.t.Error("answered twice")
 		}
 		*got = outcome
 	})
@@ -80,111 +80,111 @@
 
 func (desk *desk) state(id string) string { return desk.registrar.Line(id).GetState() }
 
-func TestRepeatedCallsSendNothing(test *testing.T) {
-	desk := newDesk(test)
+func TestRepeatedCallsSendNothing(t *testing.T) {
+	desk := newDesk(t)
 	got := desk.call(ready("r1", 1))
 	if *got != "" {
-		test.Fatal("acknowledged before anybody else was told")
+		t.Fatal("acknowledged before anybody else was told")
 	}
 	desk.pass(50 * time.Millisecond)
 	if news := desk.news(); *got != Taken || len(news["d0"]) != 1 || len(news["d1"]) != 1 || len(news["c1"]) != 1 {
-		test.Fatal(news)
+		t.Fatal(news)
 	}
 	for number := range 10 {
 		desk.pass(beat)
 		desk.call(ready("r1", uint64(number+2)))
 	}
 	if news := desk.news(); len(news) != 0 {
-		test.Fatal(news)
+		t.Fatal(news)
 	}
 	moved := ready("r1", 20)
 	moved.Slots = 9
 	desk.call(moved)
 	desk.pass(50 * time.Millisecond)
 	if news := desk.news(); len(news["d0"]) != 1 || news["d0"][0].Runners[0].Slots != 9 {
-		test.Fatal(news)
+		t.Fatal(news)
 	}
 }
 
-func TestLateCallsChangeNothing(test *testing.T) {
-	desk := newDesk(test)
+func TestLateCallsChangeNothing(t *testing.T) {
+	desk := newDesk(t)
 	desk.call(ready("r1", 5))
 	late := ready("r1", 5)
 	late.Address = "10.0.0.9:9"
 	if got := desk.call(late); *got != Late || desk.registrar.Line("r1").Address == late.Address {
-		test.Fatal(*got)
+		t.Fatal(*got)
 	}
 	desk.daemons = nil
 	desk.call(draining("r1", 6))
 	for call := uint64(4); call < 9; call++ {
 		if got := desk.call(ready("r1", call)); *got == "" || desk.state("r1") != Draining {
-			test.Fatal(call, *got, desk.state("r1"))
+			t.Fatal(call, *got, desk.state("r1"))
 		}
 	}
 	desk.registrar.Deregister(desk.now, "r1", func(Outcome) {})
 	if got := desk.call(ready("r1", 100)); *got != Late || desk.state("r1") != Gone {
-		test.Fatal(*got, desk.state("r1"))
+		t.Fatal(*got, desk.state("r1"))
 	}
 }
 
 // The calm way: the acknowledgement comes with the last daemon's word, at once.
-func TestDrainingIsAcknowledgedOnceAllKnow(test *testing.T) {
-	desk := newDesk(test)
+func TestDrainingIsAcknowledgedOnceAllKnow(t *testing.T) {
+	desk := newDesk(t)
 	desk.call(ready("r1", 1))
 	desk.pass(50 * time.Millisecond)
 	desk.news()
 	got := desk.call(draining("r1", 2))
 	news := desk.news()
 	if *got != "" || len(news["d0"]) != 1 || len(news["d1"]) != 1 || news["c1"][0].Nonce != 0 {
-		test.Fatal(*got, news)
+		t.Fatal(*got, news)
 	}
 	nonce := news["d0"][0].Nonce
 	desk.held("d0", nonce)
 	desk.held("d0", nonce)
 	desk.held("stranger", nonce)
 	if *got != "" {
-		test.Fatal("acknowledged before d1 knew")
+		t.Fatal("acknowledged before d1 knew")
 	}
 	desk.held("d1", nonce)
 	if *got != Taken || desk.registrar.Counters().Unconfirmed != 0 {
-		test.Fatal(*got)
+		t.Fatal(*got)
 	}
 	// Its later calls are answered at once.
 	if again := desk.call(draining("r1", 3)); *again != Taken || len(desk.news()) != 0 {
-		test.Fatal(*again)
+		t.Fatal(*again)
 	}
 }
 
 // A daemon that does not answer is told again and again; the runner is not kept waiting for it.
-func TestDrainingIsRepeatedToWhoDoesNotConfirm(test *testing.T) {
-	desk := newDesk(test)
+func TestDrainingIsRepeatedToWhoDoesNotConfirm(t *testing.T) {
+	desk := newDesk(t)
 	got := desk.call(draining("r1", 1))
 	again := desk.call(draining("r1", 2))
 	nonce := desk.news()["d0"][0].Nonce
 	desk.held("d0", nonce)
 	desk.pass(confirmBound - 50*time.Millisecond)
 	if news := desk.news(); *got != "" || len(news["d0"]) != 0 || len(news["d1"]) < 3 {
-		test.Fatal(*got, news)
+		t.Fatal(*got, news)
 	}
 	desk.pass(100 * time.Millisecond)
 	if *got != Taken || *again != Taken || desk.registrar.Counters().Unconfirmed != 1 {
-		test.Fatal(*got, *again)
+		t.Fatal(*got, *again)
 	}
 	desk.news()
 	desk.pass(repeatBound)
 	if told := len(desk.news()["d1"]); told < 4 || len(desk.registrar.rounds) != 0 {
-		test.Fatal(told, len(desk.registrar.rounds))
+		t.Fatal(told, len(desk.registrar.rounds))
 	}
 }
 
 // Nothing is promised that this core can't keep: where no daemon answers, or few do, whoever else is heard.
-func TestLeavingIsNotAcknowledgedByWhoCannotTellTheDaemons(test *testing.T) {
+func TestLeavingIsNotAcknowledgedByWhoCannotTellTheDaemons(t *testing.T) {
 	for name, trial := range map[string]struct {
 		joined  bool
 		answers int
 		outcome Outcome
 	}{"none": {true, 0, Unheard}, "few, alone": {false, 1, Unheard}, "few": {true, 1, Unheard}, "most, alone": {false, 2, Taken}} {
-		desk := newDesk(test)
+		desk := newDesk(t)
 		desk.daemons, desk.joined = []string{"d0", "d1", "d2"}, trial.joined
 		got := desk.call(draining("r1", 1))
 		nonce := desk.news()["d0"][0].Nonce
@@ -193,52 +193,52 @@
 		}
 		desk.pass(900 * time.Millisecond)
 		if *got != trial.outcome {
-			test.Errorf("%s: %q", name, *got)
+			t.Errorf("%s: %q", name, *got)
 		}
 		// Found by the simulator: the call after a refused one was acknowledged at once, with no daemon told.
 		if trial.outcome == Unheard {
 			again := desk.call(draining("r1", 2))
 			desk.pass(confirmBound)
 			if *again != "" {
-				test.Errorf("%s, again: %q", name, *again)
+				t.Errorf("%s, again: %q", name, *again)
 			}
 		}
 	}
 }
 
-func TestCoreThatHearsNobodyTakesNoCalls(test *testing.T) {
-	desk := newDesk(test)
+func TestCoreThatHearsNobodyTakesNoCalls(t *testing.T) {
+	desk := newDesk(t)
 	desk.isolated = true
 	if got := desk.call(ready("r1", 1)); *got != Unheard || desk.registrar.Line("r1") != nil {
-		test.Fatal(*got)
+		t.Fatal(*got)
 	}
 	desk.registrar.Deregister(desk.now, "r1", func(outcome Outcome) {
 		if outcome != Unheard {
-			test.Error(outcome)
+			t.Error(outcome)
 		}
 	})
 	desk.isolated = false
 	got := desk.call(ready("r1", 1))
 	desk.pass(50 * time.Millisecond)
 	if *got != Taken {
-		test.Fatal(*got)
+		t.Fatal(*got)
 	}
 }
 
 // A core that knows only by another's news that a runner drains asks the daemons itself before it
 // acknowledges: the other may have died in the middle.
-func TestDrainingHeardOfIsSpreadAnew(test *testing.T) {
-	desk := newDesk(test)
+func TestDrainingHeardOfIsSpreadAnew(t *testing.T) {
+	desk := newDesk(t)
 	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{draining("r1", 3)}})
 	got := desk.call(draining("r1", 4))
 	nonce := desk.news()["d0"][0].Nonce
 	if *got != "" {
-		test.Fatal("acknowledged on another's word")
+		t.Fatal("acknowledged on another's word")
 	}
 	desk.held("d0", nonce)
 	desk.held("d1", nonce)
 	if *got != Taken {
-		test.Fatal(*got)
+		t.Fatal(*got)
 	}
 }
 
@@ -253,49 +253,49 @@
 	}
 }
 
-func TestSilenceAndComingBack(test *testing.T) {
-	desk, call := newDesk(test), uint64(0)
+func TestSilenceAndComingBack(t *testing.T) {
+	desk, call := newDesk(t), uint64(0)
 	desk.calls(8*time.Second, &call, "r1", "r2", "r3")
 	desk.calls(2*time.Second, &call, "r1", "r2")
 	if desk.state("r3") != Ready {
-		test.Fatal("silent too early")
+		t.Fatal("silent too early")
 	}
 	desk.calls(2*time.Second, &call, "r1", "r2")
 	if desk.state("r3") != Silent || desk.state("r1") != Ready || desk.registrar.Counters().Silent != 1 {
-		test.Fatal(desk.state("r3"), desk.state("r1"))
+		t.Fatal(desk.state("r3"), desk.state("r1"))
 	}
 	desk.calls(time.Second, &call, "r1", "r2", "r3")
 	if desk.state("r3") != Ready || desk.registrar.Counters().Revived != 1 {
-		test.Fatal(desk.state("r3"))
+		t.Fatal(desk.state("r3"))
 	}
 }
 
 // Nobody is called silent by a core that has just begun, that stood still, or that hears neither the other
 // cores nor most runners; nor most runners at once before long.
-func TestSilenceIsNotCalledByWhoCannotKnow(test *testing.T) {
+func TestSilenceIsNotCalledByWhoCannotKnow(t *testing.T) {
 	lines := []*wire.Runner{ready("r1", 1), ready("r2", 1), ready("r3", 1)}
-	fresh := newDesk(test)
+	fresh := newDesk(t)
 	fresh.registrar.News(fresh.now, "c1", &wire.RunnerNews{Runners: lines})
 	fresh.pass(graceBeats*beat - 100*time.Millisecond)
 	if fresh.state("r1") != Ready {
-		test.Error("silent by a core that has just begun")
+		t.Error("silent by a core that has just begun")
 	}
-	still, call := newDesk(test), uint64(0)
+	still, call := newDesk(t), uint64(0)
 	still.calls(8*time.Second, &call, "r1", "r2", "r3")
 	still.now = still.now.Add(time.Minute)
 	still.registrar.Resume(still.now)
 	still.pass(3 * time.Second)
 	if still.state("r1") != Ready {
-		test.Error("silent by a core that stood still")
+		t.Error("silent by a core that stood still")
 	}
-	alone, call := newDesk(test), uint64(0)
+	alone, call := newDesk(t), uint64(0)
 	alone.calls(8*time.Second, &call, "r1", "r2", "r3")
 	alone.joined = false
 	alone.pass(time.Minute)
 	if alone.state("r1") != Ready {
-		test.Error("silent by a core that is cut off")
+		t.Error("silent by a core that is cut off")
 	}
-	crowd, call := newDesk(test), uint64(0)
+	crowd, call := newDesk(t), uint64(0)
 	ids := []string{}
 	for number := range 8 {
 		ids = append(ids, fmt.Sprint("r", number))
@@ -303,42 +303,42 @@
 	crowd.calls(8*time.Second, &call, ids...)
 	crowd.calls(8*time.Second, &call, ids[:2]...)
 	if crowd.state("r7") != Ready {
-		test.Error("most are silent at once")
+		t.Error("most are silent at once")
 	}
 	crowd.calls(6*time.Second, &call, ids[:2]...)
 	if crowd.state("r7") != Silent || crowd.state("r0") != Ready {
-		test.Error("never silent", crowd.state("r7"))
+		t.Error("never silent", crowd.state("r7"))
 	}
 }
 
 // A core that no runner calls learns from the others who calls them; and where one of them was wrong, who
 // hears the runner says so at once.
-func TestOtherCoresHearToo(test *testing.T) {
-	desk := newDesk(test)
+func TestOtherCoresHearToo(t *testing.T) {
+	desk := newDesk(t)
 	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{ready("r1", 1), ready("r2", 1)}})
 	for call := uint64(2); call < 14; call++ {
 		desk.registrar.Heard(desk.now, &wire.RunnersHeard{Calls: []*wire.RunnerVersion{{RunnerId: "r1", Call: call}}})
 		desk.pass(beat)
 	}
 	if desk.state("r1") != Ready || desk.state("r2") != Silent {
-		test.Fatal(desk.state("r1"), desk.state("r2"))
+		t.Fatal(desk.state("r1"), desk.state("r2"))
 	}
 	desk.news()
 	desk.registrar.News(desk.now, "c1", &wire.RunnerNews{Runners: []*wire.Runner{changed(ready("r1", 1), Silent, 10)}})
 	desk.pass(50 * time.Millisecond)
 	if news := desk.news(); desk.state("r1") != Ready || len(news["d0"]) != 1 || news["d0"][0].Runners[0].Call != 13 {
-		test.Fatal(desk.state("r1"), news)
+		t.Fatal(desk.state("r1"), news)
 	}
 }
 
-func TestAddressBelongsToTheLastThatCalled(test *testing.T) {
-	desk := newDesk(test)
+func TestAddressBelongsToTheLastThatCalled(t *testing.T) {
+	desk := newDesk(t)
 	desk.call(ready("r1", 5))
 	taker := ready("r2", 1)
 	taker.Address = ready("r1", 1).Address
 	desk.call(taker)
 	if desk.state("r1") != Silent || desk.state("r2") != Ready {
-		test.Fatal(desk.state("r1"), desk.state("r2"))
+		t.Fatal(desk.state("r1"), desk.state("r2"))
 	}
 	// A call of the former one that was long on its way displaces the present one until that calls again.
 	desk.call(ready("r1", 6))
@@ -346,14 +346,14 @@
 	again.Address = taker.Address
 	desk.call(again)
 	if desk.state("r1") != Silent || desk.state("r2") != Ready {
-		test.Fatal(desk.state("r1"), desk.state("r2"))
+		t.Fatal(desk.state("r1"), desk.state("r2"))
 	}
 }
 
-func TestCallsAreReadStrictly(test *testing.T) {
+func TestCallsAreReadStrictly(t *testing.T) {
 	good := `{"address":"10.0.0.1:80","zone":"a","service":"s","slots":4,"state":"ready","cold":"1.5s","call":3}`
-	if line, failure := Read("r", []byte(good)); failure != nil || line.State != Cold || line.ColdMilliseconds != 1500 {
-		test.Fatal(line, failure)
+	if line, err := Read("r", []byte(good)); err != nil || line.State != Cold || line.ColdMilliseconds != 1500 {
+		t.Fatal(line, err)
 	}
 	for bad, named := range map[string]string{
 		`{"address":"here","zone":"","service":"a/b","slots":0,"state":"gone","cold":"-1s","call":1}`: "address: zone: service: slots: state: cold:",
@@ -364,18 +364,18 @@
 		good + good:                             "after the end",
 		strings.Repeat(" ", MaximumCall) + good: "at most",
 	} {
-		_, failure := Read("r", []byte(bad))
-		if failure == nil || !fault.Is(failure, fault.Malformed) && !fault.Is(failure, fault.TooLarge) {
-			test.Errorf("%s: %v", bad, failure)
+		_, err := Read("r", []byte(bad))
+		if err == nil || !fault.Is(err, fault.Malformed) && !fault.Is(err, fault.TooLarge) {
+			t.Errorf("%s: %v", bad, err)
 			continue
 		}
 		for _, word := range strings.Fields(named) {
-			if !strings.Contains(failure.Error(), word) {
-				test.Errorf("%s: %q is not named in %v", bad, word, failure)
+			if !strings.Contains(err.Error(), word) {
+				t.Errorf("%s: %q is not named in %v", bad, word, err)
 			}
 		}
 	}
-	if _, failure := Read("a b", []byte(good)); failure == nil {
-		test.Error("an id with a blank")
+	if _, err := Read("a b", []byte(good)); err == nil {
+		t.Error("an id with a blank")
 	}
 }
--- a/epoch/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -12,9 +12,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
+	"wardtray/coordination/machine"
 	"wardtray/process/fault"
-	"wardtray/process/machine"
+	"wardtray/wire"
 )
 
 const (
@@ -153,7 +153,7 @@
 	chain.pending = append(chain.pending, entry)
 	history := chain.history
 	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Entry{Entry: entry}}, func(done time.Time) {
-		// Why: an entry of a history that was replaced meanwhile says nothing about the present one.
+		// An entry of a history that was replaced meanwhile says nothing about the present one.
 		if history == chain.history {
 			chain.syncedTo(done, entry.Sequence)
 		}
@@ -265,7 +265,7 @@
 	if first {
 		chain.passOn(now)
 	}
-	// Why: the successor may only answer as a tail once it has all that its predecessor had when the view began.
+	// The successor may only answer as a tail once it has all that its predecessor had when the view began.
 	chain.align()
 }
 
@@ -292,7 +292,7 @@
 
 func (chain *Chain) replace(now time.Time, document *wire.Document, then func(now time.Time)) {
 	chain.base, chain.pending, chain.received = document, nil, document.Sequence
-	// Why: nothing of the old history may count as synced before the new one is.
+	// Nothing of the old history may count as synced before the new one is.
 	chain.synced = 0
 	chain.history++
 	history := chain.history
@@ -309,7 +309,7 @@
 // AskToLearn is called now and then by a member outside the chain; it asks the tail for the document.
 func (chain *Chain) AskToLearn(tail string) {
 	held := uint64(0)
-	// Why: what was held before this view may hold changes that were never committed, so it counts for nothing.
+	// What was held before this view may hold changes that were never committed, so it counts for nothing.
 	if chain.learnedView == chain.view.Epoch {
 		held = chain.synced
 	}
--- a/epoch/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 var begun = time.Unix(1_700_000_000, 0)
@@ -108,17 +108,17 @@
 }
 
 // Nothing is committed before every disk of the chain has synced it, one after the other.
-func TestNoCommitBeforeEverySync(test *testing.T) {
+func TestNoCommitBeforeEverySync(t *testing.T) {
 	row := newRow("a", "b", "c")
 	row.deliver()
-	if failure := row.chains["a"].Enter(row.now, change(1)); failure != nil {
-		test.Fatal(failure)
+	if err := row.chains["a"].Enter(row.now, change(1)); err != nil {
+		t.Fatal(err)
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		row.deliver()
 		for member, sequence := range row.commits {
 			if sequence > 0 {
-				test.Fatalf("%s committed before the disk of %s", member, name)
+				t.Fatalf("%s committed before the disk of %s", member, name)
 			}
 		}
 		row.sync(name)
@@ -126,24 +126,24 @@
 	row.deliver()
 	for _, name := range []string{"a", "b", "c"} {
 		if row.commits[name] != 1 {
-			test.Errorf("%s did not commit", name)
+			t.Errorf("%s did not commit", name)
 		}
 	}
 }
 
 // A member that was out with a change nobody else has gives it up when it comes back.
-func TestWhatWasLeftBehindIsGivenUp(test *testing.T) {
+func TestWhatWasLeftBehindIsGivenUp(t *testing.T) {
 	row := newRow("a", "b", "c")
 	row.deliver()
-	if failure := row.chains["a"].Enter(row.now, change(1)); failure != nil {
-		test.Fatal(failure)
+	if err := row.chains["a"].Enter(row.now, change(1)); err != nil {
+		t.Fatal(err)
 	}
 	row.sync("a")
 	row.mail = nil
 	row.adopt(2, "b", "c")
 	row.deliver()
-	if failure := row.chains["b"].Enter(row.now, change(2)); failure != nil {
-		test.Fatal(failure)
+	if err := row.chains["b"].Enter(row.now, change(2)); err != nil {
+		t.Fatal(err)
 	}
 	for range 3 {
 		row.sync("b")
@@ -151,13 +151,13 @@
 		row.sync("c")
 		row.deliver()
 	}
-	if failure := row.chains["a"].Enter(row.now, change(3)); failure == nil {
-		test.Fatal("a member outside the chain took a change")
+	if err := row.chains["a"].Enter(row.now, change(3)); err == nil {
+		t.Fatal("a member outside the chain took a change")
 	}
 	row.chains["a"].AskToLearn("c")
 	row.deliver()
 	if row.chains["a"].LearnedView() == 2 {
-		test.Fatal("learned before its disk had it")
+		t.Fatal("learned before its disk had it")
 	}
 	row.sync("a")
 	row.adopt(3, "b", "c", "a")
@@ -170,14 +170,14 @@
 	}
 	for name, chain := range row.chains {
 		if got := chain.Latest(); got.SpecEpoch != 2 || len(got.Outcomes) != 1 || got.Outcomes[0].Operation != "o2" {
-			test.Errorf("%s holds %v", name, got)
+			t.Errorf("%s holds %v", name, got)
 		}
 	}
 }
 
 // Losses, repeats and any order of messages and syncs: histories never differ, each holds what its
 // successor holds, and all of it arrives in the end.
-func TestAnyOrderGivesOneHistory(test *testing.T) {
+func TestAnyOrderGivesOneHistory(t *testing.T) {
 	for seed := int64(1); seed <= 60; seed++ {
 		random := rand.New(rand.NewSource(seed))
 		names := []string{"a", "b", "c", "d"}
@@ -212,7 +212,7 @@
 			choices[random.Intn(len(choices))]()
 			for place := range names[:3] {
 				if row.chains[names[place+1]].Synced() > row.chains[names[place]].Synced() {
-					test.Fatalf("seed %d: %s has more than %s", seed, names[place+1], names[place])
+					t.Fatalf("seed %d: %s has more than %s", seed, names[place+1], names[place])
 				}
 			}
 			for len(row.mail) > 200 {
@@ -229,7 +229,7 @@
 		}
 		for _, name := range names {
 			if got := row.chains[name].Committed(); got.SpecEpoch != uint64(entered) || entered == 0 {
-				test.Fatalf("seed %d: %s committed %d of %d", seed, name, got.SpecEpoch, entered)
+				t.Fatalf("seed %d: %s committed %d of %d", seed, name, got.SpecEpoch, entered)
 			}
 		}
 	}
--- a/epoch/chain/example_test.go
+++ b/coordination/chain/example_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/chain"
-	"wardtray/process/machine"
+	"wardtray/coordination/chain"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 // A chain of one: the driver hands in the time and the disk's completions and drains the outbox.
@@ -15,8 +15,8 @@
 	single := chain.New("a", nil, nil, outbox, func(member *wire.Member) string { return member.Address },
 		func(_ time.Time, sequence uint64) { fmt.Println("committed", sequence) })
 	single.Adopt(now, &wire.View{Epoch: 1, Floor: 1, Chain: []*wire.Member{{Id: "a", Address: "127.0.0.1:1"}}})
-	if failure := single.Enter(now, &wire.Entry{ChangesSpec: true, SpecEpoch: 1, Operation: "first", Spec: []byte("{}")}); failure != nil {
-		panic(failure)
+	if err := single.Enter(now, &wire.Entry{ChangesSpec: true, SpecEpoch: 1, Operation: "first", Spec: []byte("{}")}); err != nil {
+		panic(err)
 	}
 	_, writes := outbox.Drain()
 	fmt.Println("writes wanted:", len(writes))
--- a/process/duty/duty.go
+++ b/coordination/election/duty.go
@@ -1,7 +1,7 @@
 // Package duty decides which process does a task that one is enough for: the first live one in an
 // order that all agree on. Results carry an epoch, and nobody takes a result below the greatest
 // epoch seen; so two holders at once do no harm and the older one falls silent.
-package duty
+package election
 
 import "time"
 
@@ -67,12 +67,12 @@
 			break
 		}
 	}
-	// Why: a process that has just begun has heard nobody; it waits one bound before it takes anything over.
+	// A process that has just begun has heard nobody; it waits one bound before it takes anything over.
 	if holder != duty.self || now.Sub(duty.begun) < Bound && len(duty.order) > 0 && duty.order[0] != duty.self {
 		duty.mine = false
 		return 0, false
 	}
-	// Why: whoever takes over goes above every epoch seen, and so does a holder that saw another's greater one.
+	// Whoever takes over goes above every epoch seen, and so does a holder that saw another's greater one.
 	if !duty.mine || duty.writer != duty.self {
 		duty.mine = true
 		duty.epoch++
--- a/process/duty/duty_test.go
+++ b/coordination/election/duty_test.go
@@ -1,4 +1,4 @@
-package duty_test
+package election_test
 
 import (
 	"fmt"
@@ -6,17 +6,17 @@
 	"testing"
 	"time"
 
-	"wardtray/process/duty"
+	"wardtray/coordination/election"
 )
 
 func Example() {
 	now := time.Unix(0, 0)
-	second := duty.New(now, "b")
+	second := election.New(now, "b")
 	second.Order([]string{"a", "b", "c"})
 	second.Heard(now, "a")
 	_, mine := second.Mine(now.Add(time.Second))
 	fmt.Println("while a lives:", mine)
-	epoch, mine := second.Mine(now.Add(2 * duty.Bound))
+	epoch, mine := second.Mine(now.Add(2 * election.Bound))
 	fmt.Println("when a is silent:", mine, "under epoch", epoch)
 	fmt.Println("a result of a's own, older epoch counts:", second.Take(0, "a"))
 	// Output:
@@ -28,14 +28,14 @@
 // Three processes hear each other or not, as chance has it; every result reaches everybody late or
 // never. No process ever takes a result of a lower epoch than it took before, and once all hear each
 // other again exactly the first of the order holds the duty.
-func TestEpochsOnlyRiseAndOneHolderRemains(test *testing.T) {
+func TestEpochsOnlyRiseAndOneHolderRemains(t *testing.T) {
 	order := []string{"a", "b", "c"}
 	takeovers := 0
 	for seed := int64(1); seed <= 200; seed++ {
 		random, now := rand.New(rand.NewSource(seed)), time.Unix(0, 0)
-		duties := map[string]*duty.Duty{}
+		duties := map[string]*election.Duty{}
 		for _, name := range order {
-			duties[name] = duty.New(now, name)
+			duties[name] = election.New(now, name)
 			duties[name].Order(order)
 		}
 		greatest, last := map[string]uint64{}, ""
@@ -62,7 +62,7 @@
 					}
 					if duties[other].Take(epoch, name) {
 						if epoch < greatest[other] {
-							test.Fatalf("seed %d: %s took epoch %d after %d", seed, other, epoch, greatest[other])
+							t.Fatalf("seed %d: %s took epoch %d after %d", seed, other, epoch, greatest[other])
 						}
 						greatest[other] = epoch
 					}
@@ -71,11 +71,11 @@
 		}
 		for _, name := range order {
 			if _, mine := duties[name].Mine(now); mine != (name == "a") {
-				test.Fatalf("seed %d: %s holds it: %v", seed, name, mine)
+				t.Fatalf("seed %d: %s holds it: %v", seed, name, mine)
 			}
 		}
 	}
 	if takeovers < 400 {
-		test.Fatalf("only %d takeovers", takeovers)
+		t.Fatalf("only %d takeovers", takeovers)
 	}
 }
--- a/process/rumor/rumor.go
+++ b/coordination/gossip/rumor.go
@@ -4,7 +4,7 @@
 // repeats and losses do not matter.
 //
 // A register whose key begins with "z/<zone>/" stays within its zone.
-package rumor
+package gossip
 
 import (
 	"maps"
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 const (
@@ -103,7 +103,7 @@
 	if len(partners) == 0 {
 		return
 	}
-	// Why: our own zone costs no dear bytes and holds what never leaves it, so it is asked three times of four.
+	// Our own zone costs no dear bytes and holds what never leaves it, so it is asked three times of four.
 	near, far := store.parted(partners)
 	if len(near) == 0 || len(far) > 0 && store.random.Intn(4) == 0 {
 		near = far
@@ -118,7 +118,7 @@
 	}
 	partners := store.partners()
 	keys := slices.Sorted(maps.Keys(store.hot))
-	// Why: one frame for each partner and hop count, in a fixed order, so that a seeded run repeats.
+	// One frame for each partner and hop count, in a fixed order, so that a seeded run repeats.
 	for _, partner := range store.some(partners) {
 		byHops := map[uint32][]*wire.Register{}
 		for _, key := range keys {
@@ -206,7 +206,7 @@
 		}
 	}
 	if len(fresh) > 0 {
-		// Why: whoever missed a rumor is likely not alone, so what a digest finds is passed on a little too.
+		// Whoever missed a rumor is likely not alone, so what a digest finds is passed on a little too.
 		store.outbox.Send(from, &wire.Envelope{Body: &wire.Envelope_Rumor{Rumor: &wire.Rumor{Registers: fresh, Hops: mendHops}}})
 	}
 	if lacking && message.AnswerWanted {
--- a/process/claim/claim.go
+++ b/coordination/lease/claim.go
@@ -5,12 +5,12 @@
 // no clocks need agree. A keeper that has voted for the next view grants no more in the old one, and
 // grants to the head of a new reign only once the claims of the heads before it are over. Between them
 // these two rules keep two heads from acting at the same time.
-package claim
+package lease
 
 import (
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // Term is for how long a keeper stands by its grant.
@@ -104,7 +104,7 @@
 		return
 	}
 	former := keeper.head
-	// Why: heads of reigns that this keeper never heard of may hold claims too.
+	// Heads of reigns that this keeper never heard of may hold claims too.
 	known := former != nil && view.FormerHead != nil && view.FormerHead.Id == former.Id && view.FormerSince == keeper.reign
 	if now.Before(keeper.clear) {
 		known = known && !keeper.unknown
@@ -133,7 +133,7 @@
 
 // Refused takes in that nobody listened at an address when it was tried at a moment.
 func (keeper *Keeper) Refused(now time.Time, address string, tried time.Time) {
-	// Why: before the reign was learned a new life of the same machine may still have got a claim.
+	// Before the reign was learned a new life of the same machine may still have got a claim.
 	if len(keeper.rivals) > 0 && tried.After(keeper.learned) {
 		keeper.settle(now, func(rival *wire.Member) bool { return rival.Address == address })
 	}
--- a/process/claim/claim_test.go
+++ b/coordination/lease/claim_test.go
@@ -1,4 +1,4 @@
-package claim
+package lease
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // one is one of five machines, each of which may be head, and a keeper as well.
@@ -59,7 +59,7 @@
 
 // Machines ask for claims while keepers vote, learn, skip views, die and start again, messages take any time,
 // and proof comes that a head has moved on or is dead. No two machines ever hold valid claims at once.
-func TestHoldersOfTwoReignsNeverOverlap(test *testing.T) {
+func TestHoldersOfTwoReignsNeverOverlap(t *testing.T) {
 	turns, quick := 0, 0
 	parameters := gopter.DefaultTestParametersWithSeed(3)
 	parameters.MinSuccessfulTests = 200
@@ -72,7 +72,7 @@
 			machines = append(machines, &one{id: member(place).Id, holder: NewHolder(0), keeper: Restore(now, made(1), 0), view: 1, up: true})
 		}
 		var notes []note
-		// Why: each machine's messages arrive late by what it sleeps now and then.
+		// Each machine's messages arrive late by what it sleeps now and then.
 		later := func(from *one, take func(now time.Time)) {
 			notes = append(notes, note{now.Add(from.slow + time.Duration(random.Int63n(int64(20*time.Millisecond)))), take})
 		}
@@ -91,7 +91,7 @@
 			}
 		}
 		newest, last, lastAt := uint64(1), -1, now
-		// Why: between calm spans, in which claims are held, come spans in which one view follows another.
+		// Between calm spans, in which claims are held, come spans in which one view follows another.
 		votes := 40
 		for range 3000 {
 			now = now.Add(4 * time.Millisecond)
@@ -198,14 +198,14 @@
 		}
 		return true
 	}, gen.Int64()))
-	properties.TestingRun(test)
-	test.Logf("the claim changed hands %d times, %d of them quickly", turns, quick)
+	properties.TestingRun(t)
+	t.Logf("the claim changed hands %d times, %d of them quickly", turns, quick)
 	if turns < 100 || quick < 20 {
-		test.Fatalf("the claim changed hands only %d times, %d of them quickly", turns, quick)
+		t.Fatalf("the claim changed hands only %d times, %d of them quickly", turns, quick)
 	}
 }
 
-func TestGrantsOfOtherRoundsDoNotCount(test *testing.T) {
+func TestGrantsOfOtherRoundsDoNotCount(t *testing.T) {
 	holder, now := NewHolder(7), time.Unix(1_700_000_000, 0)
 	first := holder.Ask(now, 1)
 	second := holder.Ask(now, 1)
@@ -213,16 +213,16 @@
 	holder.Grant(now, "a", 1, second, 2)
 	holder.Grant(now, "a", 1, second, 2)
 	if holder.Valid(now, 1) {
-		test.Fatal("one keeper counted as two")
+		t.Fatal("one keeper counted as two")
 	}
 	holder.Grant(now, "b", 1, second, 2)
 	if !holder.Valid(now, 1) || holder.Valid(now.Add(Held), 1) || holder.Valid(now, 2) {
-		test.Fatal("a claim is valid for its view, until Held after it was asked for")
+		t.Fatal("a claim is valid for its view, until Held after it was asked for")
 	}
 }
 
 // A keeper grants in a new reign before its Term is over only with proof of every head that may still act.
-func TestWhatProvesThatAHeadActsNoMore(test *testing.T) {
+func TestWhatProvesThatAHeadActsNoMore(t *testing.T) {
 	begun := time.Unix(1_700_000_000, 0)
 	reign := func(epoch, since uint64, head string, former string, formerSince uint64) *wire.View {
 		return &wire.View{Epoch: epoch, HeadSince: since, Chain: []*wire.Member{{Id: head, Address: head}}, FormerHead: &wire.Member{Id: former, Address: former}, FormerSince: formerSince}
@@ -269,13 +269,13 @@
 	} {
 		keeper := Restore(begun, first, 0)
 		if keeper.Allows(begun.Add(Term-moment), false) || !keeper.Allows(begun.Add(Term), false) {
-			test.Fatal("a Term after the start, and not before")
+			t.Fatal("a Term after the start, and not before")
 		}
 		if one.do(keeper); keeper.Allows(long, false) != one.allows || keeper.Allows(long, true) {
-			test.Errorf("%s: allows %v", name, keeper.Allows(long, false))
+			t.Errorf("%s: allows %v", name, keeper.Allows(long, false))
 		}
 		if !keeper.Allows(long.Add(Term), false) {
-			test.Errorf("%s: not a Term later", name)
+			t.Errorf("%s: not a Term later", name)
 		}
 	}
 }
--- a/process/machine/machine.go
+++ b/coordination/machine/machine.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // Parcel is a message on its way to an address.
--- a/process/cohort/cohort.go
+++ b/coordination/peersampling/cohort.go
@@ -1,15 +1,15 @@
 // Package cohort keeps a process's partial view of the others: a bounded set of addresses with
 // ages, of which some are swapped with the oldest neighbour now and then. Whoever is gone is never
 // renewed, grows oldest, is asked, does not answer and is dropped.
-package cohort
+package peersampling
 
 import (
 	"math/rand"
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 const (
@@ -56,7 +56,7 @@
 		return
 	}
 	cohort.shuffled = now
-	// Why: a neighbour that let a whole round pass without an answer makes room for others.
+	// A neighbour that let a whole round pass without an answer makes room for others.
 	if cohort.asked != "" && cohort.heard[cohort.asked].Before(cohort.askedAt) {
 		delete(cohort.lines, cohort.asked)
 	}
@@ -72,7 +72,7 @@
 		cohort.asked, cohort.askedAt = oldest, now
 		cohort.send(oldest, false)
 	}
-	// Why: seeds are the only way back for a process whose neighbours are all gone, so a small view keeps asking them.
+	// Seeds are the only way back for a process whose neighbours are all gone, so a small view keeps asking them.
 	if len(cohort.lines) < 3 || cohort.random.Intn(8) == 0 {
 		for _, seed := range cohort.seeds {
 			if seed != cohort.self.Address && cohort.lines[seed] == nil {
--- a/process/cohort/cohort_test.go
+++ b/coordination/peersampling/cohort_test.go
@@ -1,4 +1,4 @@
-package cohort_test
+package peersampling_test
 
 import (
 	"fmt"
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/cohort"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/peersampling"
+	"wardtray/wire"
 )
 
 func Example() {
 	now, outbox := time.Unix(0, 0), machine.NewOutbox()
-	view := cohort.New(&wire.CohortLine{Address: "127.0.0.1:1", Zone: "a"}, []string{"127.0.0.9:1"}, outbox, rand.New(rand.NewSource(1)))
+	view := peersampling.New(&wire.CohortLine{Address: "127.0.0.1:1", Zone: "a"}, []string{"127.0.0.9:1"}, outbox, rand.New(rand.NewSource(1)))
 	view.Tick(now)
 	parcels, _ := outbox.Drain()
 	fmt.Println("asks its seed:", parcels[0].To)
@@ -26,14 +26,14 @@
 
 // Two hundred processes that know one seed: after a while the views connect them all, stay within
 // their bound, hold nobody twice, and forget who is gone.
-func TestViewsConnectAndForget(test *testing.T) {
+func TestViewsConnectAndForget(t *testing.T) {
 	random, now := rand.New(rand.NewSource(4)), time.Unix(0, 0)
-	views, outboxes := map[string]*cohort.Cohort{}, map[string]*machine.Outbox{}
+	views, outboxes := map[string]*peersampling.Cohort{}, map[string]*machine.Outbox{}
 	var names []string
 	for number := range 200 {
 		name := fmt.Sprintf("p%03d", number)
 		outboxes[name] = machine.NewOutbox()
-		views[name] = cohort.New(&wire.CohortLine{Address: name, Zone: fmt.Sprint(number % 4)}, []string{"p000"}, outboxes[name], rand.New(rand.NewSource(int64(number))))
+		views[name] = peersampling.New(&wire.CohortLine{Address: name, Zone: fmt.Sprint(number % 4)}, []string{"p000"}, outboxes[name], rand.New(rand.NewSource(int64(number))))
 		names = append(names, name)
 	}
 	gone := map[string]bool{}
@@ -73,19 +73,19 @@
 	}
 	run(60)
 	if count := reached(); count != 200 {
-		test.Fatalf("%d of 200 are connected", count)
+		t.Fatalf("%d of 200 are connected", count)
 	}
 	for number := 100; number < 200; number++ {
 		gone[names[number]] = true
 	}
 	run(120)
 	if count := reached(); count != 100 {
-		test.Fatalf("%d of 100 are connected after the others went", count)
+		t.Fatalf("%d of 100 are connected after the others went", count)
 	}
 	stale := 0
 	for _, name := range names[:100] {
-		if lines := views[name].Lines(); len(lines) > cohort.Size {
-			test.Fatalf("%s knows %d", name, len(lines))
+		if lines := views[name].Lines(); len(lines) > peersampling.Size {
+			t.Fatalf("%s knows %d", name, len(lines))
 		}
 		for _, line := range views[name].Lines() {
 			if gone[line.Address] {
@@ -93,7 +93,7 @@
 			}
 		}
 	}
-	if stale > 100*cohort.Size/10 {
-		test.Fatalf("%d lines still name who is gone", stale)
+	if stale > 100*peersampling.Size/10 {
+		t.Fatalf("%d lines still name who is gone", stale)
 	}
 }
--- /dev/null
+++ b/coordination/snapshot/example_test.go
@@ -0,0 +1,34 @@
+package snapshot_test
+
+import (
+	"fmt"
+	"os"
+
+	"wardtray/coordination/snapshot"
+)
+
+func Example() {
+	folder, err := os.MkdirTemp("", "slots")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	store, recovered, err := snapshot.Open(snapshot.Directory(folder))
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("blank:", recovered.Blank)
+	for _, err := range []error{store.Replace([]byte("memory")), store.Append([]byte("one"), []byte("two"))} {
+		if err != nil {
+			panic(err)
+		}
+	}
+	_, recovered, err = snapshot.Open(snapshot.Directory(folder))
+	if err != nil {
+		panic(err)
+	}
+	fmt.Printf("%s and %s\n", recovered.Memory, recovered.Records)
+	// Output:
+	// blank: true
+	// memory and [one two]
+}
--- a/process/slots/slots.go
+++ b/coordination/snapshot/slots.go
@@ -6,7 +6,7 @@
 // The layout of a folder: slot.0 and slot.1, of which the even generations use the first, and
 // log, which names the generation that it continues. A new slot is synced before the log that
 // continues it takes the old log's place, so that one of the two pairs is whole at every moment.
-package slots
+package snapshot
 
 import (
 	"encoding/binary"
@@ -21,7 +21,7 @@
 // Folder is the little of a file system that slots needs; the simulator brings its own.
 type Folder interface {
 	// Read gives a whole file; found is false where there is none.
-	Read(name string) (content []byte, found bool, failure error)
+	Read(name string) (content []byte, found bool, err error)
 	// Put replaces a file whole and syncs it; a crash may leave it torn.
 	Put(name string, content []byte) error
 	// Append adds to a file and syncs it; a crash may leave a torn end.
@@ -64,17 +64,17 @@
 // Open reads a folder back. A NoMemory fault means that files are there which can't be trusted.
 func Open(folder Folder) (*Store, Recovered, error) {
 	store := &Store{folder: folder}
-	log, logFound, failure := folder.Read("log")
-	if failure != nil {
-		return nil, Recovered{}, fault.Wrap(failure, fault.DiskFailed, "reading the log")
+	log, logFound, err := folder.Read("log")
+	if err != nil {
+		return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "reading the log")
 	}
 	var memories [2][]byte
 	var generations [2]uint64
 	var slotFound, slotWhole [2]bool
 	for place, name := range slotNames {
-		content, found, failure := folder.Read(name)
-		if failure != nil {
-			return nil, Recovered{}, fault.Wrap(failure, fault.DiskFailed, "reading %s", name)
+		content, found, err := folder.Read(name)
+		if err != nil {
+			return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "reading %s", name)
 		}
 		slotFound[place] = found
 		if found {
@@ -82,19 +82,19 @@
 		}
 	}
 	if !logFound {
-		// Why: a slot alone may be a first start cut short or a lost log; both are answered by a new identity.
+		// A slot alone may be a first start cut short or a lost log; both are answered by a new identity.
 		if slotWhole[0] || slotWhole[1] {
 			return nil, Recovered{}, fault.New(fault.NoMemory, "a slot without its log")
 		}
 		return store, Recovered{Blank: true}, nil
 	}
-	generation, records, whole, failure := DecodeLog(log)
-	if failure != nil {
-		return nil, Recovered{}, failure
+	generation, records, whole, err := DecodeLog(log)
+	if err != nil {
+		return nil, Recovered{}, err
 	}
 	newest := -1
 	for place := range slotNames {
-		// Why: a slot newer than the log holds all that the log says and was synced before its own log was made.
+		// A slot newer than the log holds all that the log says and was synced before its own log was made.
 		if slotWhole[place] && generations[place] >= generation && (newest < 0 || generations[place] > generations[newest]) {
 			newest = place
 		}
@@ -108,8 +108,8 @@
 		recovered.Records = records
 		recovered.Torn = len(log) - whole
 		if recovered.Torn > 0 {
-			if failure := folder.Truncate("log", int64(whole)); failure != nil {
-				return nil, Recovered{}, fault.Wrap(failure, fault.DiskFailed, "cutting the torn end of the log")
+			if err := folder.Truncate("log", int64(whole)); err != nil {
+				return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "cutting the torn end of the log")
 			}
 		}
 		store.logged = int64(whole)
@@ -120,15 +120,15 @@
 
 // Replace writes a whole memory to the other slot and begins a new log.
 func (store *Store) Replace(memory []byte) error {
-	// Why: until the new log is in place the old one no longer says all; nothing may be added to it.
+	// Until the new log is in place the old one no longer says all; nothing may be added to it.
 	store.broken = true
 	generation := store.generation + 1
-	if failure := store.folder.Put(slotNames[generation%2], EncodeSlot(generation, memory)); failure != nil {
-		return fault.Wrap(failure, fault.DiskFailed, "writing a slot")
+	if err := store.folder.Put(slotNames[generation%2], EncodeSlot(generation, memory)); err != nil {
+		return fault.Wrap(err, fault.DiskFailed, "writing a slot")
 	}
 	store.generation = generation
-	if failure := store.beginLog(); failure != nil {
-		return failure
+	if err := store.beginLog(); err != nil {
+		return err
 	}
 	store.broken = false
 	return nil
@@ -136,11 +136,11 @@
 
 func (store *Store) beginLog() error {
 	header := EncodeLogHeader(store.generation)
-	if failure := store.folder.Put("log.new", header); failure != nil {
-		return fault.Wrap(failure, fault.DiskFailed, "beginning a log")
+	if err := store.folder.Put("log.new", header); err != nil {
+		return fault.Wrap(err, fault.DiskFailed, "beginning a log")
 	}
-	if failure := store.folder.Rename("log.new", "log"); failure != nil {
-		return fault.Wrap(failure, fault.DiskFailed, "putting a new log in place")
+	if err := store.folder.Rename("log.new", "log"); err != nil {
+		return fault.Wrap(err, fault.DiskFailed, "putting a new log in place")
 	}
 	store.logged = int64(len(header))
 	return nil
@@ -156,9 +156,9 @@
 	for _, record := range records {
 		content = append(content, EncodeRecord(record)...)
 	}
-	if failure := store.folder.Append("log", content); failure != nil {
+	if err := store.folder.Append("log", content); err != nil {
 		store.broken = true
-		return fault.Wrap(failure, fault.DiskFailed, "adding to the log")
+		return fault.Wrap(err, fault.DiskFailed, "adding to the log")
 	}
 	store.logged += int64(len(content))
 	return nil
@@ -170,28 +170,28 @@
 	if store.broken {
 		return fault.New(fault.DiskFailed, "an earlier write failed")
 	}
-	generation, _, whole, failure := store.readLog()
-	if failure == nil && (generation != store.generation || int64(whole) != store.logged) {
-		failure = fault.New(fault.NoMemory, "the log is another or shorter than was written")
+	generation, _, whole, err := store.readLog()
+	if err == nil && (generation != store.generation || int64(whole) != store.logged) {
+		err = fault.New(fault.NoMemory, "the log is another or shorter than was written")
 	}
-	if failure == nil {
+	if err == nil {
 		content, found, reading := store.folder.Read(slotNames[store.generation%2])
 		held, _, slotWhole := DecodeSlot(content)
 		if reading != nil || !found || !slotWhole || held != store.generation {
-			failure = fault.New(fault.NoMemory, "the slot of generation %d is damaged", store.generation)
+			err = fault.New(fault.NoMemory, "the slot of generation %d is damaged", store.generation)
 		}
 	}
-	if failure != nil {
+	if err != nil {
 		store.broken = true
-		return fault.Wrap(failure, fault.DiskFailed, "reading back what was synced")
+		return fault.Wrap(err, fault.DiskFailed, "reading back what was synced")
 	}
 	return nil
 }
 
-func (store *Store) readLog() (generation uint64, records [][]byte, whole int, failure error) {
-	content, _, failure := store.folder.Read("log")
-	if failure != nil {
-		return 0, nil, 0, fault.Wrap(failure, fault.DiskFailed, "reading the log")
+func (store *Store) readLog() (generation uint64, records [][]byte, whole int, err error) {
+	content, _, err := store.folder.Read("log")
+	if err != nil {
+		return 0, nil, 0, fault.Wrap(err, fault.DiskFailed, "reading the log")
 	}
 	return DecodeLog(content)
 }
@@ -248,7 +248,7 @@
 
 // DecodeLog reads a log. whole is the length up to which it can be believed: what follows was
 // never synced. Damage before the end is a NoMemory fault.
-func DecodeLog(content []byte) (generation uint64, records [][]byte, whole int, failure error) {
+func DecodeLog(content []byte) (generation uint64, records [][]byte, whole int, err error) {
 	if len(content) < 16 || string(content[:4]) != logMagic || crc32.Checksum(content[:12], table) != binary.BigEndian.Uint32(content[12:]) {
 		return 0, nil, 0, fault.New(fault.NoMemory, "the log's header is damaged")
 	}
@@ -257,7 +257,7 @@
 	for whole < len(content) {
 		record, size := decodeRecord(content[whole:])
 		if size == 0 {
-			// Why: a torn write leaves nothing whole behind it; a whole record after a bad one means that synced bytes were damaged.
+			// A torn write leaves nothing whole behind it; a whole record after a bad one means that synced bytes were damaged.
 			if wholeRecordIn(content[whole+1:]) {
 				return 0, nil, 0, fault.New(fault.NoMemory, "the log is damaged at byte %d", whole)
 			}
@@ -274,7 +274,7 @@
 		return nil, 0
 	}
 	length := int(binary.BigEndian.Uint32(content))
-	// Why: nothing writes an empty record, while a run of zeros left by a torn write would read as many.
+	// Nothing writes an empty record, while a run of zeros left by a torn write would read as many.
 	if length == 0 || length > MaximumRecord || len(content) < 8+length {
 		return nil, 0
 	}
@@ -300,11 +300,11 @@
 
 // Read gives a whole file.
 func (directory Directory) Read(name string) ([]byte, bool, error) {
-	content, failure := os.ReadFile(filepath.Join(string(directory), name))
-	if os.IsNotExist(failure) {
+	content, err := os.ReadFile(filepath.Join(string(directory), name))
+	if os.IsNotExist(err) {
 		return nil, false, nil
 	}
-	return content, failure == nil, failure
+	return content, err == nil, err
 }
 
 // Put replaces a file and syncs it.
@@ -318,66 +318,66 @@
 }
 
 func (directory Directory) write(name string, mode int, content []byte) error {
-	file, failure := os.OpenFile(filepath.Join(string(directory), name), os.O_CREATE|os.O_WRONLY|mode, 0o640)
-	if failure != nil {
-		return failure
+	file, err := os.OpenFile(filepath.Join(string(directory), name), os.O_CREATE|os.O_WRONLY|mode, 0o640)
+	if err != nil {
+		return err
 	}
-	_, failure = file.Write(content)
-	if failure == nil {
-		failure = file.Sync()
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
 	}
-	if closing := file.Close(); failure == nil {
-		failure = closing
+	if closing := file.Close(); err == nil {
+		err = closing
 	}
-	if failure == nil && mode == os.O_TRUNC {
+	if err == nil && mode == os.O_TRUNC {
 		return directory.sync()
 	}
-	return failure
+	return err
 }
 
 // Rename puts a file in another's place and syncs the folder.
 func (directory Directory) Rename(from, to string) error {
-	if failure := os.Rename(filepath.Join(string(directory), from), filepath.Join(string(directory), to)); failure != nil {
-		return failure
+	if err := os.Rename(filepath.Join(string(directory), from), filepath.Join(string(directory), to)); err != nil {
+		return err
 	}
 	return directory.sync()
 }
 
 // Truncate cuts a file.
 func (directory Directory) Truncate(name string, length int64) error {
-	file, failure := os.OpenFile(filepath.Join(string(directory), name), os.O_WRONLY, 0o640)
-	if failure != nil {
-		return failure
+	file, err := os.OpenFile(filepath.Join(string(directory), name), os.O_WRONLY, 0o640)
+	if err != nil {
+		return err
 	}
-	failure = file.Truncate(length)
-	if failure == nil {
-		failure = file.Sync()
+	err = file.Truncate(length)
+	if err == nil {
+		err = file.Sync()
 	}
-	if closing := file.Close(); failure == nil {
-		failure = closing
+	if closing := file.Close(); err == nil {
+		err = closing
 	}
-	return failure
+	return err
 }
 
 // SetAside moves a memory that can't be trusted out of the way, keeping it for whoever wants to look.
 func (directory Directory) SetAside(mark string) error {
 	for _, name := range []string{"slot.0", "slot.1", "log", "log.new"} {
-		failure := os.Rename(filepath.Join(string(directory), name), filepath.Join(string(directory), fmt.Sprintf("%s.lost-%s", name, mark)))
-		if failure != nil && !os.IsNotExist(failure) {
-			return failure
+		err := os.Rename(filepath.Join(string(directory), name), filepath.Join(string(directory), fmt.Sprintf("%s.lost-%s", name, mark)))
+		if err != nil && !os.IsNotExist(err) {
+			return err
 		}
 	}
 	return directory.sync()
 }
 
 func (directory Directory) sync() error {
-	file, failure := os.Open(string(directory))
-	if failure != nil {
-		return failure
+	file, err := os.Open(string(directory))
+	if err != nil {
+		return err
 	}
-	failure = file.Sync()
-	if closing := file.Close(); failure == nil {
-		failure = closing
+	err = file.Sync()
+	if closing := file.Close(); err == nil {
+		err = closing
 	}
-	return failure
+	return err
 }
--- a/process/slots/slots_test.go
+++ b/coordination/snapshot/slots_test.go
@@ -1,4 +1,4 @@
-package slots
+package snapshot
 
 import (
 	"bytes"
@@ -67,24 +67,24 @@
 }
 
 // A crash at any write, torn at any byte, gives back all that was synced and at most the write under way.
-func TestCrashAnywhereKeepsWhatWasSynced(test *testing.T) {
+func TestCrashAnywhereKeepsWhatWasSynced(t *testing.T) {
 	for seed := int64(0); seed < 400; seed++ {
 		random := rand.New(rand.NewSource(seed))
 		folder := &memoryFolder{files: map[string][]byte{}, crash: 1 << 30, random: random}
-		store, _, failure := Open(folder)
-		if failure != nil {
-			test.Fatal(failure)
+		store, _, err := Open(folder)
+		if err != nil {
+			t.Fatal(err)
 		}
 		// The whole history as one text: a memory is the text so far.
 		synced, asked := "", ""
-		if failure := store.Replace([]byte("m")); failure != nil {
-			test.Fatal(failure)
+		if err := store.Replace([]byte("m")); err != nil {
+			t.Fatal(err)
 		}
 		for life := 0; life < 4; life++ {
 			folder.crash = random.Intn(30)
 			for {
 				if random.Intn(5) == 0 {
-					if failure := store.Replace([]byte("m" + asked)); failure != nil {
+					if err := store.Replace([]byte("m" + asked)); err != nil {
 						break
 					}
 					synced = asked
@@ -92,20 +92,20 @@
 				}
 				record := string(rune('a' + random.Intn(26)))
 				asked += record
-				if failure := store.Append([]byte(record)); failure != nil {
+				if err := store.Append([]byte(record)); err != nil {
 					break
 				}
 				synced = asked
 			}
 			folder.crash = 1 << 30
 			var recovered Recovered
-			store, recovered, failure = Open(folder)
-			if failure != nil {
-				test.Fatalf("seed %d: %v", seed, failure)
+			store, recovered, err = Open(folder)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
 			}
 			text := string(recovered.Memory[1:]) + string(bytes.Join(recovered.Records, nil))
 			if text != synced && text != asked {
-				test.Fatalf("seed %d: synced %q, asked %q, got back %q", seed, synced, asked, text)
+				t.Fatalf("seed %d: synced %q, asked %q, got back %q", seed, synced, asked, text)
 			}
 			synced, asked = text, text
 		}
@@ -113,13 +113,13 @@
 }
 
 // Damage to synced bytes is answered with "no memory", or with exactly what was there; never with less.
-func TestDamageIsNeverGuessedAround(test *testing.T) {
+func TestDamageIsNeverGuessedAround(t *testing.T) {
 	folder := &memoryFolder{files: map[string][]byte{}, crash: 1 << 30}
 	store, _, _ := Open(folder)
-	for _, failure := range []error{store.Replace([]byte("first")), store.Append([]byte("one")), store.Replace([]byte("second")),
+	for _, err := range []error{store.Replace([]byte("first")), store.Append([]byte("one")), store.Replace([]byte("second")),
 		store.Append([]byte("two")), store.Append([]byte("three"))} {
-		if failure != nil {
-			test.Fatal(failure)
+		if err != nil {
+			t.Fatal(err)
 		}
 	}
 	damaged := 0
@@ -133,26 +133,26 @@
 		for place := 0; place < last; place++ {
 			folder.files[name] = append([]byte{}, whole...)
 			folder.files[name][place] ^= 0x55
-			_, recovered, failure := Open(folder)
-			if !fault.Is(failure, fault.NoMemory) {
-				test.Fatalf("%s byte %d: memory %q, records %q, failure %v", name, place, recovered.Memory, recovered.Records, failure)
+			_, recovered, err := Open(folder)
+			if !fault.Is(err, fault.NoMemory) {
+				t.Fatalf("%s byte %d: memory %q, records %q, failure %v", name, place, recovered.Memory, recovered.Records, err)
 			}
 			damaged++
 		}
 		folder.files[name] = whole
 	}
 	if damaged == 0 {
-		test.Fatal("nothing was damaged")
+		t.Fatal("nothing was damaged")
 	}
 }
 
 // Reading back notices damage to any byte while the process still knows what must be there.
-func TestVerifyNoticesDamage(test *testing.T) {
+func TestVerifyNoticesDamage(t *testing.T) {
 	folder := &memoryFolder{files: map[string][]byte{}, crash: 1 << 30}
 	store, _, _ := Open(folder)
-	for _, failure := range []error{store.Replace([]byte("memory")), store.Append([]byte("one")), store.Verify()} {
-		if failure != nil {
-			test.Fatal(failure)
+	for _, err := range []error{store.Replace([]byte("memory")), store.Append([]byte("one")), store.Verify()} {
+		if err != nil {
+			t.Fatal(err)
 		}
 	}
 	for _, name := range []string{"slot.1", "log"} {
@@ -161,7 +161,7 @@
 			folder.files[name] = append([]byte{}, whole...)
 			folder.files[name][place] ^= 0x10
 			if store.Verify() == nil {
-				test.Fatalf("%s byte %d", name, place)
+				t.Fatalf("%s byte %d", name, place)
 			}
 			store.broken = false
 		}
@@ -169,20 +169,20 @@
 	}
 	folder.files["log"][20] ^= 1
 	if store.Verify() == nil || store.Append([]byte("two")) == nil {
-		test.Fatal("a damaged log was added to")
+		t.Fatal("a damaged log was added to")
 	}
-	if failure := store.Replace([]byte("memory and one")); failure != nil || store.Verify() != nil {
-		test.Fatal("not mended by a whole memory")
+	if err := store.Replace([]byte("memory and one")); err != nil || store.Verify() != nil {
+		t.Fatal("not mended by a whole memory")
 	}
 }
 
 func FuzzDecodeSlot(fuzz *testing.F) {
 	fuzz.Add(EncodeSlot(7, []byte("memory")))
 	fuzz.Add([]byte("WTS1"))
-	fuzz.Fuzz(func(test *testing.T, content []byte) {
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
 		generation, memory, whole := DecodeSlot(content)
 		if whole && !bytes.Equal(EncodeSlot(generation, memory), content) {
-			test.Fatal("a slot that reads back as another")
+			t.Fatal("a slot that reads back as another")
 		}
 	})
 }
@@ -190,9 +190,9 @@
 func FuzzDecodeLog(fuzz *testing.F) {
 	fuzz.Add(append(EncodeLogHeader(3), EncodeRecord([]byte("record"))...))
 	fuzz.Add(append(append(EncodeLogHeader(3), EncodeRecord([]byte("record"))...), 1, 2, 3))
-	fuzz.Fuzz(func(test *testing.T, content []byte) {
-		generation, records, whole, failure := DecodeLog(content)
-		if failure != nil {
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
+		generation, records, whole, err := DecodeLog(content)
+		if err != nil {
 			return
 		}
 		again := EncodeLogHeader(generation)
@@ -200,7 +200,7 @@
 			again = append(again, EncodeRecord(record)...)
 		}
 		if !bytes.Equal(again, content[:whole]) {
-			test.Fatal("a log that reads back as another")
+			t.Fatal("a log that reads back as another")
 		}
 	})
 }
--- a/epoch/view/example_test.go
+++ b/coordination/view/example_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/view"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/view"
+	"wardtray/wire"
 )
 
 // A lone founder agrees with itself; messages to its own address are handed straight back.
--- a/epoch/view/view.go
+++ b/coordination/view/view.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 // Patience is how long an attempt may take before it counts as failed.
@@ -182,7 +182,7 @@
 	if len(attempt.promises) < attempt.quorum {
 		return
 	}
-	// Why: a value that some majority may already have chosen must be proposed again, and only the one of the greatest ballot can have been.
+	// A value that some majority may already have chosen must be proposed again, and only the one of the greatest ballot can have been.
 	var greatest *wire.ViewPromise
 	for _, promise := range attempt.promises {
 		if promise.Value != nil && (greatest == nil || compare(promise.Accepted, greatest.Accepted) > 0) {
@@ -237,7 +237,7 @@
 	if view == nil || view.Epoch <= agent.newest.Epoch {
 		return
 	}
-	// Why: a member of one fleet must never be talked into another.
+	// A member of one fleet must never be talked into another.
 	if agent.current.Epoch > 0 && view.Fleet != agent.current.Fleet {
 		return
 	}
--- a/epoch/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 // table is three keepers that propose against each other over a network that loses, repeats and
@@ -23,7 +23,7 @@
 	disks   map[string]*disk
 	mail    []mail
 	learned map[uint64]*wire.View
-	test    *testing.T
+	t       *testing.T
 	seed    int64
 	// How many of six messages are lost.
 	loss int
@@ -39,9 +39,9 @@
 	envelope *wire.Envelope
 }
 
-func newTable(test *testing.T, seed int64) *table {
+func newTable(t *testing.T, seed int64) *table {
 	made := &table{random: rand.New(rand.NewSource(seed)), now: time.Unix(1_700_000_000, 0), agents: map[string]*Agent{}, outbox: map[string]*machine.Outbox{},
-		disks: map[string]*disk{}, learned: map[uint64]*wire.View{}, test: test, seed: seed, loss: int(seed % 4)}
+		disks: map[string]*disk{}, learned: map[uint64]*wire.View{}, t: t, seed: seed, loss: int(seed % 4)}
 	for number := range 3 {
 		name := fmt.Sprint("k", number)
 		made.keepers = append(made.keepers, &wire.Member{Id: name, Address: name})
@@ -64,7 +64,7 @@
 
 func (table *table) learn(name string, view *wire.View) {
 	if other := table.learned[view.Epoch]; other != nil && !proto.Equal(other, view) {
-		table.test.Fatalf("seed %d: %s learned another view %d than others", table.seed, name, view.Epoch)
+		table.t.Fatalf("seed %d: %s learned another view %d than others", table.seed, name, view.Epoch)
 	}
 	table.learned[view.Epoch] = view
 }
@@ -101,7 +101,7 @@
 }
 
 func (table *table) deliver(mail mail) {
-	// Why: views name chain members that are no keepers; nobody stands behind those here.
+	// Views name chain members that are no keepers; nobody stands behind those here.
 	if table.agents[mail.to] == nil {
 		return
 	}
@@ -121,10 +121,10 @@
 }
 
 // Whatever three keepers propose against each other, no two learn different views of one epoch.
-func TestKeepersNeverDisagree(test *testing.T) {
+func TestKeepersNeverDisagree(t *testing.T) {
 	views := 0
 	for seed := int64(1); seed <= 600; seed++ {
-		table := newTable(test, seed)
+		table := newTable(t, seed)
 		for step := range 1500 {
 			table.now = table.now.Add(time.Millisecond)
 			if table.random.Intn(30) == 0 {
@@ -148,12 +148,12 @@
 		views += len(table.learned)
 	}
 	if views < 1200 {
-		test.Fatalf("only %d views were agreed over all seeds; nothing was put to the test", views)
+		t.Fatalf("only %d views were agreed over all seeds; nothing was put to the test", views)
 	}
 }
 
 // The first view needs every founder: with one of them silent there is none.
-func TestFoundingNeedsEveryFounder(test *testing.T) {
+func TestFoundingNeedsEveryFounder(t *testing.T) {
 	for silent := range 4 {
 		var founders []*wire.Member
 		agents, outboxes, learned := map[string]*Agent{}, map[string]*machine.Outbox{}, 0
@@ -185,7 +185,7 @@
 			}
 		}
 		if want := map[bool]int{true: 0, false: 3}[silent < 3]; learned != want {
-			test.Errorf("founder %d silent: %d learned a view, not %d", silent, learned, want)
+			t.Errorf("founder %d silent: %d learned a view, not %d", silent, learned, want)
 		}
 	}
 }
@@ -205,8 +205,8 @@
 }
 
 // What a keeper says must be on its disk first, or a power cut would let it say the contrary.
-func TestNothingIsToldBeforeItIsSynced(test *testing.T) {
-	table := newTable(test, 1)
+func TestNothingIsToldBeforeItIsSynced(t *testing.T) {
+	table := newTable(t, 1)
 	agent, outbox, ballot := table.agents["k0"], table.outbox["k0"], &wire.Ballot{Round: 1, Proposer: "k1"}
 	for name, ask := range map[string]func(){
 		"promise": func() { agent.Prepare(table.now, "k1", &wire.ViewPrepare{Instance: 2, Ballot: ballot}) },
@@ -217,11 +217,11 @@
 		ask()
 		parcels, writes := outbox.Drain()
 		if len(parcels) > 0 || len(writes) != 1 {
-			test.Fatalf("%s: %d messages before %d writes", name, len(parcels), len(writes))
+			t.Fatalf("%s: %d messages before %d writes", name, len(parcels), len(writes))
 		}
 		outbox.Done(table.now, writes[0].Sequence)
 		if parcels, _ := outbox.Drain(); len(parcels) != 1 {
-			test.Fatalf("%s: %d messages after the sync", name, len(parcels))
+			t.Fatalf("%s: %d messages after the sync", name, len(parcels))
 		}
 	}
 }
--- a/process/datahost/framing_test.go
+++ b/edge/datahost/framing_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-func TestAmbiguousRequestsAreNamed(test *testing.T) {
+func TestAmbiguousRequestsAreNamed(t *testing.T) {
 	for lines, want := range map[string]bool{
 		"Host: h\r\nContent-Length: 3\r\n\r\n":                           false,
 		"Host: h\r\nTransfer-Encoding: chunked\r\n\r\n":                  false,
@@ -16,7 +16,7 @@
 		"X: y\r\n\tz\r\n\r\n":                                                true,
 	} {
 		if got := ambiguous([]byte(lines)); got != want {
-			test.Errorf("%q: %v", lines, got)
+			t.Errorf("%q: %v", lines, got)
 		}
 	}
 }
--- a/process/datahost/host.go
+++ b/edge/datahost/host.go
@@ -14,23 +14,23 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/seam"
-	"wardtray/connection/transport"
-	"wardtray/connection/wire"
+	"wardtray/config/startup"
+	"wardtray/control/core"
+	"wardtray/control/corehost"
+	"wardtray/coordination/machine"
+	"wardtray/edge/director"
+	"wardtray/edge/plane"
 	"wardtray/process/budget"
-	"wardtray/process/core"
-	"wardtray/process/corehost"
-	"wardtray/process/director"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
-	"wardtray/process/machine"
-	"wardtray/process/plane"
 	"wardtray/process/pressure"
-	"wardtray/process/startup"
 	"wardtray/process/tally"
 	"wardtray/request/award"
 	"wardtray/request/intake"
 	"wardtray/request/speech"
+	"wardtray/transport"
+	"wardtray/transport/seam"
+	"wardtray/wire"
 )
 
 const (
@@ -74,18 +74,18 @@
 	host := &Host{startup: startup, adapter: adapter, log: log,
 		platform: &fasthttp.Client{ReadTimeout: pollBound, WriteTimeout: pollBound, MaxResponseBodySize: maximumList, MaxConnsPerHost: 4}}
 	var local net.Addr
-	if place, _, failure := net.SplitHostPort(startup.Address); failure == nil {
+	if place, _, err := net.SplitHostPort(startup.Address); err == nil {
 		local = &net.TCPAddr{IP: net.ParseIP(place)}
 	}
 	var spoken speech.Speech
 	if adapter != nil {
 		spoken = adapter.Speech
 	}
-	made, failure := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Repeats: repeats(startup), Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Staleness: core.StalenessFor(startup.ApplyTime()), Registered: startup.Registered},
+	made, err := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Repeats: repeats(startup), Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Staleness: core.StalenessFor(startup.ApplyTime()), Registered: startup.Registered},
 		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Send: func(parcels []machine.Parcel) { host.transport.Send(parcels) }, Poll: func() { go host.poll() }, Log: log})
-	if failure != nil {
-		return nil, failure
+	if err != nil {
+		return nil, err
 	}
 	host.Plane = made
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
@@ -106,19 +106,19 @@
 
 // poll reads the platform's list.
 func (host *Host) poll() {
-	status, content, failure := host.platform.GetTimeout(nil, host.startup.Platform, pollBound)
-	host.Listed(content, failure == nil && status == 200)
+	status, content, err := host.platform.GetTimeout(nil, host.startup.Platform, pollBound)
+	host.Listed(content, err == nil && status == 200)
 }
 
 // Run serves until the context ends, then drains.
 func (host *Host) Run(running context.Context) error {
-	if failure := host.transport.Listen(); failure != nil {
-		return failure
+	if err := host.transport.Listen(); err != nil {
+		return err
 	}
 	defer host.transport.Close()
-	server, failure := host.serve()
-	if failure != nil {
-		return failure
+	server, err := host.serve()
+	if err != nil {
+		return err
 	}
 	host.log.Info("started")
 	stopped, stop := context.WithCancel(context.Background())
@@ -165,13 +165,13 @@
 	}
 	finishing, stop := context.WithTimeout(context.Background(), max(leastFinish, length+finish-time.Since(begun)))
 	defer stop()
-	failure := server.ShutdownWithContext(finishing)
+	err := server.ShutdownWithContext(finishing)
 	host.log.Info("stopped", "left_unfinished", host.Yard.InFlight.Load())
-	// Why: what is left when the time given is over was told above; it is the order to stop that ends it, not a defect.
-	if errors.Is(failure, context.DeadlineExceeded) {
+	// What is left when the time given is over was told above; it is the order to stop that ends it, not a defect.
+	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
-	return fault.Wrap(failure, fault.Internal, "closing the HTTP side")
+	return fault.Wrap(err, fault.Internal, "closing the HTTP side")
 }
 
 // handler gives who answers requesters: the product's own paths, or on a platform every path.
@@ -201,14 +201,14 @@
 		MaxRequestBodySize: intake.MaximumBody, ReadBufferSize: headerBound, Concurrency: 16384, CloseOnShutdown: true,
 		ErrorHandler: host.malformed}
 	if host.adapter != nil {
-		// Why: the name and the date are the runner's to give, and a buffer for the longest header a connection would take too much memory.
+		// The name and the date are the runner's to give, and a buffer for the longest header a connection would take too much memory.
 		server.Name = ""
 		server.NoDefaultServerHeader, server.NoDefaultDate, server.NoDefaultContentType = true, true, true
 		server.ReadBufferSize, server.MaxRequestBodySize = adaptedHeaderBound, maximumAdaptedBody
 		server.DisablePreParseMultipartForm = true
 	}
-	if failure := host.listen(server, host.startup.HTTP); failure != nil {
-		return nil, failure
+	if err := host.listen(server, host.startup.HTTP); err != nil {
+		return nil, err
 	}
 	if host.startup.Fitness == "" {
 		return server, nil
@@ -224,13 +224,13 @@
 }
 
 func (host *Host) listen(server *fasthttp.Server, address string) error {
-	listener, failure := transport.ListenTCP(address)
-	if failure != nil {
-		return failure
+	listener, err := transport.ListenTCP(address)
+	if err != nil {
+		return err
 	}
 	go func() {
-		if failure := server.Serve(listener); failure != nil {
-			host.log.Error("the HTTP side ended", "address", address, "cause", failure.Error())
+		if err := server.Serve(listener); err != nil {
+			host.log.Error("the HTTP side ended", "address", address, "cause", err.Error())
 		}
 	}()
 	return nil
@@ -242,15 +242,15 @@
 }
 
 // malformed answers what could not be read as a request at all.
-func (host *Host) malformed(context *fasthttp.RequestCtx, failure error) {
+func (host *Host) malformed(context *fasthttp.RequestCtx, err error) {
 	kind := fault.Malformed
-	if failure == fasthttp.ErrBodyTooLarge {
+	if err == fasthttp.ErrBodyTooLarge {
 		kind = fault.TooLarge
 	}
-	if _, tooSmall := failure.(*fasthttp.ErrSmallBuffer); tooSmall {
+	if _, tooSmall := err.(*fasthttp.ErrSmallBuffer); tooSmall {
 		kind = fault.TooLarge
 	}
-	host.refuse(context, kind, failure.Error())
+	host.refuse(context, kind, err.Error())
 	context.SetConnectionClose()
 }
 
@@ -315,9 +315,9 @@
 		counters, waiting, lanes := desk.State()
 		status.Desks[pool] = map[string]any{"counters": counters, "waiting": waiting, "lanes": lanes, "prices": desk.Prices()}
 	})
-	content, failure := json.Marshal(status)
-	if failure != nil {
-		host.refuse(context, fault.Internal, failure.Error())
+	content, err := json.Marshal(status)
+	if err != nil {
+		host.refuse(context, fault.Internal, err.Error())
 		return
 	}
 	context.SetContentType("application/json")
--- a/process/director/director.go
+++ b/edge/director/director.go
@@ -17,14 +17,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
-	"wardtray/process/cohort"
-	"wardtray/process/core"
-	"wardtray/process/duty"
-	"wardtray/process/machine"
-	"wardtray/process/registry"
-	"wardtray/process/rumor"
+	"wardtray/config"
+	"wardtray/control/core"
+	"wardtray/control/registry"
+	"wardtray/coordination/election"
+	"wardtray/coordination/gossip"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/peersampling"
+	"wardtray/wire"
 )
 
 const (
@@ -66,7 +66,7 @@
 type Snapshot struct {
 	Sequence  uint64
 	SpecEpoch uint64
-	Book      *spec.Book
+	Book      *config.Book
 	Runners   []*wire.Runner
 	// Registered tells that the runners registered themselves, so that an empty list says that none is left.
 	Registered bool
@@ -86,14 +86,14 @@
 	startup  Startup
 	outbox   *machine.Outbox
 	random   *rand.Rand
-	cohort   *cohort.Cohort
-	rumors   *rumor.Store
-	duty     *duty.Duty
+	cohort   *peersampling.Cohort
+	rumors   *gossip.Store
+	duty     *election.Duty
 	handlers map[reflect.Type]func(now time.Time, envelope *wire.Envelope)
 
 	sequence  uint64
 	specEpoch uint64
-	book      *spec.Book
+	book      *config.Book
 	directory []*wire.Member
 	view      *wire.View
 	ready     bool
@@ -139,7 +139,7 @@
 }
 
 // over takes in one more such word; it tells whether they have gone on for so long that it counts after all.
-// Why: a word that comes long after the last one begins anew, for in between there was nobody to learn from.
+// A word that comes long after the last one begins anew, for in between there was nobody to learn from.
 func (dispute *dispute) over(now time.Time) bool {
 	if now.Sub(dispute.last) > disputeGap {
 		dispute.since = now
@@ -161,9 +161,9 @@
 	}
 	director := &Director{startup: startup, life: random.Uint64(), outbox: machine.NewOutbox(), random: random, asks: map[uint64]time.Time{},
 		contacts: map[string]contact{}, begun: now, view: &wire.View{}, nonce: uint64(random.Int63())}
-	director.cohort = cohort.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone}, startup.Seeds, director.outbox, random)
-	director.rumors = rumor.New(startup.Zone, director.outbox, random, director.partners, director.onRegister)
-	director.duty = duty.New(now, startup.Address)
+	director.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone}, startup.Seeds, director.outbox, random)
+	director.rumors = gossip.New(startup.Zone, director.outbox, random, director.partners, director.onRegister)
+	director.duty = election.New(now, startup.Address)
 	director.registry = registry.NewExchange(director.outbox)
 	director.table()
 	return director
@@ -179,7 +179,7 @@
 		},
 		reflect.TypeFor[*wire.Envelope_Digest](): func(now time.Time, envelope *wire.Envelope) {
 			director.rumors.Digest(now, envelope.From, envelope.Zone, envelope.GetDigest())
-			// Why: a daemon whose book is empty tells 0, and so does one that keeps none; the former asks for itself.
+			// A daemon whose book is empty tells 0, and so does one that keeps none; the former asks for itself.
 			if sum := envelope.GetDigest().Runners; sum != 0 {
 				director.compareRunners(now, envelope.From, sum)
 			}
@@ -234,7 +234,7 @@
 	for _, parcel := range parcels {
 		parcel.Envelope.From, parcel.Envelope.Sender, parcel.Envelope.Zone = director.startup.Address, director.startup.Address, director.startup.Zone
 		parcel.Envelope.Epoch = director.sequence
-		// Why: digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
+		// Digests of rumors go to everybody in turn, so that the sum of the runners needs no rounds of its own.
 		if digest := parcel.Envelope.GetDigest(); digest != nil {
 			digest.Runners = director.registry.Sum()
 		}
@@ -297,7 +297,7 @@
 	var asked []time.Time
 	for _, member := range director.directory {
 		if member.Address == director.startup.Address {
-			// Why: this daemon is one of the directory and has the document; its own word needs no question.
+			// This daemon is one of the directory and has the document; its own word needs no question.
 			asked = append(asked, time.Unix(1<<40, 0))
 			continue
 		}
@@ -310,7 +310,7 @@
 		return time.Time{}
 	}
 	sort.Slice(asked, func(left, right int) bool { return asked[left].After(asked[right]) })
-	// Why: a directory of one is only this daemon itself, and no answer of another could ever limit it.
+	// A directory of one is only this daemon itself, and no answer of another could ever limit it.
 	if asked[needed-1].Unix() >= 1<<40 {
 		return time.Time{}
 	}
@@ -395,7 +395,7 @@
 // Refused takes in that nobody listened at an address when it was tried.
 func (director *Director) Refused(now time.Time, address string, _ time.Time) {
 	if len(director.view.Chain) > 0 && director.view.Chain[0].Address == address && !director.silent {
-		// Why: the next head is among the others, and may be there before the last tick has run out.
+		// The next head is among the others, and may be there before the last tick has run out.
 		director.silent, director.lastAsk = true, time.Time{}
 		director.tendTicks(now)
 	}
@@ -415,7 +415,7 @@
 	director.compareRunners(now, from, message.Runners)
 	asked, found := director.asks[message.Nonce]
 	delete(director.asks, message.Nonce)
-	// Why: a head of an older view may have been left behind by changes that it never heard of.
+	// A head of an older view may have been left behind by changes that it never heard of.
 	if !found || !message.Granted || max(message.ViewEpoch, message.View.GetEpoch()) < director.view.Epoch {
 		return
 	}
@@ -448,7 +448,7 @@
 	for _, member := range director.directory {
 		targets[member.Address] = true
 	}
-	// Why: a daemon that has just begun knows no directory; its neighbours can give it the document that names one.
+	// A daemon that has just begun knows no directory; its neighbours can give it the document that names one.
 	if len(director.directory) == 0 {
 		for _, line := range director.cohort.Lines() {
 			if !line.Core {
@@ -462,7 +462,7 @@
 		addresses = append(addresses, address)
 	}
 	sort.Strings(addresses)
-	// Why: in a large directory not all need be asked by all; a few more than most of them will do while that works.
+	// In a large directory not all need be asked by all; a few more than most of them will do while that works.
 	if enough := (len(director.directory)/2 + 1) * 5 / 4; len(director.directory) > smallDirectory && now.Before(director.Until(now)) && enough < len(addresses) {
 		director.random.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 		addresses = addresses[:enough]
@@ -479,7 +479,7 @@
 		return
 	}
 	director.counters.Contacts++
-	// Why: with the control plane silent, those who vouch for our document are also who may know of other runners.
+	// With the control plane silent, those who vouch for our document are also who may know of other runners.
 	director.compareRunners(now, from, message.Runners)
 	if !director.agrees(now, from, message.Runners, &director.byOthers) {
 		return
@@ -531,17 +531,17 @@
 		return
 	}
 	if document.SpecEpoch != director.specEpoch {
-		content, failure := spec.Unpack(document.PackedSpec)
-		if failure != nil {
+		content, err := config.Unpack(document.PackedSpec)
+		if err != nil {
 			director.counters.OddDocuments++
 			return
 		}
-		parsed, failure := spec.Parse(content)
-		if failure != nil {
+		parsed, err := config.Parse(content)
+		if err != nil {
 			director.counters.OddDocuments++
 			return
 		}
-		director.book = spec.NewBook(parsed)
+		director.book = config.NewBook(parsed)
 	}
 	director.counters.Documents++
 	director.sequence, director.specEpoch, director.directory = document.Sequence, document.SpecEpoch, document.Directory
@@ -552,7 +552,7 @@
 		}
 	}
 	director.duty.Order(order)
-	// Why: the head waits for this word before it acknowledges the change; it should not wait for the next round.
+	// The head waits for this word before it acknowledges the change; it should not wait for the next round.
 	if len(director.view.Chain) > 0 {
 		director.askTicks(now, []string{director.view.Chain[0].Address})
 	}
@@ -580,7 +580,7 @@
 		director.lastBeat = now
 		director.beats++
 		key := "z/" + director.startup.Zone + "/beat/" + director.startup.Address
-		// Why: others remember an earlier life of this daemon, whose last sign of life must be outdone; no clock tells by how much.
+		// Others remember an earlier life of this daemon, whose last sign of life must be outdone; no clock tells by how much.
 		if held := director.rumors.Get(key); held != nil && (held.Epoch > director.beatEpoch || held.Epoch == director.beatEpoch && held.Count >= director.beats) {
 			director.beatEpoch = held.Epoch + 1
 		}
@@ -619,13 +619,13 @@
 }
 
 // agrees tells whether the word of a process that knows runners of such a sum lets this daemon award work.
-// Why: a daemon that has just begun, or was cut off, knows neither who came nor who left meanwhile, and must
+// A daemon that has just begun, or was cut off, knows neither who came nor who left meanwhile, and must
 // learn it before it awards again; one that awards already learns it beside that.
 func (director *Director) agrees(now time.Time, from string, sum uint64, dispute *dispute) bool {
 	if !director.startup.Registered || sum == director.registry.Sum() || now.Before(director.Until(now)) {
 		return true
 	}
-	// Why: while many runners come at once two sums are seldom alike; that all of the other's were learned a
+	// While many runners come at once two sums are seldom alike; that all of the other's were learned a
 	// moment ago is as good.
 	if director.teacher == from && now.Sub(director.taught) < taughtBound {
 		return true
@@ -661,34 +661,34 @@
 	}
 	epoch, mine := director.duty.Mine(now)
 	if !mine {
-		// Why: read for itself because no news came; others must not take it for the duty's result.
+		// Read for itself because no news came; others must not take it for the duty's result.
 		director.runners = runners
 		return
 	}
-	value, failure := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.RunnerList{Runners: runners})
-	if failure != nil {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.RunnerList{Runners: runners})
+	if err != nil {
 		return
 	}
 	held := director.rumors.Get(director.listKey())
 	director.rumors.Put(now, &wire.Register{Key: director.listKey(), Epoch: epoch, Count: held.GetCount() + 1,
-		Writer: director.startup.Address, Value: value}, rumor.Hops)
+		Writer: director.startup.Address, Value: value}, gossip.Hops)
 }
 
 // partners gives whom rumors go to: neighbours first, and the directory where neighbours are few.
-func (director *Director) partners() []rumor.Partner {
+func (director *Director) partners() []gossip.Partner {
 	zones := map[string]string{}
 	for _, line := range director.cohort.Lines() {
 		zones[line.Address] = line.Zone
 	}
-	if len(director.directory) <= 2*cohort.Size {
+	if len(director.directory) <= 2*peersampling.Size {
 		for _, member := range director.directory {
 			zones[member.Address] = member.Zone
 		}
 	}
 	delete(zones, director.startup.Address)
-	partners := make([]rumor.Partner, 0, len(zones))
+	partners := make([]gossip.Partner, 0, len(zones))
 	for address, zone := range zones {
-		partners = append(partners, rumor.Partner{Address: address, Zone: zone})
+		partners = append(partners, gossip.Partner{Address: address, Zone: zone})
 	}
 	sort.Slice(partners, func(left, right int) bool { return partners[left].Address < partners[right].Address })
 	return partners
