--- a/process/plane/plane.go
+++ b/edge/plane/plane.go
@@ -14,20 +14,20 @@
 	"sync/atomic"
 	"time"
 
-	"wardtray/connection/link"
-	"wardtray/connection/seam"
-	"wardtray/connection/wire"
+	"wardtray/coordination/machine"
+	"wardtray/edge/director"
 	"wardtray/process/budget"
-	"wardtray/process/director"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
-	"wardtray/process/machine"
 	"wardtray/process/once"
 	"wardtray/process/pressure"
 	"wardtray/process/tally"
 	"wardtray/request/award"
 	"wardtray/request/course"
 	"wardtray/request/speech"
+	"wardtray/transport/link"
+	"wardtray/transport/seam"
+	"wardtray/wire"
 )
 
 // How often a driver calls Tick, Settle, AskPressures and Age.
@@ -90,9 +90,9 @@
 // New makes a plane that knows nothing yet.
 func New(world seam.World, startup Startup) (*Plane, error) {
 	now := world.Now()
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, startup.Workers)
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.Internal, "making the index")
+	indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, startup.Workers)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "making the index")
 	}
 	plane := &Plane{world: world, log: startup.Log, send: startup.Send, poll: startup.Poll, address: startup.Address, begun: now, random: startup.Random, desks: map[string]*award.Desk{}}
 	if startup.Speech == nil {
@@ -147,7 +147,7 @@
 // Fit tells whether requesters should be sent here.
 func (plane *Plane) Fit() bool {
 	snapshot := plane.Snapshot()
-	// Why: who knows no runner serves nobody; requesters do better elsewhere until it has heard of some.
+	// Who knows no runner serves nobody; requesters do better elsewhere until it has heard of some.
 	return !plane.Yard.Draining.Load() && plane.world.Now().Before(snapshot.Until) && snapshot.Book != nil && (len(snapshot.Runners) > 0 || len(snapshot.Book.Lanes) == 0)
 }
 
@@ -278,8 +278,8 @@
 // readList reads the platform's list; it tells whether there is anything to go by.
 func readList(content []byte) (runners []*wire.Runner, fine bool) {
 	var lines []ListLine
-	// Why: an empty list is more likely a platform in trouble than a fleet without runners, and acting on it would stop all service.
-	if failure := json.NewDecoder(bytes.NewReader(content)).Decode(&lines); failure != nil || len(lines) == 0 {
+	// An empty list is more likely a platform in trouble than a fleet without runners, and acting on it would stop all service.
+	if err := json.NewDecoder(bytes.NewReader(content)).Decode(&lines); err != nil || len(lines) == 0 {
 		return nil, false
 	}
 	for _, line := range lines {
@@ -336,19 +336,19 @@
 
 // ask asks a runner for its pressure within a bound; it tells whether there was an answer.
 func (plane *Plane) ask(runner pressure.Runner, bound time.Duration) bool {
-	connection, failure := plane.Yard.Links.Take(runner.ID, runner.Address)
-	if failure != nil {
-		plane.missed(runner.ID, fault.Of(failure))
+	connection, err := plane.Yard.Links.Take(runner.ID, runner.Address)
+	if err != nil {
+		plane.missed(runner.ID, fault.Of(err))
 		return false
 	}
-	content, failure := connection.Get(plane.Yard.Speech.Probe(), bound)
+	content, err := connection.Get(plane.Yard.Speech.Probe(), bound)
 	report := pressure.Report{}
-	if failure == nil {
-		report, failure = plane.Yard.Speech.Report(content)
+	if err == nil {
+		report, err = plane.Yard.Speech.Report(content)
 	}
-	if failure != nil {
+	if err != nil {
 		_ = connection.Close()
-		plane.missed(runner.ID, fault.Of(failure))
+		plane.missed(runner.ID, fault.Of(err))
 		return false
 	}
 	plane.Yard.Links.Keep(connection, 0)
@@ -358,8 +358,8 @@
 
 // missed takes in that a runner did not tell its pressure. One that is surely gone is given up at once:
 // whoever waits for its answer learns of it now and not at the end of a patience.
-func (plane *Plane) missed(runner string, failure *fault.Fault) {
-	if plane.Yard.Book.Missed(plane.world.Now(), runner, failure.Kind) {
+func (plane *Plane) missed(runner string, err *fault.Fault) {
+	if plane.Yard.Book.Missed(plane.world.Now(), runner, err.Kind) {
 		plane.Yard.Links.Lose(runner)
 	}
 }
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -74,7 +74,7 @@
 func (budget *Budget) sums(now time.Time, length int64) (requests, repeats int) {
 	oldest := budget.since(now)/int64(budget.cell) - length
 	for place, number := range budget.numbers {
-		// Why: the cell that is leaving the window counts for repeats but not for requests, so that no window, however it lies, breaks the bound.
+		// The cell that is leaving the window counts for repeats but not for requests, so that no window, however it lies, breaks the bound.
 		if number >= oldest {
 			repeats += budget.repeats[place]
 		}
@@ -110,7 +110,7 @@
 		return 0
 	}
 	sharers := budget.sharers(now)
-	// Why: an earlier life of this process may have spent its part within the window.
+	// An earlier life of this process may have spent its part within the window.
 	if now.Sub(budget.begun) <= budget.settings.Window {
 		return 0
 	}
@@ -132,7 +132,7 @@
 	if float64(repeats+1) > budget.settings.Ratio*float64(requests)+slack {
 		return false
 	}
-	// Why: where requests cease, as when a whole pool puts back, the credit of the window before would be
+	// Where requests cease, as when a whole pool puts back, the credit of the window before would be
 	// spent in a window that has hardly any. Most of it must be of late.
 	requests, repeats = budget.sums(now, lately)
 	if float64(repeats+1) > max(1, budget.settings.Ratio*float64(requests))+slack {
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -12,7 +12,7 @@
 
 // However requests and wishes to repeat come, at every repeat the last ten seconds keep the bound,
 // and a budget without requests gives nothing.
-func TestEveryWindowKeepsTheBound(test *testing.T) {
+func TestEveryWindowKeepsTheBound(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	properties := gopter.NewProperties(parameters)
 	properties.Property("bound", prop.ForAll(func(seed int64) bool {
@@ -46,8 +46,8 @@
 		}
 		return len(repeats) > 0
 	}, gen.Int64()))
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 	if New(Default, nil).Repeat(time.Unix(1_700_000_000, 0)) {
-		test.Fatal("credit at the start")
+		t.Fatal("credit at the start")
 	}
 }
--- a/process/budget/slack_test.go
+++ b/process/budget/slack_test.go
@@ -15,11 +15,11 @@
 
 // All daemons together give out less than the slack, and one that has just begun gives none of its part,
 // which an earlier life may have spent.
-func TestSlackIsSharedOut(test *testing.T) {
+func TestSlackIsSharedOut(t *testing.T) {
 	settings, now := Settings{Window: 10 * time.Second, Ratio: 0.2, Slack: 58}, time.Unix(1_700_000_000, 0)
 	fresh := New(settings, func() int { return 9 })
 	if given := repeats(fresh, now); given != 0 {
-		test.Fatalf("a daemon that has just begun gives %d", given)
+		t.Fatalf("a daemon that has just begun gives %d", given)
 	}
 	now = now.Add(settings.Window + time.Second)
 	sum := 0
@@ -29,12 +29,12 @@
 		sum += repeats(budget, now)
 	}
 	if sum == 0 || sum > 58 {
-		test.Fatalf("%d repeats from a slack of 58", sum)
+		t.Fatalf("%d repeats from a slack of 58", sum)
 	}
 }
 
 // A daemon that is cut off sees nobody else; the others have their parts all the same.
-func TestSlackOutlivesACut(test *testing.T) {
+func TestSlackOutlivesACut(t *testing.T) {
 	settings, now, seen := Settings{Window: 10 * time.Second, Ratio: 0.2, Slack: 90}, time.Unix(1_700_000_000, 0), 9
 	budget := New(settings, func() int { return seen })
 	budget.Request(now)
@@ -44,7 +44,7 @@
 	for range 2 {
 		now = now.Add(settings.Window + time.Second)
 		if given := repeats(budget, now); given > whole {
-			test.Fatalf("%d repeats after a cut, %d before", given, whole)
+			t.Fatalf("%d repeats after a cut, %d before", given, whole)
 		}
 	}
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -13,8 +13,8 @@
 
 	"go.uber.org/dig"
 
+	"wardtray/config/startup"
 	"wardtray/process/fault"
-	"wardtray/process/startup"
 )
 
 // Host is a daemon's process.
@@ -46,15 +46,15 @@
 		func(settings *startup.Startup) *slog.Logger { return settings.Logger(name) },
 		construct,
 	} {
-		if failure := container.Provide(provide); failure != nil {
-			end(name, failure)
+		if err := container.Provide(provide); err != nil {
+			end(name, err)
 		}
 	}
-	if failure := container.Invoke(func(host Made, log *slog.Logger) error {
+	if err := container.Invoke(func(host Made, log *slog.Logger) error {
 		go reload(running, any(host), log, func() (*startup.Startup, error) { return startup.Parse(name, help, needs, os.Args[1:], os.Exit) })
 		return host.Run(running)
-	}); failure != nil {
-		end(name, dig.RootCause(failure))
+	}); err != nil {
+		end(name, dig.RootCause(err))
 	}
 }
 
@@ -68,9 +68,9 @@
 			return
 		case <-changes:
 		}
-		settings, failure := read()
-		if failure != nil {
-			log.Error("the changed settings are wrong; the former ones go on", "cause", failure.Error())
+		settings, err := read()
+		if err != nil {
+			log.Error("the changed settings are wrong; the former ones go on", "cause", err.Error())
 			continue
 		}
 		if reloader, able := host.(Reloader); able {
@@ -82,9 +82,9 @@
 
 var codes = map[fault.Kind]int{fault.BadStartup: startup.ExitBadStartup}
 
-func end(name string, failure error) {
-	fmt.Fprintf(os.Stderr, "%s: %v\n", name, failure)
-	code, found := codes[fault.Of(failure).Kind]
+func end(name string, err error) {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+	code, found := codes[fault.Of(err).Kind]
 	if !found {
 		code = 1
 	}
--- a/process/fault/fault.go
+++ b/process/fault/fault.go
@@ -110,15 +110,15 @@
 }
 
 // Of finds the fault in an error; any other error is Internal.
-func Of(failure error) *Fault {
+func Of(err error) *Fault {
 	var found *Fault
-	if errors.As(failure, &found) {
+	if errors.As(err, &found) {
 		return found
 	}
-	return &Fault{Kind: Internal, cause: failure}
+	return &Fault{Kind: Internal, cause: err}
 }
 
 // Is tells whether an error is a fault of this kind.
-func Is(failure error, kind Kind) bool {
-	return failure != nil && Of(failure).Kind == kind
+func Is(err error, kind Kind) bool {
+	return err != nil && Of(err).Kind == kind
 }
--- a/process/kvblock/kvblock.go
+++ b/process/kvblock/kvblock.go
@@ -45,16 +45,16 @@
 
 // NewTokenProcessor makes one whose chains begin at a seed.
 func NewTokenProcessor(seed string) *TokenProcessor {
-	mode, failure := cbor.CoreDetEncOptions().EncMode()
-	if failure != nil {
-		panic(failure) // Why: the options are the library's own constants.
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // The options are the library's own constants.
 	}
 	return &TokenProcessor{root: sum64a([]byte(seed)), mode: mode}
 }
 
 func sum64a(content []byte) uint64 {
 	hash := fnv.New64a()
-	_, _ = hash.Write(content) // Why: writing to a hash can't fail.
+	_, _ = hash.Write(content) // Writing to a hash can't fail.
 	return hash.Sum64()
 }
 
@@ -63,8 +63,8 @@
 	keys := make([]BlockKey, 0, len(parts))
 	parent := processor.root
 	for _, part := range parts {
-		content, failure := processor.mode.Marshal([]any{parent, part, extra})
-		if failure != nil {
+		content, err := processor.mode.Marshal([]any{parent, part, extra})
+		if err != nil {
 			return keys
 		}
 		parent = sum64a(content)
@@ -83,9 +83,9 @@
 func NewIndex(keys, runners int) (*Index, error) {
 	index := &Index{runners: runners}
 	for place := range index.shards {
-		cache, failure := lru.New[BlockKey, *lru.Cache[string, time.Time]](max(1, keys/shards))
-		if failure != nil {
-			return nil, failure
+		cache, err := lru.New[BlockKey, *lru.Cache[string, time.Time]](max(1, keys/shards))
+		if err != nil {
+			return nil, err
 		}
 		index.shards[place] = cache
 	}
@@ -102,8 +102,8 @@
 		shard := index.shard(key)
 		holders, found := shard.Get(key)
 		if !found {
-			made, failure := lru.New[string, time.Time](index.runners)
-			if failure != nil {
+			made, err := lru.New[string, time.Time](index.runners)
+			if err != nil {
 				return
 			}
 			holders = made
@@ -209,9 +209,9 @@
 
 // NewIndexer makes an indexer; with no workers events apply at once, in the caller's own thread.
 func NewIndexer(seed string, keys, runners, workers int) (*Indexer, error) {
-	index, failure := NewIndex(keys, runners)
-	if failure != nil {
-		return nil, failure
+	index, err := NewIndex(keys, runners)
+	if err != nil {
+		return nil, err
 	}
 	return &Indexer{Processor: NewTokenProcessor(seed), Index: index, Pool: NewPool(index, workers)}, nil
 }
--- a/process/kvblock/kvblock_test.go
+++ b/process/kvblock/kvblock_test.go
@@ -15,30 +15,30 @@
 var begun = time.Unix(1_700_000_000, 0)
 
 // The published test vectors of FNV-1a with 64 bits, which Go's fnv.New64a computes; the source calls it FNV-64a.
-func TestPublishedVectorsOfTheHash(test *testing.T) {
+func TestPublishedVectorsOfTheHash(t *testing.T) {
 	for text, want := range map[string]uint64{"": 0xcbf29ce484222325, "a": 0xaf63dc4c8601ec8c, "b": 0xaf63df4c8601f1a5, "foobar": 0x85944171f73967e8} {
 		if got := sum64a([]byte(text)); got != want {
-			test.Errorf("%q: %x", text, got)
+			t.Errorf("%q: %x", text, got)
 		}
 	}
 }
 
 // Fixed vectors: these bytes are hashed, and these keys come out. They must never change by accident,
 // or daemons of two versions would not agree on what a key means.
-func TestFixedKeys(test *testing.T) {
+func TestFixedKeys(t *testing.T) {
 	processor := NewTokenProcessor(DefaultSeed)
 	extra := Extra{Model: "m", Weights: "w", Adapter: "a"}
-	content, failure := processor.mode.Marshal([]any{uint64(5), "part", extra})
-	if failure != nil {
-		test.Fatal(failure)
+	content, err := processor.mode.Marshal([]any{uint64(5), "part", extra})
+	if err != nil {
+		t.Fatal(err)
 	}
 	// An array of three: 5, "part", and a map whose names stand in bytewise order.
 	if got := hex.EncodeToString(content); got != "83056470617274a3656d6f64656c616d6761646170746572616167776569676874736177" {
-		test.Fatalf("CBOR %s", got)
+		t.Fatalf("CBOR %s", got)
 	}
 	keys := processor.BlockKeys([]string{"system", "rheolau"}, extra)
 	if got := fmt.Sprintf("%x %x", uint64(keys[0]), uint64(keys[1])); got != fixedKeys {
-		test.Fatalf("keys %s", got)
+		t.Fatalf("keys %s", got)
 	}
 	different := map[BlockKey]string{}
 	for name, other := range map[string][]BlockKey{
@@ -50,26 +50,26 @@
 	} {
 		last := other[len(other)-1]
 		if former, found := different[last]; found {
-			test.Errorf("%s and %s share a key", former, name)
+			t.Errorf("%s and %s share a key", former, name)
 		}
 		different[last] = name
 	}
 }
 
-func indexer(test *testing.T, keys, runners int) *Indexer {
-	made, failure := NewIndexer(DefaultSeed, keys, runners, 0)
-	if failure != nil {
-		test.Fatal(failure)
+func indexer(t *testing.T, keys, runners int) *Indexer {
+	made, err := NewIndexer(DefaultSeed, keys, runners, 0)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return made
 }
 
 // The score is the number of leading blocks held without a gap, whatever was stored in whatever order.
-func TestScoreIsTheLeadingRun(test *testing.T) {
+func TestScoreIsTheLeadingRun(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(11))
 	properties.Property("score", prop.ForAll(func(seed int64) bool {
 		random := rand.New(rand.NewSource(seed))
-		made := indexer(test, 10_000, 16)
+		made := indexer(t, 10_000, 16)
 		keys := made.Processor.BlockKeys([]string{"a", "b", "c", "d", "e", "f"}, Extra{})
 		holds := map[string]map[int]bool{}
 		set := map[string]bool{}
@@ -95,28 +95,28 @@
 		}
 		return true
 	}, gen.Int64()))
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
-func TestBoundsOfTheTwoLevels(test *testing.T) {
-	made := indexer(test, 64, 2)
+func TestBoundsOfTheTwoLevels(t *testing.T) {
+	made := indexer(t, 64, 2)
 	for number := range 1000 {
 		made.Index.Add(begun, made.Processor.BlockKeys([]string{fmt.Sprint(number)}, Extra{}), "r")
 	}
 	if held := made.Index.Keys(); held > 64 {
-		test.Fatalf("%d keys", held)
+		t.Fatalf("%d keys", held)
 	}
 	key := made.Processor.BlockKeys([]string{"x"}, Extra{})
 	for number := range 5 {
 		made.Index.Add(begun, key, fmt.Sprint("r", number))
 	}
 	if holders := made.Index.Lookup(key, map[string]bool{"r0": true, "r3": true, "r4": true}); len(holders) != 1 || len(holders[0]) != 2 {
-		test.Fatalf("holders %v", holders)
+		t.Fatalf("holders %v", holders)
 	}
 }
 
-func TestRemovalsAreInferred(test *testing.T) {
-	made := indexer(test, 100_000, 16)
+func TestRemovalsAreInferred(t *testing.T) {
+	made := indexer(t, 100_000, 16)
 	set := map[string]bool{"r": true, "s": true}
 	prompt := func(number int) []BlockKey {
 		return made.Processor.BlockKeys([]string{"system", fmt.Sprint(number)}, Extra{})
@@ -129,36 +129,36 @@
 		store(begun, number)
 	}
 	if score(0) != 1 || score(59) != 2 {
-		test.Fatalf("room: the oldest scores %d, the newest %d", score(0), score(59))
+		t.Fatalf("room: the oldest scores %d, the newest %d", score(0), score(59))
 	}
 	made.Pool.Add(ReuseSeen{Runner: "r", Keys: prompt(40), Held: false})
 	if score(24) != 1 || score(59) != 2 {
-		test.Fatalf("a cold first token: block 24 scores %d, the newest %d", score(24), score(59))
+		t.Fatalf("a cold first token: block 24 scores %d, the newest %d", score(24), score(59))
 	}
 	made.Pool.Add(BlockRemoved{Runner: "r", Keys: prompt(59)})
 	if score(59) != 0 {
-		test.Fatal("a request that was put back still counts")
+		t.Fatal("a request that was put back still counts")
 	}
 	store(begun.Add(IdleAge), 70)
 	made.Pool.Add(Aged{Runner: "r", Now: begun.Add(IdleAge + time.Minute)})
 	if score(58) != 1 || score(70) != 2 {
-		test.Fatalf("age: an old one scores %d, a fresh one %d", score(58), score(70))
+		t.Fatalf("age: an old one scores %d, a fresh one %d", score(58), score(70))
 	}
 	made.Pool.Add(AllBlocksCleared{Runner: "r"})
 	if score(70) != 2 {
-		test.Fatal("AllBlocksCleared must do nothing")
+		t.Fatal("AllBlocksCleared must do nothing")
 	}
 	made.Pool.Add(RunnerGone{Runner: "r"})
 	if score(70) != 0 || made.Index.Keys() != 0 {
-		test.Fatalf("a runner that is gone leaves %d keys", made.Index.Keys())
+		t.Fatalf("a runner that is gone leaves %d keys", made.Index.Keys())
 	}
 }
 
 // Each runner's events apply in the order they were added, with workers side by side.
-func TestEventsOfOneRunnerKeepTheirOrder(test *testing.T) {
-	made, failure := NewIndexer(DefaultSeed, 10_000, 16, 4)
-	if failure != nil {
-		test.Fatal(failure)
+func TestEventsOfOneRunnerKeepTheirOrder(t *testing.T) {
+	made, err := NewIndexer(DefaultSeed, 10_000, 16, 4)
+	if err != nil {
+		t.Fatal(err)
 	}
 	keys := made.Processor.BlockKeys([]string{"a", "b"}, Extra{})
 	set := map[string]bool{}
@@ -172,22 +172,22 @@
 	}
 	made.Pool.Close()
 	if made.Pool.Dropped.Load() > 0 {
-		test.Fatal("events were dropped")
+		t.Fatal("events were dropped")
 	}
 	for runner, score := range made.Score(keys, set) {
 		if score != 2 {
-			test.Errorf("%s ends with %d", runner, score)
+			t.Errorf("%s ends with %d", runner, score)
 		}
 	}
 	if len(made.Score(keys, set)) != 12 {
-		test.Fatal("runners are missing")
+		t.Fatal("runners are missing")
 	}
 }
 
 func BenchmarkScore(bench *testing.B) {
-	made, failure := NewIndexer(DefaultSeed, DefaultKeys, DefaultRunners, 0)
-	if failure != nil {
-		bench.Fatal(failure)
+	made, err := NewIndexer(DefaultSeed, DefaultKeys, DefaultRunners, 0)
+	if err != nil {
+		bench.Fatal(err)
 	}
 	set := map[string]bool{}
 	parts := []string{"system", "b", "c", "d", "e", "f"}
--- a/process/kvblock/pool.go
+++ b/process/kvblock/pool.go
@@ -129,7 +129,7 @@
 // Add hands an event to its runner's worker. A full queue drops it: the index is a hint.
 func (pool *Pool) Add(event Event) {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(event.runner())) // Why: writing to a hash can't fail.
+	_, _ = hash.Write([]byte(event.runner())) // Writing to a hash can't fail.
 	worker := pool.workers[int(hash.Sum32()%uint32(len(pool.workers)))]
 	if worker.events == nil {
 		pool.apply(worker, event)
@@ -190,7 +190,7 @@
 		here = &room{order: list.New(), places: map[BlockKey]*list.Element{}, limit: InitialRoom}
 		worker.rooms[event.Runner] = here
 	}
-	// Why: the last block of a prompt is the first an engine lets go, so the opening is touched last and outlives it.
+	// The last block of a prompt is the first an engine lets go, so the opening is touched last and outlives it.
 	for place := len(event.Keys) - 1; place >= 0; place-- {
 		key := event.Keys[place]
 		if element := here.places[key]; element != nil {
@@ -229,7 +229,7 @@
 		return
 	}
 	if event.Held {
-		// Why: only hits near the limit say that the limit is too small.
+		// Only hits near the limit say that the limit is too small.
 		if float64(room.tokens) > 0.9*room.limit {
 			room.limit = min(mostRoom, room.limit*grow)
 		}
--- a/process/once/once.go
+++ b/process/once/once.go
@@ -113,7 +113,7 @@
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	element := shard.entries[key]
-	// Why: what this daemon knows of its own is more than what others say.
+	// What this daemon knows of its own is more than what others say.
 	if element != nil && element.Value.(*entry).state != Elsewhere {
 		return
 	}
--- a/process/once/once_test.go
+++ b/process/once/once_test.go
@@ -12,7 +12,7 @@
 var begun = time.Unix(1_700_000_000, 0)
 
 // Whatever is done in whatever order, a key is taken at most once between two words that it did not run.
-func TestTakenOnceUntilDropped(test *testing.T) {
+func TestTakenOnceUntilDropped(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	parameters.MinSuccessfulTests = 300
 	properties := gopter.NewProperties(parameters)
@@ -42,34 +42,34 @@
 		}
 		return true
 	}, gen.SliceOf(gen.IntRange(0, 1000))))
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
-func TestOthersWordAndBounds(test *testing.T) {
+func TestOthersWordAndBounds(t *testing.T) {
 	memory, key := New(), KeyOf("ruling", "r1")
 	memory.Heard(begun, key, false)
 	if known, fresh := memory.Begin(begun, key); fresh || known != Elsewhere {
-		test.Fatalf("taken by another: %q, %v", known, fresh)
+		t.Fatalf("taken by another: %q, %v", known, fresh)
 	}
 	memory.Heard(begun, key, true)
 	if _, fresh := memory.Begin(begun, key); !fresh {
-		test.Fatal("dropped by the other and still taken")
+		t.Fatal("dropped by the other and still taken")
 	}
 	memory.Heard(begun, key, true)
 	if known, fresh := memory.Begin(begun, key); fresh || known != Running {
-		test.Fatalf("another's word took away our own: %q, %v", known, fresh)
+		t.Fatalf("another's word took away our own: %q, %v", known, fresh)
 	}
 	if KeyOf("ruling", "r1") == KeyOf("rulin", "gr1") {
-		test.Fatal("two requests share a key")
+		t.Fatal("two requests share a key")
 	}
 	memory.End(begun, key, Unknown)
 	if _, fresh := memory.Begin(begun.Add(Keep+time.Second), key); !fresh {
-		test.Fatal("remembered for longer than said")
+		t.Fatal("remembered for longer than said")
 	}
 	for number := range 2 * Limit * shardCount {
 		memory.Begin(begun, KeyOf("lane", string(rune(number))))
 	}
 	if memory.Count() > Limit*shardCount {
-		test.Fatalf("%d remembered", memory.Count())
+		t.Fatalf("%d remembered", memory.Count())
 	}
 }
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"wardtray/connection/wire"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
 const (
@@ -119,7 +119,7 @@
 
 func (book *Book) shard(runner string) *shard {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(runner)) // Why: writing to a hash can't fail.
+	_, _ = hash.Write([]byte(runner)) // Writing to a hash can't fail.
 	return book.shards[hash.Sum32()%shardCount]
 }
 
@@ -133,11 +133,11 @@
 		known := shard.entries[line.RunnerId]
 		if known == nil {
 			known = &entry{first: now}
-			// Why: a daemon that has just begun sees every runner for the first time, which does not make them cold.
+			// A daemon that has just begun sees every runner for the first time, which does not make them cold.
 			known.settled = now.Sub(book.begun) < GraceAtStart && line.State == "ready"
 			shard.entries[line.RunnerId] = known
 		}
-		// Why: a runner that has begun to drain comes back under another identity only; a list that says otherwise
+		// A runner that has begun to drain comes back under another identity only; a list that says otherwise
 		// is an older one.
 		if line.State == "draining" {
 			shard.drained[line.RunnerId] = now
@@ -177,14 +177,14 @@
 // Reported takes a runner's word of its pressure.
 func (book *Book) Reported(now time.Time, runner string, report Report) {
 	book.change(runner, func(known *entry) {
-		// Why: a runner that registered told its slots then, and its reports need not say them again.
+		// A runner that registered told its slots then, and its reports need not say them again.
 		if report.Slots == 0 {
 			report.Slots = max(known.report.Slots, int(known.line.Slots))
 		}
 		if report.Slots < 1 || report.Slots > 4096 || report.Running < 0 || report.Waiting < 0 {
 			return
 		}
-		// Why: every daemon reads the same old report. Whoever believed it whole would go, with all others,
+		// Every daemon reads the same old report. Whoever believed it whole would go, with all others,
 		// wherever it was empty a moment ago; smoothed, it tells who is busy without drawing a crowd.
 		others := max(0, float64(report.Running+report.Waiting-known.inFlight))
 		if now.Sub(known.reported) >= reportBound {
@@ -193,11 +193,11 @@
 		known.external += smoothing * (others - known.external)
 		own := known.unanswered
 		if report.Room == 0 && own > 0 {
-			// Why: what an answer's head tells no longer counts the request that is being answered.
+			// What an answer's head tells no longer counts the request that is being answered.
 			own--
 		}
 		known.othersWaiting = max(0, report.Waiting-own)
-		// Why: the head of an answer tells nothing of memory; what a report told of it holds on.
+		// The head of an answer tells nothing of memory; what a report told of it holds on.
 		if report.Room == 0 {
 			report.Tokens, report.Room = known.report.Tokens, known.report.Room
 		}
@@ -316,7 +316,7 @@
 	if now.Sub(known.reported) < reportBound {
 		runner.Load += known.external
 		runner.Sure += known.external
-		// Why: smoothed reports go on for seconds after a crowd has gone. A report of a runner that is nearly
+		// Smoothed reports go on for seconds after a crowd has gone. A report of a runner that is nearly
 		// full is too old to be believed, or all daemons would rush to it.
 		if known.others <= float64(runner.Slots)/2 {
 			runner.Sure += min(0, known.others-known.external)
@@ -347,7 +347,7 @@
 			return false, limit
 		}
 	}
-	// Why: all daemons reckon the same few from the runner's name, so that together they send no more than few can.
+	// All daemons reckon the same few from the runner's name, so that together they send no more than few can.
 	if rank(known.line.RunnerId, book.self, daemons) > steps {
 		return true, 0
 	}
@@ -369,7 +369,7 @@
 func weight(runner, daemon string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(runner + "\x00" + daemon))
-	// Why: FNV alone leaves names that differ in the last letter near each other.
+	// FNV alone leaves names that differ in the last letter near each other.
 	mixed := hash.Sum64()
 	mixed ^= mixed >> 33
 	mixed *= 0xff51afd7ed558ccd
--- a/process/pressure/book_test.go
+++ b/process/pressure/book_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 var begun = time.Unix(1_700_000_000, 0)
@@ -20,19 +20,19 @@
 }
 
 // Only runners whose newest word is old are asked, whether that was a report or an answer's head.
-func TestStaleRunners(test *testing.T) {
+func TestStaleRunners(t *testing.T) {
 	book := bookOf("r1", "r2", "r3")
 	book.Reported(begun, "r1", Report{Slots: 8})
 	book.Reported(begun.Add(time.Second), "r2", Report{Slots: 8, Room: 1000})
 	stale := book.Stale(begun.Add(1500*time.Millisecond), time.Second)
 	if len(stale) != 2 || stale[0].ID != "r1" || stale[1].ID != "r3" {
-		test.Fatalf("stale: %v", stale)
+		t.Fatalf("stale: %v", stale)
 	}
 }
 
 // What waits at a runner is others' but for our own; the head of an answer no longer counts the request
 // that is being answered, and keeps what a report told of memory.
-func TestOthersWaiting(test *testing.T) {
+func TestOthersWaiting(t *testing.T) {
 	book := bookOf("r")
 	book.Begin("r")
 	book.Begin("r")
@@ -42,17 +42,17 @@
 	}
 	book.Reported(begun, "r", Report{Running: 1, Waiting: 5, Slots: 8, Tokens: 300, Room: 1000})
 	if found := look(); found.OthersWaiting != 3 || found.Room != 1000 {
-		test.Fatalf("by a report: %+v", found)
+		t.Fatalf("by a report: %+v", found)
 	}
 	book.Reported(begun, "r", Report{Running: 1, Waiting: 5, Slots: 8})
 	if found := look(); found.OthersWaiting != 4 || found.Tokens != 300 || found.Room != 1000 {
-		test.Fatalf("by a head: %+v", found)
+		t.Fatalf("by a head: %+v", found)
 	}
 	book.Answered("r")
 	book.Finish("r", true)
 	book.Finish("r", false)
 	book.Reported(begun, "r", Report{Running: 1, Waiting: 5, Slots: 8})
 	if found := look(); found.OthersWaiting != 5 || found.InFlight != 0 {
-		test.Fatalf("after our own: %+v", found)
+		t.Fatalf("after our own: %+v", found)
 	}
 }
--- a/process/strict/strict.go
+++ b/process/strict/strict.go
@@ -34,9 +34,9 @@
 	decoder.UseNumber()
 	var levels []*level
 	for {
-		token, failure := decoder.Token()
-		if failure != nil {
-			return fault.New(fault.Malformed, "at byte %d: %v", decoder.InputOffset(), failure)
+		token, err := decoder.Token()
+		if err != nil {
+			return fault.New(fault.Malformed, "at byte %d: %v", decoder.InputOffset(), err)
 		}
 		here := ""
 		if len(levels) > 0 {
@@ -67,8 +67,8 @@
 			levels[len(levels)-1].after()
 			continue
 		}
-		// Why: one whole value has ended; anything but white space behind it is not part of the document.
-		if _, failure := decoder.Token(); failure != io.EOF {
+		// One whole value has ended; anything but white space behind it is not part of the document.
+		if _, err := decoder.Token(); err != io.EOF {
 			return fault.New(fault.Malformed, "there is text after the end, at byte %d", decoder.InputOffset())
 		}
 		return nil
--- a/proof/broken/main.go
+++ b/proof/broken/main.go
@@ -28,9 +28,9 @@
 	jobs := application.Flag("jobs", "How many at once.").Default("3").Int()
 	list := application.Flag("list", "Only list the patches.").Bool()
 	kingpin.MustParse(application.Parse(os.Args[1:]))
-	patches, failure := read("proof/broken")
-	if failure != nil {
-		end(failure)
+	patches, err := read("proof/broken")
+	if err != nil {
+		end(err)
 	}
 	var chosen []patch
 	for _, patch := range patches {
@@ -52,23 +52,23 @@
 	}
 }
 
-func end(failure error) {
-	fmt.Fprintln(os.Stderr, "broken:", failure)
+func end(err error) {
+	fmt.Fprintln(os.Stderr, "broken:", err)
 	os.Exit(2)
 }
 
 // read takes in every patch with its head.
 func read(folder string) ([]patch, error) {
-	files, failure := filepath.Glob(filepath.Join(folder, "*.patch"))
-	if failure != nil || len(files) == 0 {
-		return nil, fmt.Errorf("no patches in %s: start this from the root of the tree (%v)", folder, failure)
+	files, err := filepath.Glob(filepath.Join(folder, "*.patch"))
+	if err != nil || len(files) == 0 {
+		return nil, fmt.Errorf("no patches in %s: start this from the root of the tree (%v)", folder, err)
 	}
 	sort.Strings(files)
 	var patches []patch
 	for _, file := range files {
-		content, failure := os.ReadFile(file)
-		if failure != nil {
-			return nil, failure
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
 		}
 		head, _, _ := strings.Cut(string(content), "\n\n")
 		fields := map[string]string{}
@@ -96,10 +96,10 @@
 		go func() {
 			defer workers.Done()
 			for patch := range waiting {
-				by, failure := try(patch)
+				by, err := try(patch)
 				mutex.Lock()
-				if failure != nil {
-					fmt.Printf("MISSED  %-24s %v\n", patch.name, failure)
+				if err != nil {
+					fmt.Printf("MISSED  %-24s %v\n", patch.name, err)
 				} else {
 					noticed++
 					fmt.Printf("noticed %-24s %s\n", patch.name, by)
@@ -119,31 +119,31 @@
 
 // try gives the line by which the test noticed a patch.
 func try(patch patch) (string, error) {
-	folder, failure := os.MkdirTemp("", "broken-")
-	if failure != nil {
-		return "", failure
+	folder, err := os.MkdirTemp("", "broken-")
+	if err != nil {
+		return "", err
 	}
 	defer os.RemoveAll(folder)
-	if failure := copyTree(folder); failure != nil {
-		return "", failure
+	if err := copyTree(folder); err != nil {
+		return "", err
 	}
-	whole, failure := filepath.Abs(patch.file)
-	if failure != nil {
-		return "", failure
+	whole, err := filepath.Abs(patch.file)
+	if err != nil {
+		return "", err
 	}
-	if output, failure := run(folder, nil, "git", "apply", "--whitespace=nowarn", whole); failure != nil {
+	if output, err := run(folder, nil, "git", "apply", "--whitespace=nowarn", whole); err != nil {
 		return "", fmt.Errorf("the patch no longer applies: %s", strings.TrimSpace(output))
 	}
-	if output, failure := run(folder, nil, "go", "build", "./..."); failure != nil {
+	if output, err := run(folder, nil, "go", "build", "./..."); err != nil {
 		return "", fmt.Errorf("the patched tree does not build: %s", strings.TrimSpace(output))
 	}
-	output, failure := run(folder, []string{"WARDTRAY_SEEDS=" + patch.seeds}, "go", "test", patch.folder, "-run", patch.test, "-count=1", "-timeout", "20m")
-	if failure == nil {
+	output, err := run(folder, []string{"WARDTRAY_SEEDS=" + patch.seeds}, "go", "test", patch.folder, "-run", patch.test, "-count=1", "-timeout", "20m")
+	if err == nil {
 		return "", fmt.Errorf("%s stays green", patch.test)
 	}
-	red, failure := regexp.Compile(patch.red)
-	if failure != nil {
-		return "", failure
+	red, err := regexp.Compile(patch.red)
+	if err != nil {
+		return "", err
 	}
 	for _, line := range strings.Split(output, "\n") {
 		if red.MatchString(line) {
@@ -155,21 +155,21 @@
 
 // copyTree copies what git tracks, or would, into a folder.
 func copyTree(folder string) error {
-	listed, failure := run(".", nil, "git", "ls-files", "--cached", "--others", "--exclude-standard")
-	if failure != nil {
+	listed, err := run(".", nil, "git", "ls-files", "--cached", "--others", "--exclude-standard")
+	if err != nil {
 		return fmt.Errorf("asking git for the tree: %s", listed)
 	}
 	for _, file := range strings.Split(strings.TrimSpace(listed), "\n") {
-		content, failure := os.ReadFile(file)
-		if failure != nil {
-			return failure
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
 		}
 		target := filepath.Join(folder, file)
-		if failure := os.MkdirAll(filepath.Dir(target), 0o755); failure != nil {
-			return failure
+		if err := os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
+			return err
 		}
-		if failure := os.WriteFile(target, content, 0o644); failure != nil {
-			return failure
+		if err := os.WriteFile(target, content, 0o644); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -179,6 +179,6 @@
 	command := exec.Command(program, arguments...)
 	command.Dir = folder
 	command.Env = append(os.Environ(), environment...)
-	output, failure := command.CombinedOutput()
-	return string(output), failure
+	output, err := command.CombinedOutput()
+	return string(output), err
 }
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"wardtray/process/startup"
+	"wardtray/config/startup"
 	"wardtray/proof/history"
 	"wardtray/proof/load"
 	"wardtray/proof/standin"
@@ -103,8 +103,8 @@
 		}
 	}
 	for _, program := range fleet.Programs() {
-		if failure := fleet.write(program); failure != nil {
-			return nil, failure
+		if err := fleet.write(program); err != nil {
+			return nil, err
 		}
 	}
 	fleet.Record.Zones, fleet.Record.Service, fleet.Record.Weights = shape.Zones, shape.Mix.Service, shape.Mix.Weights
@@ -113,17 +113,17 @@
 	for _, machine := range fleet.Machines {
 		daemons[machine.Zone] = append(daemons[machine.Zone], machine.Data.Startup.HTTP)
 	}
-	var failure error
-	fleet.Platform, failure = standin.NewPlatform(platform, daemons, fleet.Record, seed)
-	return fleet, failure
+	var err error
+	fleet.Platform, err = standin.NewPlatform(platform, daemons, fleet.Record, seed)
+	return fleet, err
 }
 
 func (fleet *Fleet) write(program *Program) error {
 	program.file = filepath.Join(fleet.Folder, program.Name+".json")
 	program.log = filepath.Join(fleet.Folder, program.Name+".log")
-	content, failure := json.MarshalIndent(program.Startup, "", "  ")
-	if failure != nil {
-		return failure
+	content, err := json.MarshalIndent(program.Startup, "", "  ")
+	if err != nil {
+		return err
 	}
 	return os.WriteFile(program.file, content, 0o640)
 }
@@ -162,23 +162,23 @@
 func (fleet *Fleet) Start(program *Program) error {
 	program.mutex.Lock()
 	defer program.mutex.Unlock()
-	log, failure := os.OpenFile(program.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
-	if failure != nil {
-		return failure
+	log, err := os.OpenFile(program.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return err
 	}
 	defer log.Close()
 	command := exec.Command(filepath.Join(fleet.Binaries, program.Kind), "--startup", program.file)
 	command.Stdout, command.Stderr = log, log
-	// Why: a proof that dies must not leave a fleet behind.
+	// A proof that dies must not leave a fleet behind.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	command.Env = append(os.Environ(), "GOMAXPROCS=2")
-	if failure := command.Start(); failure != nil {
-		return failure
+	if err := command.Start(); err != nil {
+		return err
 	}
 	program.command, program.ended = command, make(chan struct{})
 	ended := program.ended
 	go func() {
-		// Why: a process that was killed ends with an error that says just that.
+		// A process that was killed ends with an error that says just that.
 		_ = command.Wait()
 		close(ended)
 	}()
@@ -212,13 +212,13 @@
 // StartAll begins every process and every runner.
 func (fleet *Fleet) StartAll() error {
 	for _, program := range fleet.Programs() {
-		if failure := fleet.Start(program); failure != nil {
-			return failure
+		if err := fleet.Start(program); err != nil {
+			return err
 		}
 	}
 	for number := range fleet.Shape.Runners {
-		if _, failure := fleet.AddRunner(number, ""); failure != nil {
-			return failure
+		if _, err := fleet.AddRunner(number, ""); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -236,8 +236,8 @@
 	}
 	runner := &standin.Runner{ID: fmt.Sprintf("r%02d-%d", number, life), Address: fmt.Sprintf("127.%d.%d.%d:9100", fleet.Shape.Net, 100+zone, number+1),
 		Zone: fleet.Shape.Zones[zone], Service: fleet.Shape.Mix.Service, Model: fleet.Shape.Mix.Model, Weights: weights, Pool: fleet.Shape.Mix.Pool}
-	if failure := standin.Start(runner, standin.DefaultNature, fleet.Record); failure != nil {
-		return nil, failure
+	if err := standin.Start(runner, standin.DefaultNature, fleet.Record); err != nil {
+		return nil, err
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -340,18 +340,18 @@
 }
 
 func (fleet *Fleet) call(method, address, path string, body []byte) (Reply, error) {
-	request, failure := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
-	if failure != nil {
-		return Reply{}, failure
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
 	}
-	response, failure := fleet.client.Do(request)
-	if failure != nil {
-		return Reply{}, failure
+	response, err := fleet.client.Do(request)
+	if err != nil {
+		return Reply{}, err
 	}
 	defer response.Body.Close()
-	content, failure := io.ReadAll(response.Body)
-	if failure != nil {
-		return Reply{}, failure
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Reply{}, err
 	}
 	reply := Reply{Status: response.StatusCode}
 	return reply, json.Unmarshal(content, &reply)
@@ -377,9 +377,9 @@
 
 func (fleet *Fleet) order(order *history.Order, program *Program, method, path string, body []byte) {
 	order.Sent = time.Now()
-	reply, failure := fleet.call(method, program.Startup.HTTP, path, body)
+	reply, err := fleet.call(method, program.Startup.HTTP, path, body)
 	order.Got, order.HTTPStatus, order.Outcome, order.Epoch = time.Now(), reply.Status, reply.Outcome, reply.Epoch
-	if failure != nil {
+	if err != nil {
 		order.Outcome = "unknown"
 	}
 	fleet.Record.Change(func(record *history.History) { record.Orders = append(record.Orders, order) })
@@ -392,14 +392,14 @@
 
 // Finish asks what the fleet says at the end, for the checker.
 func (fleet *Fleet) Finish(program *Program) error {
-	reply, failure := fleet.Get(program)
-	if failure != nil || reply.Status != 200 {
-		return fmt.Errorf("asking for the spec at the end: status %d, %v", reply.Status, failure)
+	reply, err := fleet.Get(program)
+	if err != nil || reply.Status != 200 {
+		return fmt.Errorf("asking for the spec at the end: status %d, %v", reply.Status, err)
 	}
 	final := history.Final{Asked: true, Epoch: reply.Epoch, Known: map[string]uint64{}}
 	held := struct{ Lanes []struct{ Name string } }{}
-	if failure := json.Unmarshal(reply.Spec, &held); failure != nil {
-		return failure
+	if err := json.Unmarshal(reply.Spec, &held); err != nil {
+		return err
 	}
 	for _, lane := range held.Lanes {
 		final.Lanes = append(final.Lanes, lane.Name)
@@ -411,9 +411,9 @@
 		}
 	})
 	for _, operation := range operations {
-		reply, failure := fleet.call("GET", program.Startup.HTTP, "/v1/operations/"+operation, nil)
-		if failure != nil {
-			return failure
+		reply, err := fleet.call("GET", program.Startup.HTTP, "/v1/operations/"+operation, nil)
+		if err != nil {
+			return err
 		}
 		if reply.Status == 200 {
 			final.Known[operation] = reply.Epoch
--- a/proof/fleet/scenario.go
+++ b/proof/fleet/scenario.go
@@ -59,29 +59,29 @@
 func Prove(shape Shape, scenario Scenario, options Options) (bool, error) {
 	folder := options.Folder
 	if folder == "" {
-		made, failure := os.MkdirTemp("", "wtproof-")
-		if failure != nil {
-			return false, failure
+		made, err := os.MkdirTemp("", "wtproof-")
+		if err != nil {
+			return false, err
 		}
 		folder = made
 		if !options.Keep {
 			defer os.RemoveAll(made)
 		}
 	}
-	fleet, failure := New(shape, folder, options.Binaries, options.Seed)
-	if failure != nil {
-		return false, failure
+	fleet, err := New(shape, folder, options.Binaries, options.Seed)
+	if err != nil {
+		return false, err
 	}
 	defer fleet.Stop()
-	if failure := fleet.StartAll(); failure != nil {
-		return false, failure
+	if err := fleet.StartAll(); err != nil {
+		return false, err
 	}
 	begun := time.Now()
 	var first *history.Order
-	// Why: a slow machine may take its time; the bounds of the rules are measured elsewhere.
+	// A slow machine may take its time; the bounds of the rules are measured elsewhere.
 	if !Await(patience, func() bool {
-		reply, failure := fleet.Get(fleet.Cores()[0])
-		return failure == nil && reply.Status == 200
+		reply, err := fleet.Get(fleet.Cores()[0])
+		return err == nil && reply.Status == 200
 	}) {
 		return false, fmt.Errorf("the control plane gave no first view within %v; logs are in %s", patience, folder)
 	}
@@ -93,7 +93,7 @@
 	}
 	fmt.Fprintf(options.Output, "%s: %d machines, %d disks, %d runners; first spec in effect %v after the start\n", shape.Name,
 		len(fleet.Machines), len(fleet.Cores()), shape.Runners, time.Since(begun).Round(time.Millisecond))
-	// Why: the brief's traffic begins about ten seconds after the machines, when runners are warm and daemons known to be fit.
+	// The brief's traffic begins about ten seconds after the machines, when runners are warm and daemons known to be fit.
 	if wait := time.Until(begun.Add(6 * time.Second)); wait > 0 {
 		timer := time.NewTimer(wait)
 		<-timer.C
@@ -118,9 +118,9 @@
 		sender.Run(running, func() float64 { return rate * stage.Factor() })
 		close(finished)
 	}()
-	failure = scenario.Run(stage)
+	err = scenario.Run(stage)
 	stage.At(float64(options.Seconds))
-	// Why: whether service is back can only be seen while somebody asks for it.
+	// Whether service is back can only be seen while somebody asks for it.
 	fleet.Record.Change(func(record *history.History) {
 		for _, back := range record.Returns {
 			if until := back.At.Add(history.ReturnBound).Sub(stage.begun).Seconds(); until > float64(options.Seconds) {
@@ -131,8 +131,8 @@
 	stage.At(float64(options.Seconds))
 	stop()
 	<-finished
-	if failure != nil {
-		return false, failure
+	if err != nil {
+		return false, err
 	}
 	asked := Await(patience, func() bool {
 		for _, core := range fleet.Cores() {
@@ -167,11 +167,11 @@
 	stage.Fault(victim.Name+" killed", victim, true, 2*time.Second)
 	victim.Kill()
 	stage.At(span * 0.45)
-	if failure := stage.Start(victim); failure != nil {
-		return failure
+	if err := stage.Start(victim); err != nil {
+		return err
 	}
-	if _, failure := stage.AddRunner(3, ""); failure != nil {
-		return failure
+	if _, err := stage.AddRunner(3, ""); err != nil {
+		return err
 	}
 	stage.At(span * 0.5)
 	head := stage.Cores()[0]
@@ -180,8 +180,8 @@
 	last := stage.Cores()[len(stage.Cores())-1]
 	stage.Apply(last, "during", 1, "extra-lane")
 	stage.At(span * 0.7)
-	if failure := stage.Start(head); failure != nil {
-		return failure
+	if err := stage.Start(head); err != nil {
+		return err
 	}
 	stage.Zone(last, "closing", "close", stage.Shape.Zones[1])
 	stage.At(span * 0.95)
--- a/proof/fleet/scenarios.go
+++ b/proof/fleet/scenarios.go
@@ -45,7 +45,7 @@
 // present gives the spec's epoch, read through any core.
 func (stage *Stage) present() uint64 {
 	for _, core := range stage.Cores() {
-		if reply, failure := stage.Get(core); failure == nil && reply.Status == 200 {
+		if reply, err := stage.Get(core); err == nil && reply.Status == 200 {
 			return reply.Epoch
 		}
 	}
@@ -77,8 +77,8 @@
 	stage.Remove(9, true)
 	stage.span(0.6)
 	for _, number := range []int{2, 9} {
-		if _, failure := stage.AddRunner(number, ""); failure != nil {
-			return failure
+		if _, err := stage.AddRunner(number, ""); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -104,10 +104,10 @@
 	former.Crash()
 	stranger := &standin.Runner{ID: "stranger", Address: former.Address, Zone: former.Zone, Service: "somebody-elses", Model: former.Model,
 		Weights: former.Weights, Pool: former.Pool}
-	if failure := standin.Start(stranger, standin.DefaultNature, stage.Record); failure != nil {
-		return failure
+	if err := standin.Start(stranger, standin.DefaultNature, stage.Record); err != nil {
+		return err
 	}
-	// Why: the platform goes on listing the gone runner for a while, which is when the mistake would be made.
+	// The platform goes on listing the gone runner for a while, which is when the mistake would be made.
 	stage.span(0.5)
 	stage.Remove(number, false)
 	stage.span(0.6)
@@ -126,13 +126,13 @@
 		go func() {
 			timer := time.NewTimer(4 * time.Second)
 			<-timer.C
-			// Why: a release waits a while for runs to end, then does not care.
+			// A release waits a while for runs to end, then does not care.
 			stage.Harm("ended by the release", leaving, time.Second, 0)
 			stage.Platform.Set(leaving, "")
 			leaving.Crash()
 		}()
-		if failure := stage.replaceAt(number); failure != nil {
-			return failure
+		if err := stage.replaceAt(number); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -147,8 +147,8 @@
 	stage.Fleet.mutex.Unlock()
 	fresh := &standin.Runner{ID: fmt.Sprintf("r%02d-%d", number, life), Address: fmt.Sprintf("127.%d.%d.%d:9100", stage.Shape.Net, 150+number%len(stage.Shape.Zones), number+1),
 		Zone: former.Zone, Service: former.Service, Model: former.Model, Weights: former.Weights, Pool: former.Pool}
-	if failure := standin.Start(fresh, standin.DefaultNature, stage.Record); failure != nil {
-		return failure
+	if err := standin.Start(fresh, standin.DefaultNature, stage.Record); err != nil {
+		return err
 	}
 	stage.Fleet.mutex.Lock()
 	stage.Fleet.Runners[number] = fresh
@@ -179,8 +179,8 @@
 		daemon.Kill()
 		stage.change(stage.Cores()[1], fmt.Sprint("killed-", place))
 		stage.span(0.1 + 0.25*float64(place) + 0.1)
-		if failure := stage.Start(daemon); failure != nil {
-			return failure
+		if err := stage.Start(daemon); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -206,13 +206,13 @@
 	core := stage.Cores()[1]
 	stage.Fault(core.Name+" loses its disk", core, false, 5*time.Second)
 	core.Kill()
-	if failure := os.RemoveAll(core.Startup.Folder); failure != nil {
-		return failure
+	if err := os.RemoveAll(core.Startup.Folder); err != nil {
+		return err
 	}
 	stage.change(stage.Cores()[0], "without-it")
 	stage.span(0.4)
-	if failure := stage.Start(core); failure != nil {
-		return failure
+	if err := stage.Start(core); err != nil {
+		return err
 	}
 	stage.span(0.8)
 	stage.change(core, "through-it")
@@ -230,8 +230,8 @@
 	settings.HTTP = fmt.Sprintf("127.%d.%d.%d:8100", stage.Shape.Net, 200, number+1)
 	settings.Folder = filepath.Join(stage.Folder, machine.Name+"-swapped")
 	machine.Core = &Program{Name: machine.Name + ".core-swapped", Kind: "wtcore", Machine: machine, Startup: settings}
-	if failure := stage.write(machine.Core); failure != nil {
-		return failure
+	if err := stage.write(machine.Core); err != nil {
+		return err
 	}
 	return stage.Start(machine.Core)
 }
@@ -240,8 +240,8 @@
 	count := len(stage.Cores())
 	for number := range count {
 		stage.span(0.05 + 0.85*float64(number)/float64(count))
-		if failure := stage.swap(number); failure != nil {
-			return failure
+		if err := stage.swap(number); err != nil {
+			return err
 		}
 		stage.change(stage.Cores()[(number+1)%count], fmt.Sprint("swap-", number))
 	}
@@ -257,8 +257,8 @@
 	}
 	stage.span(0.7)
 	for _, core := range stage.Cores() {
-		if failure := stage.Start(core); failure != nil {
-			return failure
+		if err := stage.Start(core); err != nil {
+			return err
 		}
 	}
 	back := time.Now()
@@ -294,14 +294,14 @@
 	stage.change(stage.Cores()[1], "without-the-zone")
 	stage.span(0.6)
 	for _, program := range lost {
-		if failure := stage.Start(program); failure != nil {
-			return failure
+		if err := stage.Start(program); err != nil {
+			return err
 		}
 	}
 	for number := range stage.Shape.Runners {
 		if number%len(stage.Shape.Zones) == 0 {
-			if _, failure := stage.AddRunner(number, ""); failure != nil {
-				return failure
+			if _, err := stage.AddRunner(number, ""); err != nil {
+				return err
 			}
 		}
 	}
@@ -318,8 +318,8 @@
 		program.Kill()
 	}
 	for _, program := range stage.Programs() {
-		if failure := stage.Start(program); failure != nil {
-			return failure
+		if err := stage.Start(program); err != nil {
+			return err
 		}
 	}
 	back := history.Return{At: time.Now()}
@@ -330,8 +330,8 @@
 func allDown(stage *Stage) error {
 	stage.span(0.15)
 	stage.change(stage.Cores()[0], "before")
-	if failure := stage.restartAll("killed with all others"); failure != nil {
-		return failure
+	if err := stage.restartAll("killed with all others"); err != nil {
+		return err
 	}
 	stage.span(0.9)
 	stage.change(stage.Cores()[0], "afterwards")
@@ -387,8 +387,8 @@
 		stage.span(0.05 + 0.9*float64(place)/float64(len(programs)))
 		program.Signal(syscall.SIGTERM)
 		<-program.Ended()
-		if failure := stage.Start(program); failure != nil {
-			return failure
+		if err := stage.Start(program); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/proof/history/check.go
+++ b/proof/history/check.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // The bounds of the brief, each with what belongs to measuring rather than to the fleet.
@@ -67,14 +67,14 @@
 	},
 	"ran-after-refusal": func(judge *Judge, run *Run, broken broken) {
 		for _, answer := range judge.answers[run.Request] {
-			// Why: a requester that sends its request anew after this word asks for another run.
+			// A requester that sends its request anew after this word asks for another run.
 			if run.Started && answer.Ran == didNotRun && !judge.again(answer) {
 				broken("%s ran at %s after its requester was told %q that it did not run", run.Request, run.Runner, answer.Kind)
 			}
 		}
 	},
 	"not-allowed": func(judge *Judge, run *Run, broken broken) {
-		if !judge.permitted(run.At, SpecBound, func(book *spec.Book) bool { return allows(book, run) }) {
+		if !judge.permitted(run.At, SpecBound, func(book *config.Book) bool { return allows(book, run) }) {
 			broken("%s went to service %q of runner %s, which no spec in force allows", run.Request, run.Service, run.Runner)
 		}
 	},
@@ -89,13 +89,13 @@
 		}
 	},
 	"change-ignored": func(judge *Judge, run *Run, broken broken) {
-		if !judge.permitted(run.At, SpecBound, func(book *spec.Book) bool { return serves(book, run) }) {
+		if !judge.permitted(run.At, SpecBound, func(book *config.Book) bool { return serves(book, run) }) {
 			broken("%s of lane %q went to weights %q by %s, %v after this was no longer so by an acknowledged spec", run.Request, run.Lane, run.Weights, run.Daemon,
-				judge.outdated(run.At, func(book *spec.Book) bool { return serves(book, run) }))
+				judge.outdated(run.At, func(book *config.Book) bool { return serves(book, run) }))
 		}
 	},
 	"slipped-back": func(judge *Judge, run *Run, broken broken) {
-		// Why: requests of one daemon overtake each other while bytes are on their way; a slip back lasts.
+		// Requests of one daemon overtake each other while bytes are on their way; a slip back lasts.
 		if run.Epoch < judge.greatest[run.Daemon] && run.At.Sub(judge.since[run.Daemon]) > overtaking {
 			broken("%s went from epoch %d back to %d", run.Daemon, judge.greatest[run.Daemon], run.Epoch)
 		}
@@ -104,7 +104,7 @@
 		}
 	},
 	"closed-zone": func(judge *Judge, run *Run, broken broken) {
-		open := func(book *spec.Book) bool { return book.Open(run.Zone) }
+		open := func(book *config.Book) bool { return book.Open(run.Zone) }
 		if !judge.permitted(run.At, ZoneBound, open) {
 			broken("%s went into zone %s %v after its closing was acknowledged", run.Request, run.Zone, judge.outdated(run.At, open))
 		}
@@ -128,7 +128,7 @@
 	return false
 }
 
-func allows(book *spec.Book, run *Run) bool {
+func allows(book *config.Book, run *Run) bool {
 	for _, pool := range book.Pools {
 		if pool.Allows(run.Service) {
 			return true
@@ -137,7 +137,7 @@
 	return false
 }
 
-func serves(book *spec.Book, run *Run) bool {
+func serves(book *config.Book, run *Run) bool {
 	lane := book.Lanes[run.Lane]
 	if lane == nil {
 		return false
@@ -187,7 +187,7 @@
 				broken("%s: events of runs %s and %s", answer.Request, answer.Runs[0], answer.Runs[place])
 				break
 			}
-			// Why: where a stream may be resumed, another run goes on exactly behind what was relayed.
+			// Where a stream may be resumed, another run goes on exactly behind what was relayed.
 			if place > 0 && answer.Runs[place] != answer.Runs[place-1] && !judge.goesOn(answer.Request, answer.Runs[place], answer.IDs[place-1]) {
 				broken("%s: run %s goes on behind event %d, where it did not begin", answer.Request, answer.Runs[place], answer.IDs[place-1])
 				break
@@ -209,7 +209,7 @@
 		if answer.Again && answer.Kind == "already_taken" && judge.surelyNotRun(answer) {
 			broken("%s was refused as taken already by %s, though it had surely not run", answer.Request, answer.Daemon)
 		}
-		// Why: whose time has passed is refused for that.
+		// Whose time has passed is refused for that.
 		if answer.Lost || answer.Gone || answer.Done || answer.Again || answer.Bound > 0 && !answer.given().Before(answer.Begun.Add(answer.Bound-answer.Bound/ClockPart)) {
 			return
 		}
@@ -231,7 +231,7 @@
 		}
 	},
 	"held-back": func(judge *Judge, answer *Answer, broken broken) {
-		// Why: what is sent again is refused for what became of the first, at any time.
+		// What is sent again is refused for what became of the first, at any time.
 		if answer.Lost || answer.Done || answer.Gone || answer.Again || judge.touched(answer.Daemon, answer.Sent, answer.Got) {
 			return
 		}
@@ -300,7 +300,7 @@
 	for _, run := range judge.runs[answer.Request] {
 		fault, found := judge.runnerFault(run.Runner, run.At, answer.Got)
 		if !found {
-			// Why: a runner that is only slow may yet answer, so there is nothing to be known.
+			// A runner that is only slow may yet answer, so there is nothing to be known.
 			return 0
 		}
 		begin := fault.At
@@ -309,10 +309,10 @@
 		}
 		at := begin.Add(fault.Knowable)
 		if fault.Until.Sub(begin) < fault.Knowable {
-			// Why: what was over before anybody could know of it shows only by the answer that does not come.
+			// What was over before anybody could know of it shows only by the answer that does not come.
 			at = run.At.Add(2 * answer.Patience)
 		}
-		// Why: a request that may be repeated is still being tried while its patience lasts.
+		// A request that may be repeated is still being tried while its patience lasts.
 		if at.After(known) || answer.Once {
 			known = at
 		}
@@ -364,7 +364,7 @@
 			return ""
 		}
 	}
-	// Why: bytes may be lost on the way to a runner that never saw them, as long as its loss could not be known.
+	// Bytes may be lost on the way to a runner that never saw them, as long as its loss could not be known.
 	if len(judge.runs[answer.Request]) == 0 && answer.Kind == "outcome_unknown" {
 		for _, fault := range judge.history.Faults {
 			if fault.Runner != "" && !answer.Got.Before(fault.At) && answer.Sent.Before(fault.At.Add(fault.Knowable+wayBound)) {
@@ -457,7 +457,7 @@
 		if run.Pool != pool {
 			continue
 		}
-		// Why: what a requester itself sends again is another request, not a repeat of ours.
+		// What a requester itself sends again is another request, not a repeat of ours.
 		asks := 0
 		for _, at := range asked[run.Request] {
 			if !at.After(run.At) {
--- a/proof/history/check_test.go
+++ b/proof/history/check_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // clean gives a small history in which nothing is wrong.
@@ -12,8 +12,8 @@
 	begun := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return begun.Add(time.Duration(seconds * float64(time.Second))) }
 	history := &History{Begun: begun, Zones: []string{"a"}, Service: "good", Weights: "w"}
-	document := &spec.Spec{Zones: []spec.Zone{{Name: "a"}, {Name: "b"}}, Pools: []spec.Pool{{Name: "p", Model: "m", Weights: "w", Services: []string{"good"}}},
-		Lanes: []spec.Lane{{Name: "l", Pool: "p"}, {Name: "k", Pool: "p"}}}
+	document := &config.Spec{Zones: []config.Zone{{Name: "a"}, {Name: "b"}}, Pools: []config.Pool{{Name: "p", Model: "m", Weights: "w", Services: []string{"good"}}},
+		Lanes: []config.Lane{{Name: "l", Pool: "p"}, {Name: "k", Pool: "p"}}}
 	history.Orders = []*Order{
 		{Operation: "first", Verb: "apply", HasBase: true, Spec: document, Sent: at(0), Got: at(0.1), Outcome: "accepted", Epoch: 1},
 		{Operation: "closing", Verb: "close", Zone: "b", Sent: at(20), Got: at(20.1), Outcome: "accepted", Epoch: 2},
@@ -39,14 +39,14 @@
 	return history
 }
 
-func TestCleanHistoryPasses(test *testing.T) {
+func TestCleanHistoryPasses(t *testing.T) {
 	if violations := Check(clean()); len(violations) > 0 {
-		test.Fatalf("a clean history: %v", violations)
+		t.Fatalf("a clean history: %v", violations)
 	}
 }
 
 // Each check names its rule, and no other, on a history broken in its one way.
-func TestEveryRuleIsNamedOnABrokenHistory(test *testing.T) {
+func TestEveryRuleIsNamedOnABrokenHistory(t *testing.T) {
 	begun := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return begun.Add(time.Duration(seconds * float64(time.Second))) }
 	breaks := map[string]func(history *History){
@@ -117,11 +117,11 @@
 		breaks[rule](broken)
 		violations := Check(broken)
 		if len(violations) == 0 {
-			test.Errorf("%s: not noticed", rule)
+			t.Errorf("%s: not noticed", rule)
 		}
 		for _, violation := range violations {
 			if violation.Rule != rule {
-				test.Errorf("%s: named as %s: %s", rule, violation.Rule, violation.Detail)
+				t.Errorf("%s: named as %s: %s", rule, violation.Rule, violation.Detail)
 			}
 		}
 	}
@@ -141,9 +141,9 @@
 }
 
 // A stream that may be resumed goes on exactly behind what came, under its first runner's head.
-func TestResumedStreams(test *testing.T) {
+func TestResumedStreams(t *testing.T) {
 	if violations := Check(resumed()); len(violations) > 0 {
-		test.Fatalf("a proper resumption: %v", violations)
+		t.Fatalf("a proper resumption: %v", violations)
 	}
 	for name, trial := range map[string]struct {
 		change func(history *History)
@@ -165,7 +165,7 @@
 			found = found || violation.Rule == trial.rule
 		}
 		if !found {
-			test.Errorf("%s: not noticed as %s: %v", name, trial.rule, Check(broken))
+			t.Errorf("%s: not noticed as %s: %v", name, trial.rule, Check(broken))
 		}
 	}
 }
--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // Run is one request that a runner read.
@@ -87,8 +87,8 @@
 	// Marker is a lane that only this order's spec has.
 	Marker string
 	// Spec is the whole document of an apply, Change that of a change of named entries.
-	Spec       *spec.Spec
-	Change     *spec.Change
+	Spec       *config.Spec
+	Change     *config.Change
 	Sent, Got  time.Time
 	Outcome    string
 	Epoch      uint64
--- a/proof/history/judge.go
+++ b/proof/history/judge.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // Violation is one broken rule.
@@ -109,7 +109,7 @@
 // era is a spec, and when it was sent and acknowledged; the latter is zero where nobody was told.
 type era struct {
 	epoch     uint64
-	book      *spec.Book
+	book      *config.Book
 	sent, got time.Time
 }
 
@@ -152,7 +152,7 @@
 	}
 	sort.SliceStable(changes, func(left, right int) bool { return changes[left].epoch < changes[right].epoch })
 	var eras []era
-	present := &spec.Spec{}
+	present := &config.Spec{}
 	for _, change := range changes {
 		if change.order.Verb == "apply" && change.order.Spec != nil {
 			present = change.order.Spec
@@ -160,7 +160,7 @@
 			present, _ = change.order.Change.Apply(present)
 		} else {
 			turned := *present
-			turned.Zones = append([]spec.Zone{}, present.Zones...)
+			turned.Zones = append([]config.Zone{}, present.Zones...)
 			for place := range turned.Zones {
 				if turned.Zones[place].Name == change.order.Zone {
 					turned.Zones[place].Closed = change.order.Verb == "close"
@@ -168,7 +168,7 @@
 			}
 			present = &turned
 		}
-		one := era{epoch: change.epoch, book: spec.NewBook(present), sent: change.order.Sent}
+		one := era{epoch: change.epoch, book: config.NewBook(present), sent: change.order.Sent}
 		if change.order.Outcome == "accepted" {
 			one.got = change.order.Got
 		}
@@ -199,7 +199,7 @@
 	return fit
 }
 
-func (judge *Judge) permitted(at time.Time, bound time.Duration, permits func(book *spec.Book) bool) bool {
+func (judge *Judge) permitted(at time.Time, bound time.Duration, permits func(book *config.Book) bool) bool {
 	for _, era := range judge.candidates(at, bound) {
 		if permits(era.book) {
 			return true
@@ -209,7 +209,7 @@
 }
 
 // outdated gives for how long a piece of work at a moment was against the acknowledged specs.
-func (judge *Judge) outdated(at time.Time, permits func(book *spec.Book) bool) time.Duration {
+func (judge *Judge) outdated(at time.Time, permits func(book *config.Book) bool) time.Duration {
 	longest := time.Duration(0)
 	for place := len(judge.timeline) - 1; place >= 0; place-- {
 		era := judge.timeline[place]
@@ -244,7 +244,7 @@
 }
 
 // takes tells whether a spec lets the pool use its runners at all.
-func (judge *Judge) takes(book *spec.Book) bool {
+func (judge *Judge) takes(book *config.Book) bool {
 	for _, pool := range book.Pools {
 		if pool.Allows(judge.history.Service) && pool.Weights == judge.history.Weights {
 			return true
--- a/proof/history/margins.go
+++ b/proof/history/margins.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // Margins are the worst cases seen of the rules with a figure.
@@ -35,8 +35,8 @@
 	for _, run := range history.Runs {
 		pools[run.Pool] = true
 		margins.Leaving = max(margins.Leaving, judge.late(run))
-		margins.Ignored = max(margins.Ignored, judge.outdated(run.At, func(book *spec.Book) bool { return serves(book, run) && allows(book, run) }))
-		margins.Closed = max(margins.Closed, judge.outdated(run.At, func(book *spec.Book) bool { return book.Open(run.Zone) }))
+		margins.Ignored = max(margins.Ignored, judge.outdated(run.At, func(book *config.Book) bool { return serves(book, run) && allows(book, run) }))
+		margins.Closed = max(margins.Closed, judge.outdated(run.At, func(book *config.Book) bool { return book.Open(run.Zone) }))
 		if run.Cold {
 			margins.Beside = max(margins.Beside, run.Beside)
 		}
--- a/proof/hollow/clock.go
+++ b/proof/hollow/clock.go
@@ -29,11 +29,11 @@
 // usage is what the system says of a process: its processor time and its resident memory. A process
 // that is gone has used nothing.
 func usage(id int) (used time.Duration, resident uint64) {
-	content, failure := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
-	if failure != nil {
+	content, err := os.ReadFile("/proc/" + strconv.Itoa(id) + "/stat")
+	if err != nil {
 		return 0, 0
 	}
-	// Why: a program's name may hold blanks, so fields are counted from its closing bracket.
+	// A program's name may hold blanks, so fields are counted from its closing bracket.
 	fields := strings.Fields(string(content[strings.LastIndexByte(string(content), ')')+1:]))
 	if len(fields) < 22 {
 		return 0, 0
--- a/proof/hollow/command.go
+++ b/proof/hollow/command.go
@@ -53,34 +53,34 @@
 	return map[string]func() error{
 		carry.FullCommand(): func() error { return Carry(os.Stdin, os.Stdout) },
 		table.FullCommand(): func() error {
-			if failure := writePage(*folder, *page); failure != nil || *drawn == "" {
-				return failure
+			if err := writePage(*folder, *page); err != nil || *drawn == "" {
+				return err
 			}
-			results, failure := ReadResults(filepath.Join(*folder, "daemons.json"))
-			if failure != nil {
-				return failure
+			results, err := ReadResults(filepath.Join(*folder, "daemons.json"))
+			if err != nil {
+				return err
 			}
 			return results.Plot(*drawn)
 		},
 		path.FullCommand(): func() error {
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
-			self, failure := os.Executable()
-			if failure != nil {
-				return fault.Wrap(failure, fault.Internal, "this program's own path")
+			self, err := os.Executable()
+			if err != nil {
+				return fault.Wrap(err, fault.Internal, "this program's own path")
 			}
 			if *pathBinaries == "" {
 				*pathBinaries = filepath.Dir(self)
 			}
-			results.Runs, failure = MeasurePath(PathOptions{Runners: *pathRunners, Prefixes: *pathPrefixes, Rates: *pathRates, Seconds: *pathSeconds, Spread: *pathSpread, Binaries: *pathBinaries, Output: os.Stderr})
-			if failure != nil {
-				return failure
+			results.Runs, err = MeasurePath(PathOptions{Runners: *pathRunners, Prefixes: *pathPrefixes, Rates: *pathRates, Seconds: *pathSeconds, Spread: *pathSpread, Binaries: *pathBinaries, Output: os.Stderr})
+			if err != nil {
+				return err
 			}
 			return results.write(*pathOutput)
 		},
 		run.FullCommand(): func() error {
-			self, failure := os.Executable()
-			if failure != nil {
-				return fault.Wrap(failure, fault.Internal, "this program's own path")
+			self, err := os.Executable()
+			if err != nil {
+				return fault.Wrap(err, fault.Internal, "this program's own path")
 			}
 			if *binaries == "" {
 				*binaries = filepath.Dir(self)
@@ -92,15 +92,15 @@
 			}
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
 			for _, point := range cross(*lanes, *runners, *daemons) {
-				measured, failure := Measure(Options{Daemons: point[2], Runners: point[1], Listed: *listed, Cores: *cores, Lanes: point[0], Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
+				measured, err := Measure(Options{Daemons: point[2], Runners: point[1], Listed: *listed, Cores: *cores, Lanes: point[0], Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
 					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
-				if failure != nil {
-					return failure
+				if err != nil {
+					return err
 				}
 				results.Runs = append(results.Runs, measured)
-				// Why: a later size may fail, and what was measured so far should not be lost with it.
-				if failure := results.write(*output); failure != nil {
-					return failure
+				// A later size may fail, and what was measured so far should not be lost with it.
+				if err := results.write(*output); err != nil {
+					return err
 				}
 			}
 			fmt.Print(results.Table())
@@ -170,9 +170,9 @@
 	if path == "" {
 		return nil
 	}
-	content, failure := json.MarshalIndent(results.compact(), "", " ")
-	if failure == nil {
-		failure = os.WriteFile(path, append(content, '\n'), 0o644)
+	content, err := json.MarshalIndent(results.compact(), "", " ")
+	if err == nil {
+		err = os.WriteFile(path, append(content, '\n'), 0o644)
 	}
-	return fault.Wrap(failure, fault.Internal, "writing the results")
+	return fault.Wrap(err, fault.Internal, "writing the results")
 }
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -13,12 +13,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/frame"
-	"wardtray/connection/transport"
-	"wardtray/connection/wire"
-	"wardtray/process/director"
-	"wardtray/process/machine"
-	"wardtray/process/plane"
+	"wardtray/coordination/machine"
+	"wardtray/edge/director"
+	"wardtray/edge/plane"
+	"wardtray/transport"
+	"wardtray/transport/frame"
+	"wardtray/wire"
 )
 
 const (
@@ -146,7 +146,7 @@
 		for place, work := range batch {
 			worker.take(work)
 			batch[place] = item{}
-			// Why: a long batch must not keep the ticks waiting, which a process of its own would not do either.
+			// A long batch must not keep the ticks waiting, which a process of its own would not do either.
 			if place%64 == 63 {
 				worker.ticks()
 			}
@@ -169,8 +169,8 @@
 	if envelope == nil {
 		worker.bytes.Reset(work.frame)
 		worker.reader.Reset(&worker.bytes)
-		decoded, _, failure := frame.Decode(worker.reader)
-		if failure != nil {
+		decoded, _, err := frame.Decode(worker.reader)
+		if err != nil {
 			worker.dropped.Add(1)
 			return
 		}
@@ -191,7 +191,7 @@
 			continue
 		}
 		worker.late.add(time.Duration(float64(now.Sub(daemon.due)) * worker.host.clock.Load().slow))
-		// Why: a ticker that is behind leaves rounds out; it does not make up for them.
+		// A ticker that is behind leaves rounds out; it does not make up for them.
 		for !now.Before(daemon.due) {
 			daemon.due = daemon.due.Add(plane.TickEvery)
 		}
@@ -213,7 +213,7 @@
 	worker.book(kind, ended-begun)
 	if documents := daemon.director.Counters().Documents; documents != daemon.documents {
 		daemon.documents = documents
-		// Why: from the first document on, a machine that carries thousands has more to do than at full speed it could.
+		// From the first document on, a machine that carries thousands has more to do than at full speed it could.
 		if !worker.host.documented.Swap(true) {
 			worker.host.setPace(worker.host.plan.Slow)
 		}
@@ -263,8 +263,8 @@
 			toCores = append(toCores, parcel)
 			continue
 		}
-		content, failure := frame.Encode(parcel.Envelope)
-		if failure != nil {
+		content, err := frame.Encode(parcel.Envelope)
+		if err != nil {
 			worker.dropped.Add(1)
 			continue
 		}
--- a/proof/hollow/fit.go
+++ b/proof/hollow/fit.go
@@ -36,18 +36,18 @@
 	}
 	best := Fit{Scatter: math.Inf(1)}
 	powers := []int{1, 2}
-	// Why: three points lie near a square through two terms whatever they are.
+	// Three points lie near a square through two terms whatever they are.
 	if len(sizes) == leastPoints {
 		powers = powers[:1]
 	}
 	for _, power := range powers {
 		made := fitPower(points, power)
-		// Why: a square is only believed where it is clearly nearer; two terms always follow noise a little.
+		// A square is only believed where it is clearly nearer; two terms always follow noise a little.
 		if made.Scatter < 0.8*best.Scatter {
 			best = made
 		}
 	}
-	// Why: what falls as the fleet grows is taken as level; a line through it would soon give less than nothing.
+	// What falls as the fleet grows is taken as level; a line through it would soon give less than nothing.
 	if best.Slope < 0 {
 		best = fitLevel(points)
 	}
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -13,11 +13,11 @@
 	"syscall"
 	"time"
 
-	"wardtray/process/core"
-	"wardtray/process/corehost"
+	"wardtray/config/startup"
+	"wardtray/control/core"
+	"wardtray/control/corehost"
+	"wardtray/control/operator"
 	"wardtray/process/fault"
-	"wardtray/process/operator"
-	"wardtray/process/startup"
 )
 
 // perHost is how many daemons one process carries at most: each has up to seven sockets and more with more cores.
@@ -87,11 +87,11 @@
 	outside.mutex.Lock()
 	defer outside.mutex.Unlock()
 	report := Report{}
-	if failure := outside.encoder.Encode(order); failure != nil {
-		return Report{Failure: failure.Error()}
+	if err := outside.encoder.Encode(order); err != nil {
+		return Report{Failure: err.Error()}
 	}
-	if failure := outside.decoder.Decode(&report); failure != nil {
-		return Report{Failure: failure.Error()}
+	if err := outside.decoder.Decode(&report); err != nil {
+		return Report{Failure: err.Error()}
 	}
 	return report
 }
@@ -105,21 +105,21 @@
 func Carry(input io.Reader, output io.Writer) error {
 	decoder, encoder := json.NewDecoder(input), json.NewEncoder(output)
 	plan := Plan{}
-	if failure := decoder.Decode(&plan); failure != nil {
-		return fault.Wrap(failure, fault.BadStartup, "the plan of a hollow host")
+	if err := decoder.Decode(&plan); err != nil {
+		return fault.Wrap(err, fault.BadStartup, "the plan of a hollow host")
 	}
-	host, failure := newHost(plan)
-	if failure != nil {
-		return failure
+	host, err := newHost(plan)
+	if err != nil {
+		return err
 	}
 	defer host.close()
 	for {
 		order := Order{}
-		if failure := decoder.Decode(&order); failure != nil {
-			return nil // Why: the end of the orders is the end of the host.
+		if err := decoder.Decode(&order); err != nil {
+			return nil // The end of the orders is the end of the host.
 		}
-		if failure := encoder.Encode(host.do(order)); failure != nil {
-			return fault.Wrap(failure, fault.Internal, "reporting")
+		if err := encoder.Encode(host.do(order)); err != nil {
+			return fault.Wrap(err, fault.Internal, "reporting")
 		}
 	}
 }
@@ -166,13 +166,13 @@
 	fleet.client = operator.New(addresses)
 	for number, place := range places {
 		made := &coreProcess{place: place, file: filepath.Join(options.Folder, fmt.Sprintf("core-%d.json", number))}
-		content, failure := json.Marshal(startup.Startup{Address: place.Address, HTTP: place.HTTP, Zone: place.Zone, Seeds: seeds,
+		content, err := json.Marshal(startup.Startup{Address: place.Address, HTTP: place.HTTP, Zone: place.Zone, Seeds: seeds,
 			Folder: filepath.Join(options.Folder, fmt.Sprintf("core-%d", number)), Log: "warn"})
-		if failure == nil {
-			failure = os.WriteFile(made.file, content, 0o640)
+		if err == nil {
+			err = os.WriteFile(made.file, content, 0o640)
 		}
-		if failure != nil {
-			return nil, fault.Wrap(failure, fault.BadStartup, "a core's startup file")
+		if err != nil {
+			return nil, fault.Wrap(err, fault.BadStartup, "a core's startup file")
 		}
 		fleet.cores = append(fleet.cores, made)
 	}
@@ -180,9 +180,9 @@
 		processors := max(1, options.Processors/count)
 		plan := Plan{Network: options.Network, Host: number, Hosts: count, Daemons: options.Daemons, Spare: spares, Cores: places, Runners: options.Runners, Listed: options.Listed,
 			Workers: processors, Witnesses: 4, Seed: options.Seed, Processors: processors, Memory: int64(options.Memory) / int64(count), Slow: options.Slow}
-		if failure := fleet.carry(plan); failure != nil {
+		if err := fleet.carry(plan); err != nil {
 			fleet.close()
-			return nil, failure
+			return nil, err
 		}
 	}
 	return fleet, nil
@@ -190,27 +190,27 @@
 
 func (fleet *fleet) carry(plan Plan) error {
 	if fleet.options.Program == "" {
-		// Why: this process has other work too, whose bounds are not the host's to set.
+		// This process has other work too, whose bounds are not the host's to set.
 		plan.Processors, plan.Memory = 0, 0
-		made, failure := newHost(plan)
-		if failure == nil {
+		made, err := newHost(plan)
+		if err == nil {
 			fleet.hosts = append(fleet.hosts, inside{made})
 		}
-		return failure
+		return err
 	}
 	command := exec.Command(fleet.options.Program, Hidden)
 	command.Stderr = os.Stderr
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	input, failure := command.StdinPipe()
-	if failure != nil {
-		return fault.Wrap(failure, fault.Internal, "a hollow host's input")
+	input, err := command.StdinPipe()
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "a hollow host's input")
 	}
-	output, failure := command.StdoutPipe()
-	if failure != nil {
-		return fault.Wrap(failure, fault.Internal, "a hollow host's output")
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "a hollow host's output")
 	}
-	if failure := command.Start(); failure != nil {
-		return fault.Wrap(failure, fault.BadStartup, "starting a hollow host")
+	if err := command.Start(); err != nil {
+		return fault.Wrap(err, fault.BadStartup, "starting a hollow host")
 	}
 	made := &outside{command: command, encoder: json.NewEncoder(input), decoder: json.NewDecoder(bufio.NewReader(output)), input: input}
 	fleet.hosts = append(fleet.hosts, made)
@@ -219,18 +219,18 @@
 
 // startCore begins a wtcore.
 func (fleet *fleet) startCore(process *coreProcess) error {
-	log, failure := os.OpenFile(process.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
-	if failure != nil {
-		return fault.Wrap(failure, fault.BadStartup, "a core's log")
+	log, err := os.OpenFile(process.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return fault.Wrap(err, fault.BadStartup, "a core's log")
 	}
 	defer log.Close()
 	command := exec.Command(filepath.Join(fleet.options.Binaries, "wtcore"), "--startup", process.file)
 	command.Stdout, command.Stderr = log, log
-	// Why: a measurement that dies must not leave a fleet behind.
+	// A measurement that dies must not leave a fleet behind.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", fleet.options.CoreProcessors))
-	if failure := command.Start(); failure != nil {
-		return fault.Wrap(failure, fault.BadStartup, "starting wtcore")
+	if err := command.Start(); err != nil {
+		return fault.Wrap(err, fault.BadStartup, "starting wtcore")
 	}
 	process.command = command
 	return nil
@@ -335,8 +335,8 @@
 	if process.command == nil {
 		return status
 	}
-	response, failure := fleet.http.Get("http://" + process.place.HTTP + "/v1/status")
-	if failure != nil {
+	response, err := fleet.http.Get("http://" + process.place.HTTP + "/v1/status")
+	if err != nil {
 		return status
 	}
 	defer response.Body.Close()
@@ -417,11 +417,11 @@
 func (fleet *fleet) change() (core.Reply, time.Duration, error) {
 	fleet.mark++
 	begun := time.Now()
-	reply, failure := fleet.client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, fleet.mark),
+	reply, err := fleet.client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, fleet.mark),
 		operator.Change{Base: fleet.epoch, Operation: fmt.Sprintf("change-%d-%d", fleet.options.Seed, fleet.mark)})
 	took := time.Since(begun)
-	if failure == nil && reply.Outcome == "accepted" {
+	if err == nil && reply.Outcome == "accepted" {
 		fleet.epoch = reply.Epoch
 	}
-	return reply, took, failure
+	return reply, took, err
 }
--- a/proof/hollow/hollow_test.go
+++ b/proof/hollow/hollow_test.go
@@ -12,17 +12,17 @@
 )
 
 // A small hollow fleet with real cores. It is judged by what must be there whatever the machine's speed.
-func TestSmallHollowFleet(test *testing.T) {
-	folder := test.TempDir()
+func TestSmallHollowFleet(t *testing.T) {
+	folder := t.TempDir()
 	build := exec.Command("go", "build", "-o", folder, "wardtray/cmd/wtcore")
-	if output, failure := build.CombinedOutput(); failure != nil {
-		test.Fatalf("%v: %s", failure, output)
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
 	}
 	told := &strings.Builder{}
-	run, failure := Measure(Options{Daemons: 9, Runners: 6, Cores: 3, Lanes: 4, Pools: 2, Processors: 2, CoreProcessors: 2, Memory: 4 << 30, Seed: 1, Network: 100 + os.Getpid()%100,
-		Quiet: time.Second, Founding: 2 * time.Minute, Phases: []string{"change", "runners"}, Bound: 4 * time.Minute, Binaries: folder, Folder: test.TempDir(), Output: told})
-	if failure != nil {
-		test.Fatalf("%v\n%s", failure, told)
+	run, err := Measure(Options{Daemons: 9, Runners: 6, Cores: 3, Lanes: 4, Pools: 2, Processors: 2, CoreProcessors: 2, Memory: 4 << 30, Seed: 1, Network: 100 + os.Getpid()%100,
+		Quiet: time.Second, Founding: 2 * time.Minute, Phases: []string{"change", "runners"}, Bound: 4 * time.Minute, Binaries: folder, Folder: t.TempDir(), Output: told})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, told)
 	}
 	figures := map[string]map[string]float64{}
 	kinds := map[string]bool{}
@@ -33,34 +33,34 @@
 		}
 	}
 	if figures["founding"]["directory.size"] != 9 {
-		test.Errorf("the directory holds %v of 9 daemons", figures["founding"]["directory.size"])
+		t.Errorf("the directory holds %v of 9 daemons", figures["founding"]["directory.size"])
 	}
 	for _, kind := range []string{"to cores TickAsk", "from cores TickGrant", "to daemons Shuffle", "to daemons Digest", "to daemons Rumor", "from cores RunnerNews"} {
 		if !kinds[kind] {
-			test.Errorf("no %s was seen", kind)
+			t.Errorf("no %s was seen", kind)
 		}
 	}
 	for _, phase := range []string{"founding", "quiet", "change", "runners"} {
 		if figures[phase]["carrier.dropped"] != 0 {
-			test.Errorf("%s: %v frames were dropped", phase, figures[phase]["carrier.dropped"])
+			t.Errorf("%s: %v frames were dropped", phase, figures[phase]["carrier.dropped"])
 		}
 	}
 	if figures["quiet"]["daemon.heap"] <= 0 || figures["quiet"]["head.resident"] <= 0 || figures["quiet"]["daemon.bytes"] <= 0 {
-		test.Errorf("figures are missing: %v", figures)
+		t.Errorf("figures are missing: %v", figures)
 	}
 	results := Results{Runs: []Run{run}}
 	if !strings.Contains(results.Table(), "| quiet | daemon.bytes |") {
-		test.Error("the table lacks a figure")
+		t.Error("the table lacks a figure")
 	}
-	if failure := results.Plot(filepath.Join(folder, "plot.svg")); failure != nil {
-		test.Error(failure)
+	if err := results.Plot(filepath.Join(folder, "plot.svg")); err != nil {
+		t.Error(err)
 	}
-	if test.Failed() {
-		test.Log(told)
+	if t.Failed() {
+		t.Log(told)
 	}
 }
 
-func TestFitFindsSlopeAndPower(test *testing.T) {
+func TestFitFindsSlopeAndPower(t *testing.T) {
 	random := rand.New(rand.NewSource(1))
 	for range 200 {
 		base, slope, power := random.Float64()*10, 0.1+random.Float64(), 1+random.Intn(2)
@@ -70,14 +70,14 @@
 		}
 		fit, fine := FitPoints(points)
 		if !fine || fit.Power != power || math.Abs(fit.Slope-slope) > 1e-6*slope || fit.Scatter > 1e-6 || fit.Greatest != 1500 {
-			test.Fatalf("%v + %v * size^%d gave %+v", base, slope, power, fit)
+			t.Fatalf("%v + %v * size^%d gave %+v", base, slope, power, fit)
 		}
 	}
 }
 
-func TestFitTellsScatterAndWantsThreeSizes(test *testing.T) {
+func TestFitTellsScatterAndWantsThreeSizes(t *testing.T) {
 	if _, fine := FitPoints([]Point{{12, 1}, {100, 2}, {100, 3}, {12, 4}}); fine {
-		test.Error("two sizes gave a fit")
+		t.Error("two sizes gave a fit")
 	}
 	random := rand.New(rand.NewSource(2))
 	var points []Point
@@ -86,43 +86,43 @@
 	}
 	fit, fine := FitPoints(points)
 	if !fine || fit.Power != 1 || fit.Scatter < 0.01 || fit.Scatter > 0.15 || math.Abs(fit.Slope-2) > 0.3 {
-		test.Errorf("%+v", fit)
+		t.Errorf("%+v", fit)
 	}
 }
 
-func TestFitWantsFourSizesForASquare(test *testing.T) {
+func TestFitWantsFourSizesForASquare(t *testing.T) {
 	if fit, fine := FitPoints([]Point{{10, 100}, {20, 400}, {30, 900}}); !fine || fit.Power != 1 {
-		test.Errorf("%+v", fit)
+		t.Errorf("%+v", fit)
 	}
 	if fit, fine := FitPoints([]Point{{10, 100}, {20, 400}, {30, 900}, {40, 1600}}); !fine || fit.Power != 2 {
-		test.Errorf("%+v", fit)
+		t.Errorf("%+v", fit)
 	}
 }
 
-func TestFitTakesWhatFallsAsLevel(test *testing.T) {
+func TestFitTakesWhatFallsAsLevel(t *testing.T) {
 	fit, fine := FitPoints([]Point{{12, 1.1}, {60, 1}, {120, 0.9}})
 	if !fine || fit.Slope != 0 || math.Abs(fit.At(3500)-1) > 1e-9 || fit.Scatter < 0.05 {
-		test.Errorf("%+v", fit)
+		t.Errorf("%+v", fit)
 	}
 }
 
-func TestLatenessIsCoarse(test *testing.T) {
+func TestLatenessIsCoarse(t *testing.T) {
 	late := lateness{}
 	for range 99 {
 		late.add(500 * time.Microsecond)
 	}
 	late.add(time.Second)
 	if late.share(0.5) != time.Millisecond || late.share(1) < time.Second {
-		test.Errorf("%v %v", late.share(0.5), late.share(1))
+		t.Errorf("%v %v", late.share(0.5), late.share(1))
 	}
 }
 
-func TestAddressesAreDistinctAndKnown(test *testing.T) {
+func TestAddressesAreDistinctAndKnown(t *testing.T) {
 	seen := map[string]bool{}
 	for number := range aimDaemons + spares {
 		place := daemonPlace(60, number, 4)
 		if seen[place.Address] {
-			test.Fatalf("%s twice", place.Address)
+			t.Fatalf("%s twice", place.Address)
 		}
 		seen[place.Address] = true
 	}
--- a/proof/hollow/host.go
+++ b/proof/hollow/host.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"wardtray/connection/wire"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
 // Flow is one kind of message on one way over one border.
@@ -195,8 +195,8 @@
 			Address: fmt.Sprintf("10.%d.%d.%d:9100", number>>16, number>>8&255, number&255), Service: fmt.Sprintf("runners-%02d", number%36)})
 	}
 	if plan.Hosts > 1 {
-		if failure := host.join(); failure != nil {
-			return nil, failure
+		if err := host.join(); err != nil {
+			return nil, err
 		}
 	}
 	for _, worker := range host.workers {
@@ -247,7 +247,7 @@
 	"end":   func(host *host, order Order) Report { return host.each(order, (*worker).quietEnd) },
 	"cut":   (*host).orderCut,
 	"pace": func(host *host, order Order) Report {
-		// Why: once there is a document, full speed is more than the machine can carry.
+		// Once there is a document, full speed is more than the machine can carry.
 		if order.Slow >= host.plan.Slow || !host.documented.Load() {
 			host.setPace(order.Slow)
 		}
@@ -312,8 +312,8 @@
 	for worker, daemons := range host.named(order) {
 		worker.call(func() {
 			for _, daemon := range daemons {
-				if failure := do(worker, daemon); failure != nil {
-					report.Failure = failure.Error()
+				if err := do(worker, daemon); err != nil {
+					report.Failure = err.Error()
 				}
 			}
 		})
@@ -400,15 +400,15 @@
 
 // join opens this host's end of the links between hosts.
 func (host *host) join() error {
-	listener, failure := net.Listen("tcp", linkAddress(host.plan.Network, host.plan.Host))
-	if failure != nil {
-		return fault.Wrap(failure, fault.BadStartup, "listening for other hosts")
+	listener, err := net.Listen("tcp", linkAddress(host.plan.Network, host.plan.Host))
+	if err != nil {
+		return fault.Wrap(err, fault.BadStartup, "listening for other hosts")
 	}
 	host.listener = listener
 	go func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go host.readLink(connection)
@@ -443,8 +443,8 @@
 			return
 		case content := <-link.frames:
 			for connection == nil {
-				made, failure := net.Dial("tcp", link.address)
-				if failure == nil {
+				made, err := net.Dial("tcp", link.address)
+				if err == nil {
 					connection, writer = made, bufio.NewWriterSize(made, 256<<10)
 					break
 				}
@@ -454,11 +454,11 @@
 				case <-time.After(50 * time.Millisecond):
 				}
 			}
-			_, failure := writer.Write(content)
-			if failure == nil && len(link.frames) == 0 {
-				failure = writer.Flush()
+			_, err := writer.Write(content)
+			if err == nil && len(link.frames) == 0 {
+				err = writer.Flush()
 			}
-			if failure != nil {
+			if err != nil {
 				_ = connection.Close()
 				connection = nil
 			}
@@ -470,20 +470,20 @@
 	defer connection.Close()
 	reader := bufio.NewReaderSize(connection, 256<<10)
 	for {
-		length, failure := reader.ReadByte()
-		if failure != nil {
+		length, err := reader.ReadByte()
+		if err != nil {
 			return
 		}
 		name := make([]byte, length)
-		if _, failure := io.ReadFull(reader, name); failure != nil {
+		if _, err := io.ReadFull(reader, name); err != nil {
 			return
 		}
-		head, failure := reader.Peek(frameHead)
-		if failure != nil {
+		head, err := reader.Peek(frameHead)
+		if err != nil {
 			return
 		}
 		content := make([]byte, frameHead+binary.BigEndian.Uint32(head[4:]))
-		if _, failure := io.ReadFull(reader, content); failure != nil {
+		if _, err := io.ReadFull(reader, content); err != nil {
 			return
 		}
 		if found := host.daemons[string(name)]; found != nil {
--- a/proof/hollow/layout.go
+++ b/proof/hollow/layout.go
@@ -9,7 +9,7 @@
 import (
 	"fmt"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 )
 
 // Place is where a process stands.
@@ -81,12 +81,12 @@
 
 // fleetSpec is a spec with so many tenants' lanes over so many models' pools; mark tells one from another.
 func fleetSpec(lanes, pools, mark int) []byte {
-	made := &spec.Spec{}
+	made := &config.Spec{}
 	for _, zone := range Zones() {
-		made.Zones = append(made.Zones, spec.Zone{Name: zone.Name})
+		made.Zones = append(made.Zones, config.Zone{Name: zone.Name})
 	}
 	for number := range pools {
-		made.Pools = append(made.Pools, spec.Pool{Name: fmt.Sprintf("pool-%02d", number), Model: fmt.Sprintf("model-%02d", number),
+		made.Pools = append(made.Pools, config.Pool{Name: fmt.Sprintf("pool-%02d", number), Model: fmt.Sprintf("model-%02d", number),
 			Weights: fmt.Sprintf("w-%02d", number), Services: []string{fmt.Sprintf("runners-%02d", number)}})
 	}
 	for number := range lanes {
@@ -94,8 +94,8 @@
 		if number == 0 {
 			worth = float64(1 + mark%1000)
 		}
-		made.Lanes = append(made.Lanes, spec.Lane{Name: fmt.Sprintf("tenant-%03d", number), Pool: fmt.Sprintf("pool-%02d", number%pools),
-			Worth: worth, Patience: spec.Span(4e9), Purse: 0.5, Repeatable: number%3 != 0})
+		made.Lanes = append(made.Lanes, config.Lane{Name: fmt.Sprintf("tenant-%03d", number), Pool: fmt.Sprintf("pool-%02d", number%pools),
+			Worth: worth, Patience: config.Span(4e9), Purse: 0.5, Repeatable: number%3 != 0})
 	}
 	return made.Encode()
 }
--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"time"
 
-	"wardtray/epoch/chain"
+	"wardtray/control/core"
+	"wardtray/control/registry"
+	"wardtray/coordination/chain"
+	"wardtray/coordination/gossip"
+	"wardtray/edge/plane"
 	"wardtray/process/budget"
-	"wardtray/process/core"
 	"wardtray/process/kvblock"
-	"wardtray/process/plane"
-	"wardtray/process/registry"
-	"wardtray/process/rumor"
 	"wardtray/request/award"
 )
 
@@ -283,7 +283,7 @@
 	{"registry", "runners that a book remembers", aimRunners, registry.MaximumRunners, "runners", designRegistry, "a greater bound costs memory in proportion; books by pool"},
 	{"data daemon", "prefixes in an index", aimPrefixes, kvblock.DefaultKeys, "keys", designIndex, "each daemon keeps the share whose home is near it"},
 	{"head", "operations whose outcome is remembered for a day", 37000, chain.MaximumOutcomes, "operations", designOutcomes, "outcomes kept for a time instead of a number, on disk"},
-	{"all", "registers of rumors", 1 + aimMachines, rumor.MaximumRegisters, "registers", "", "the document and what a zone tells"},
+	{"all", "registers of rumors", 1 + aimMachines, gossip.MaximumRegisters, "registers", "", "the document and what a zone tells"},
 	{"data daemon", "requests that wait at a daemon for one pool, one second's worth", aimRequests / aimDaemons, award.WaitlistLength, "requests", "", "a second of the daemon's whole share fits many times"},
 	{"data daemon", "reports read from runners by each daemon in our own speech, in which no answer brings one", aimRunners / plane.PressureEvery.Seconds(), boundBytes / 300, "reads/s", designReports, "only the runners that a daemon sends to, or their own word with each answer; the bound is 26 KiB/s at 300 bytes a read"},
 	// Why 12: a word counts for so much longer as there are more daemons than that.
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -18,11 +18,11 @@
 // ReadResults reads the results of a file.
 func ReadResults(path string) (Results, error) {
 	results := Results{}
-	content, failure := os.ReadFile(path)
-	if failure == nil {
-		failure = json.Unmarshal(content, &results)
+	content, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(content, &results)
 	}
-	return results, fault.Wrap(failure, fault.Malformed, "results")
+	return results, fault.Wrap(err, fault.Malformed, "results")
 }
 
 // Table shows the runs side by side: each figure of each phase at each size.
@@ -77,14 +77,14 @@
 // ReadAll reads every file of a folder of results by its name.
 func ReadAll(folder string) (map[string]Results, error) {
 	all := map[string]Results{}
-	paths, failure := filepath.Glob(filepath.Join(folder, "*.json"))
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.NotFound, "results")
+	paths, err := filepath.Glob(filepath.Join(folder, "*.json"))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotFound, "results")
 	}
 	for _, path := range paths {
-		results, failure := ReadResults(path)
-		if failure != nil {
-			return nil, failure
+		results, err := ReadResults(path)
+		if err != nil {
+			return nil, err
 		}
 		all[strings.TrimSuffix(filepath.Base(path), ".json")] = results
 	}
@@ -138,7 +138,7 @@
 	if value < 0.005*bound {
 		return math.Inf(1)
 	}
-	// Why: what is as good as the bound is not told to miss it by a rounding.
+	// What is as good as the bound is not told to miss it by a rounding.
 	if value >= 0.995*bound {
 		return 1
 	}
@@ -402,13 +402,13 @@
 
 // Tables gives every table of the page by its name.
 func Tables(folder string) (map[string]string, error) {
-	now, failure := ReadAll(folder)
-	if failure != nil {
-		return nil, failure
+	now, err := ReadAll(folder)
+	if err != nil {
+		return nil, err
 	}
-	before, failure := ReadAll(filepath.Join(folder, "earlier"))
-	if failure != nil {
-		return nil, failure
+	before, err := ReadAll(filepath.Join(folder, "earlier"))
+	if err != nil {
+		return nil, err
 	}
 	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "again": AgainTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
 }
@@ -428,9 +428,9 @@
 }
 
 func writePage(folder, path string) error {
-	tables, failure := Tables(folder)
-	if failure != nil {
-		return failure
+	tables, err := Tables(folder)
+	if err != nil {
+		return err
 	}
 	if path == "" {
 		names := make([]string, 0, len(tables))
@@ -443,13 +443,13 @@
 		}
 		return nil
 	}
-	page, failure := os.ReadFile(path)
-	if failure != nil {
-		return fault.Wrap(failure, fault.NotFound, "the page")
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, fault.NotFound, "the page")
 	}
-	filled, failure := Fill(string(page), tables)
-	if failure != nil {
-		return failure
+	filled, err := Fill(string(page), tables)
+	if err != nil {
+		return err
 	}
 	return fault.Wrap(os.WriteFile(path, []byte(filled), 0o644), fault.Internal, "the page")
 }
--- a/proof/hollow/page_test.go
+++ b/proof/hollow/page_test.go
@@ -10,37 +10,37 @@
 const page = "../../docs/CAPACITY.md"
 
 // The page's tables are what the committed results give.
-func TestPageIsWhatTheResultsGive(test *testing.T) {
-	tables, failure := Tables("results")
-	if failure != nil {
-		test.Fatal(failure)
+func TestPageIsWhatTheResultsGive(t *testing.T) {
+	tables, err := Tables("results")
+	if err != nil {
+		t.Fatal(err)
 	}
-	content, failure := os.ReadFile(page)
-	if failure != nil {
-		test.Fatal(failure)
+	content, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
 	}
-	filled, failure := Fill(string(content), tables)
-	if failure != nil {
-		test.Fatal(failure)
+	filled, err := Fill(string(content), tables)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if filled != string(content) {
-		test.Errorf("write the page anew: wtproof hollow table --page docs/CAPACITY.md")
+		t.Errorf("write the page anew: wtproof hollow table --page docs/CAPACITY.md")
 	}
 }
 
 // Every design that is needed has a section, and the first three sections are of what is worst.
-func TestPageNamesTheWorstFirst(test *testing.T) {
-	content, failure := os.ReadFile(page)
-	if failure != nil {
-		test.Fatal(failure)
+func TestPageNamesTheWorstFirst(t *testing.T) {
+	content, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
 	}
-	all, failure := ReadAll("results")
-	if failure != nil {
-		test.Fatal(failure)
+	all, err := ReadAll("results")
+	if err != nil {
+		t.Fatal(err)
 	}
 	ranked := Ranked(all)
 	if len(ranked) < 3 {
-		test.Fatalf("%d designs are needed", len(ranked))
+		t.Fatalf("%d designs are needed", len(ranked))
 	}
 	var sections []string
 	for _, line := range strings.Split(string(content), "\n") {
@@ -50,38 +50,38 @@
 	}
 	for place, worst := range ranked {
 		if !strings.Contains(string(content), "### "+worst.Design+"\n") {
-			test.Errorf("no section %q", worst.Design)
+			t.Errorf("no section %q", worst.Design)
 		}
 		if place < 3 && (place >= len(sections) || sections[place] != worst.Design) {
-			test.Errorf("section %d is not %q", place+1, worst.Design)
+			t.Errorf("section %d is not %q", place+1, worst.Design)
 		}
 	}
 }
 
 // Each line has a series with a size, and a design that is not empty where it does not hold.
-func TestLinesAreWhole(test *testing.T) {
-	all, failure := ReadAll("results")
-	if failure != nil {
-		test.Fatal(failure)
+func TestLinesAreWhole(t *testing.T) {
+	all, err := ReadAll("results")
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, line := range lines {
 		if series[line.series] == nil || line.what == "" || line.mechanism == "" || line.aim == 0 {
-			test.Errorf("%+v", line)
+			t.Errorf("%+v", line)
 			continue
 		}
 		fit, fitted := FitPoints(line.points(all))
 		if at, _ := line.reach(all, fit); fitted && factor(at, line.bound, line.least) > 1 && line.design == "" {
-			test.Errorf("%s, %s does not hold and names no design", line.role, line.what)
+			t.Errorf("%s, %s does not hold and names no design", line.role, line.what)
 		}
 	}
 	for _, limit := range limits {
 		if limit.asked > limit.has && limit.design == "" {
-			test.Errorf("%s, %s does not hold and names no design", limit.role, limit.what)
+			t.Errorf("%s, %s does not hold and names no design", limit.role, limit.what)
 		}
 	}
 }
 
-func TestVerdictsTellTheFactor(test *testing.T) {
+func TestVerdictsTellTheFactor(t *testing.T) {
 	for _, sample := range []struct {
 		value, bound float64
 		least        bool
@@ -89,20 +89,20 @@
 	}{{1, 0, false, "no bound given"}, {1, 2, false, "holds"}, {2, 2, false, "holds"}, {6, 2, false, "**3 times over**"}, {0, 1, true, "**not at all**"},
 		{0.5, 1, true, "**2 times over**"}, {0.999, 1, true, "holds"}, {1, 1, true, "holds"}} {
 		if told := verdict(sample.value, sample.bound, sample.least); told != sample.wanted {
-			test.Errorf("%v of %v: %s", sample.value, sample.bound, told)
+			t.Errorf("%v of %v: %s", sample.value, sample.bound, told)
 		}
 	}
 	if !math.IsInf(factor(0, 1, true), 1) {
-		test.Error("nothing of something is no factor")
+		t.Error("nothing of something is no factor")
 	}
 }
 
-func TestFillWantsEveryMark(test *testing.T) {
-	filled, failure := Fill("a\n<!-- table x -->\nold\n<!-- end x -->\nb\n", map[string]string{"x": "new\n"})
-	if failure != nil || filled != "a\n<!-- table x -->\nnew\n<!-- end x -->\nb\n" {
-		test.Errorf("%q %v", filled, failure)
+func TestFillWantsEveryMark(t *testing.T) {
+	filled, err := Fill("a\n<!-- table x -->\nold\n<!-- end x -->\nb\n", map[string]string{"x": "new\n"})
+	if err != nil || filled != "a\n<!-- table x -->\nnew\n<!-- end x -->\nb\n" {
+		t.Errorf("%q %v", filled, err)
 	}
-	if _, failure := Fill("a", map[string]string{"x": ""}); failure == nil {
-		test.Error("a page without a place was filled")
+	if _, err := Fill("a", map[string]string{"x": ""}); err == nil {
+		t.Error("a page without a place was filled")
 	}
 }
--- a/proof/hollow/path.go
+++ b/proof/hollow/path.go
@@ -11,13 +11,13 @@
 
 	"golang.org/x/sys/unix"
 
-	"wardtray/connection/wire"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
 	deployment "wardtray/proof/fleet"
 	"wardtray/proof/sim"
 	"wardtray/request/award"
 	"wardtray/request/stream"
+	"wardtray/wire"
 )
 
 // PathOptions say at which sizes the request path's own costs are measured.
@@ -45,25 +45,25 @@
 		add(Run{Runners: count}, "award", measureAward(count))
 	}
 	for _, count := range options.Prefixes {
-		figures, failure := measureIndex(count)
-		if failure != nil {
-			return runs, failure
+		figures, err := measureIndex(count)
+		if err != nil {
+			return runs, err
 		}
 		add(Run{Prefixes: count}, "index", figures)
 	}
 	add(Run{}, "event", measureEvent())
 	for _, size := range options.Spread {
-		spread, failure := sim.MeasureSpread(1, size, 10)
-		if failure != nil {
-			return runs, failure
+		spread, err := sim.MeasureSpread(1, size, 10)
+		if err != nil {
+			return runs, err
 		}
 		add(Run{Daemons: size, Lanes: 10}, "spread", map[string]float64{"half": spread.Half.Seconds(), "most": spread.Most.Seconds(), "all": spread.All.Seconds(),
 			"acknowledged": spread.Acknowledged.Seconds(), "messages": spread.Messages, "bytes": spread.Bytes, "bytes_other_zone": spread.AcrossBytes, "change.bytes": spread.ChangeBytes})
 	}
 	for _, rate := range options.Rates {
-		figures, failure := measureRequests(options, rate)
-		if failure != nil {
-			return runs, failure
+		figures, err := measureRequests(options, rate)
+		if err != nil {
+			return runs, err
 		}
 		add(Run{Daemons: 12, Runners: 18, Rate: rate}, "requests", figures)
 	}
@@ -89,8 +89,8 @@
 // measureAward prices one award among a pool's part of so many runners, as a plane asks for them.
 func measureAward(count int) map[string]float64 {
 	now := time.Unix(1_700_000_000, 0)
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, 0)
-	if failure != nil {
+	indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, kvblock.DefaultRunners, 0)
+	if err != nil {
 		return nil
 	}
 	book := pressure.NewBook(now, "daemon")
@@ -137,16 +137,16 @@
 		return memory.HeapAlloc
 	}
 	before := held()
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, count+count/8, kvblock.DefaultRunners, 0)
-	if failure != nil {
-		return nil, failure
+	indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, count+count/8, kvblock.DefaultRunners, 0)
+	if err != nil {
+		return nil, err
 	}
 	tokens := []int{1, 1, 1, 1}
 	begun := processTime()
 	for number := 0; number < count; number += partsOfPrompt {
 		keys := make([]kvblock.BlockKey, partsOfPrompt)
 		for place := range keys {
-			// Why: keys are hashes; numbers in a row would all fall into few of the index's shards.
+			// Keys are hashes; numbers in a row would all fall into few of the index's shards.
 			keys[place] = kvblock.BlockKey(uint64(number+place+1) * 0x9e3779b97f4a7c15)
 		}
 		indexer.Pool.Add(kvblock.BlockStored{Runner: fmt.Sprintf("runner-%05d", number/partsOfPrompt%max(1, count/400)), Now: now, Keys: keys, Tokens: tokens})
@@ -179,7 +179,7 @@
 	each := timed(func() {
 		reader := stream.NewReader(bytes.NewReader(body.Bytes()), stream.Rules{Counted: true}, 0)
 		for range events {
-			if _, failure := reader.Next(); failure != nil {
+			if _, err := reader.Next(); err != nil {
 				return
 			}
 		}
@@ -198,6 +198,6 @@
 	}
 	before := children()
 	scenario := deployment.Scenario{Help: "a load without any fault", Run: func(stage *deployment.Stage) error { return nil }}
-	_, failure := deployment.Prove(deployment.Shapes["guild"], scenario, deployment.Options{Binaries: options.Binaries, Seconds: options.Seconds, Seed: 1, Rate: rate, Output: io.Discard, Timeless: true})
-	return map[string]float64{"processor.seconds": (children() - before).Seconds(), "requests": rate * float64(options.Seconds)}, failure
+	_, err := deployment.Prove(deployment.Shapes["guild"], scenario, deployment.Options{Binaries: options.Binaries, Seconds: options.Seconds, Seed: 1, Rate: rate, Output: io.Discard, Timeless: true})
+	return map[string]float64{"processor.seconds": (children() - before).Seconds(), "requests": rate * float64(options.Seconds)}, err
 }
--- a/proof/hollow/plot.go
+++ b/proof/hollow/plot.go
@@ -53,8 +53,8 @@
 		return fault.New(fault.NotFound, "no run has a figure to plot")
 	}
 	lines = append(lines, "bound", plotter.XYs{{X: least, Y: 1}, {X: max(most, least+1), Y: 1}})
-	if failure := plotutil.AddLinePoints(drawn, lines...); failure != nil {
-		return fault.Wrap(failure, fault.Internal, "plotting")
+	if err := plotutil.AddLinePoints(drawn, lines...); err != nil {
+		return fault.Wrap(err, fault.Internal, "plotting")
 	}
 	return fault.Wrap(drawn.Save(20*vg.Centimeter, 14*vg.Centimeter, path), fault.Internal, "writing %s", path)
 }
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
+	"wardtray/control/operator"
 	"wardtray/process/fault"
-	"wardtray/process/operator"
 )
 
 // spares are daemons at addresses of their own that come in while the fleet runs.
@@ -93,8 +93,8 @@
 // NewResults begins the results of a command.
 func NewResults(command string) Results {
 	results := Results{Command: command, Commit: "unknown", Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version())}
-	// Why: a build in a second worktree carries no commit of its own, so the one checked out here is asked first.
-	if told, failure := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output(); failure == nil {
+	// A build in a second worktree carries no commit of its own, so the one checked out here is asked first.
+	if told, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output(); err == nil {
 		results.Commit = strings.TrimSpace(string(told))
 		return results
 	}
@@ -169,32 +169,32 @@
 	}
 	run.Slow = options.Slow
 	if options.Folder == "" {
-		folder, failure := os.MkdirTemp("", "hollow")
-		if failure != nil {
-			return run, fault.Wrap(failure, fault.BadStartup, "a folder for the cores")
+		folder, err := os.MkdirTemp("", "hollow")
+		if err != nil {
+			return run, fault.Wrap(err, fault.BadStartup, "a folder for the cores")
 		}
 		defer os.RemoveAll(folder)
 		options.Folder = folder
 	}
-	fleet, failure := open(options)
-	if failure != nil {
-		return run, failure
+	fleet, err := open(options)
+	if err != nil {
+		return run, err
 	}
 	defer fleet.close()
 	run.Processes = len(fleet.hosts) + len(fleet.cores)
 	fleet.tell("%d daemons in %d processes, %d cores, %d runners", options.Daemons, len(fleet.hosts), len(fleet.cores), options.Runners)
-	founded, failure := fleet.found()
+	founded, err := fleet.found()
 	run.Phases = append(run.Phases, founded)
-	if failure != nil {
-		return run, failure
+	if err != nil {
+		return run, err
 	}
 	if founded.Upset {
 		fleet.tell("upset: %s", strings.Join(founded.Notes, "; "))
 		return run, nil
 	}
-	// Why: with slow clocks the same time holds less of the daemons' own, and what comes once a second would be missed.
+	// With slow clocks the same time holds less of the daemons' own, and what comes once a second would be missed.
 	length := max(options.Quiet, time.Duration(leastQuiet*options.Slow*float64(time.Second)))
-	// Why: what the founding left on its way is no part of a quiet fleet.
+	// What the founding left on its way is no part of a quiet fleet.
 	pause(min(length, settling))
 	quiet := fleet.watch("quiet", func(phase *Phase) { pause(length) })
 	quiet.Figures["daemon.heap"] = float64(fleet.order(Order{Verb: "settle"}).Heap) / float64(max(1, options.Daemons))
@@ -276,7 +276,7 @@
 			Sent: rate("sent"), Received: rate("received"), BytesOut: rate("bytes_out"), BytesIn: rate("bytes_in"), Dropped: rate("dropped") * phase.Seconds})
 	}
 	fleet.coreFigures(&phase)
-	// Why: a contact asked by many where nobody was harmed means that the head was not heard in time.
+	// A contact asked by many where nobody was harmed means that the head was not heard in time.
 	if !phases[name].silent && name != "churn" && name != "rack" && phase.Figures["kind.ContactAsk.messages"] > upsetBound && name != "founding" {
 		phase.Upset = true
 		phase.Notes = append(phase.Notes, "upset: daemons asked each other although nothing was done to the head")
@@ -363,15 +363,15 @@
 
 // found starts daemons and cores and waits until the whole directory is there and serves.
 func (fleet *fleet) found() (Phase, error) {
-	var failure error
+	var err error
 	phase := fleet.watch("founding", func(phase *Phase) {
-		// Why: daemons that are there before the control plane come into an empty directory together; later ones come one by one.
+		// Daemons that are there before the control plane come into an empty directory together; later ones come one by one.
 		if report := fleet.order(Order{Verb: "begin"}); report.Failure != "" {
-			failure = fault.New(fault.BadStartup, "%s", report.Failure)
+			err = fault.New(fault.BadStartup, "%s", report.Failure)
 			return
 		}
 		for _, process := range fleet.cores {
-			if failure = fleet.startCore(process); failure != nil {
+			if err = fleet.startCore(process); err != nil {
 				return
 			}
 		}
@@ -379,7 +379,7 @@
 			leader := fleet.leader()
 			return leader.Core.Leading, fmt.Sprintf("view %d", leader.Core.View)
 		})
-		// Why: the head takes into an empty directory only who asks twice within its first second.
+		// The head takes into an empty directory only who asks twice within its first second.
 		fleet.order(Order{Verb: "pace", Slow: 1})
 		took, whole := fleet.await(fleet.options.Founding, "founding", func() (bool, string) {
 			pause(200 * time.Millisecond)
@@ -389,7 +389,7 @@
 		})
 		phase.Figures["directory.seconds"] = took.Seconds()
 		if !whole {
-			// Why: those left come in one by one, each with a document to all, which is no quiet to measure.
+			// Those left come in one by one, each with a document to all, which is no quiet to measure.
 			phase.Upset = true
 			phase.Notes = append(phase.Notes, fmt.Sprintf("upset: the directory was not whole after %.0f s", took.Seconds()))
 			return
@@ -415,8 +415,8 @@
 			phase.Notes = append(phase.Notes, "upset: not all daemons served")
 		}
 	})
-	if failure != nil {
-		return phase, failure
+	if err != nil {
+		return phase, err
 	}
 	return phase, nil
 }
@@ -432,7 +432,7 @@
 // arrive notes how long after a moment half, 99 % and all of those up had an epoch.
 func (fleet *fleet) arrive(phase *Phase, epoch uint64, sent time.Duration, expected int) {
 	var moments []time.Duration
-	// Why: with slow clocks the daemons' own five seconds last longer, and the machine needs them.
+	// With slow clocks the daemons' own five seconds last longer, and the machine needs them.
 	bound := time.Duration(5 * fleet.options.Slow * float64(time.Second))
 	_, whole := fleet.await(bound, "a change arrives", func() (bool, string) {
 		moments = fleet.order(Order{Verb: "sample"}).Arrivals[epoch]
@@ -453,9 +453,9 @@
 
 // acknowledge makes one change and notes how long its answer took; it tells whether it was accepted.
 func (fleet *fleet) acknowledge(phase *Phase) bool {
-	reply, took, failure := fleet.change()
-	if failure != nil || reply.Outcome != "accepted" {
-		phase.Notes = append(phase.Notes, fmt.Sprintf("a change ended as %s after %.1f s: %s %v", reply.Outcome, took.Seconds(), reply.Detail, failure))
+	reply, took, err := fleet.change()
+	if err != nil || reply.Outcome != "accepted" {
+		phase.Notes = append(phase.Notes, fmt.Sprintf("a change ended as %s after %.1f s: %s %v", reply.Outcome, took.Seconds(), reply.Detail, err))
 		phase.Figures["change.unsure"]++
 		fleet.refresh()
 		return false
@@ -468,7 +468,7 @@
 
 // refresh reads the newest epoch after a change of unknown outcome.
 func (fleet *fleet) refresh() {
-	if reply, failure := fleet.client.Get(); failure == nil && reply.Outcome == "found" {
+	if reply, err := fleet.client.Get(); err == nil && reply.Outcome == "found" {
 		fleet.epoch = max(fleet.epoch, reply.Epoch)
 	}
 }
@@ -498,16 +498,16 @@
 			defer waiting.Done()
 			client := operator.New([]string{fleet.cores[number%len(fleet.cores)].place.HTTP})
 			for attempt := 0; time.Since(begun) < length; attempt++ {
-				present, failure := client.Get()
-				if failure != nil {
+				present, err := client.Get()
+				if err != nil {
 					continue
 				}
 				sent := time.Now()
-				reply, failure := client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, 1000*number+attempt),
+				reply, err := client.Apply(fleetSpec(fleet.options.Lanes, fleet.options.Pools, 1000*number+attempt),
 					operator.Change{Base: present.Epoch, Operation: fmt.Sprintf("storm-%d-%d-%d", fleet.options.Seed, number, attempt)})
 				took := time.Since(sent)
 				mutex.Lock()
-				if failure != nil {
+				if err != nil {
 					reply.Outcome = "unanswered"
 				}
 				phase.Figures["storm."+reply.Outcome]++
@@ -574,8 +574,8 @@
 	fleet.acknowledge(phase)
 	pause(2 * time.Second)
 	if lost != nil {
-		if failure := fleet.startCore(lost); failure != nil {
-			phase.Notes = append(phase.Notes, failure.Error())
+		if err := fleet.startCore(lost); err != nil {
+			phase.Notes = append(phase.Notes, err.Error())
 		}
 	}
 	fleet.order(Order{Verb: "begin", Addresses: victims})
@@ -603,7 +603,7 @@
 }
 
 func (fleet *fleet) phaseZone(phase *Phase) {
-	// Why: the head's own zone is another phase; here one of the others goes.
+	// The head's own zone is another phase; here one of the others goes.
 	lost := fleet.member("tail")
 	if lost == nil {
 		phase.Notes = append(phase.Notes, "no tail was found")
@@ -625,7 +625,7 @@
 const cutLength = 6 * time.Second
 
 func (fleet *fleet) phaseCut(phase *Phase) {
-	// Why: the part with most keepers keeps the chain; the other's cores can neither agree nor claim anything.
+	// The part with most keepers keeps the chain; the other's cores can neither agree nor claim anything.
 	greater, lesser := map[int]bool{}, map[int]bool{}
 	for _, keeper := range fleet.leader().Core.Keepers {
 		for _, process := range fleet.cores {
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -79,7 +79,7 @@
 func (load *Load) one() {
 	drawn, zone := load.draw()
 	record := &history.Answer{Request: drawn.ID, Lane: drawn.Kind.Lane, Once: drawn.Kind.Once, Patience: drawn.Kind.Patience, Zone: zone, Sent: time.Now(), Resumable: drawn.Kind.Resumable, Bound: drawn.Bound()}
-	// Why: a requester whose connection was never made may go to another daemon: nothing of it was read.
+	// A requester whose connection was never made may go to another daemon: nothing of it was read.
 	for range 5 {
 		record.Daemon = load.Pick(zone)
 		if record.Daemon == "" {
@@ -98,21 +98,21 @@
 
 // send tells whether the request is over with; false means that it was surely not read.
 func (load *Load) send(drawn Drawn, record *history.Answer) bool {
-	request, failure := http.NewRequest("POST", "http://"+record.Daemon+"/v1/stream", bytes.NewReader(drawn.Body()))
-	if failure != nil {
+	request, err := http.NewRequest("POST", "http://"+record.Daemon+"/v1/stream", bytes.NewReader(drawn.Body()))
+	if err != nil {
 		return true
 	}
-	// Why: a body that can't be taken again keeps the client from sending a request twice of its own accord.
+	// A body that can't be taken again keeps the client from sending a request twice of its own accord.
 	request.GetBody = nil
 	for name, values := range drawn.Headers(load.Mix.Model) {
 		for _, value := range values {
 			request.Header.Add(name, value)
 		}
 	}
-	response, failure := load.client.Do(request)
-	if failure != nil {
+	response, err := load.client.Do(request)
+	if err != nil {
 		var operation *net.OpError
-		if errors.As(failure, &operation) && operation.Op == "dial" {
+		if errors.As(err, &operation) && operation.Op == "dial" {
 			return false
 		}
 		record.Sure = true
@@ -122,7 +122,7 @@
 	record.Sure, record.Status = true, response.StatusCode
 	record.RetryAfter, record.Head = response.Header.Get("Retry-After") != "", response.Header.Get(intake.HeaderRunner)
 	if response.StatusCode != 200 {
-		// Why: what can't be read is no refusal as documented, and is found as such below.
+		// What can't be read is no refusal as documented, and is found as such below.
 		body, _ := io.ReadAll(io.LimitReader(response.Body, 64<<10))
 		Refused(record, body)
 		return true
@@ -135,9 +135,9 @@
 func (load *Load) events(body io.Reader, record *history.Answer) {
 	reader, ear := bufio.NewReader(body), Ear{Record: record}
 	for {
-		line, failure := reader.ReadString('\n')
-		if failure != nil {
-			// Why: a stream that ends without its last event is a broken answer, not a lost one: some of it was told.
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			// A stream that ends without its last event is a broken answer, not a lost one: some of it was told.
 			if !record.Done && !record.Error {
 				record.Lost = true
 			}
--- a/proof/load/mix.go
+++ b/proof/load/mix.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/proof/history"
 	"wardtray/request/intake"
 )
@@ -77,17 +77,17 @@
 }
 
 // Spec is the deployment's, with one more lane for each marker.
-func (mix Mix) Spec(zones []string, markers ...string) *spec.Spec {
-	made := &spec.Spec{Pools: []spec.Pool{{Name: mix.Pool, Model: mix.Model, Weights: mix.Weights, Services: []string{mix.Service}}}}
+func (mix Mix) Spec(zones []string, markers ...string) *config.Spec {
+	made := &config.Spec{Pools: []config.Pool{{Name: mix.Pool, Model: mix.Model, Weights: mix.Weights, Services: []string{mix.Service}}}}
 	for _, zone := range zones {
-		made.Zones = append(made.Zones, spec.Zone{Name: zone})
+		made.Zones = append(made.Zones, config.Zone{Name: zone})
 	}
 	for _, kind := range mix.Kinds {
-		made.Lanes = append(made.Lanes, spec.Lane{Name: kind.Lane, Pool: mix.Pool, Worth: kind.Worth, Patience: spec.Span(kind.Patience), Purse: kind.Purse, Repeatable: !kind.Once,
-			Resumable: kind.Resumable, Pause: spec.Span(kind.Pause), Deadline: spec.Span(kind.Deadline)})
+		made.Lanes = append(made.Lanes, config.Lane{Name: kind.Lane, Pool: mix.Pool, Worth: kind.Worth, Patience: config.Span(kind.Patience), Purse: kind.Purse, Repeatable: !kind.Once,
+			Resumable: kind.Resumable, Pause: config.Span(kind.Pause), Deadline: config.Span(kind.Deadline)})
 	}
 	for _, marker := range markers {
-		made.Lanes = append(made.Lanes, spec.Lane{Name: marker, Pool: mix.Pool, Worth: 1, Patience: spec.Span(5 * time.Second), Purse: 0.1, Repeatable: true})
+		made.Lanes = append(made.Lanes, config.Lane{Name: marker, Pool: mix.Pool, Worth: 1, Patience: config.Span(5 * time.Second), Purse: 0.1, Repeatable: true})
 	}
 	return made
 }
@@ -119,12 +119,12 @@
 			break
 		}
 	}
-	// Why: few openings draw most of the work, as a crowd's questions do.
+	// Few openings draw most of the work, as a crowd's questions do.
 	drawn.Family = min(random.Intn(drawn.Kind.Families), random.Intn(drawn.Kind.Families))
 	if random.Float64() < hot {
 		drawn.Family = 0
 	}
-	// Why: some requesters tell nothing, and then the lane's own bound holds.
+	// Some requesters tell nothing, and then the lane's own bound holds.
 	if kind := drawn.Kind; kind.Wait > 0 && random.Intn(4) > 0 {
 		drawn.Wait = (kind.Wait/8 + time.Duration(random.Int63n(int64(2*kind.Wait)))).Round(time.Millisecond)
 	}
@@ -164,9 +164,9 @@
 
 // Body gives the request's body.
 func (drawn Drawn) Body() []byte {
-	content, failure := json.Marshal(map[string]string{"prompt": drawn.Kind.Text})
-	if failure != nil {
-		panic(failure) // Why: a map of strings always marshals.
+	content, err := json.Marshal(map[string]string{"prompt": drawn.Kind.Text})
+	if err != nil {
+		panic(err) // A map of strings always marshals.
 	}
 	return content
 }
@@ -214,7 +214,7 @@
 // Refused takes a refusal's body.
 func Refused(record *history.Answer, body []byte) {
 	refusal := struct{ Kind, Detail, Ran string }{}
-	if failure := json.Unmarshal(body, &refusal); failure != nil || refusal.Kind == "" {
+	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Kind == "" {
 		record.Kind = "unreadable"
 		return
 	}
--- a/proof/place/batch.go
+++ b/proof/place/batch.go
@@ -234,7 +234,7 @@
 		}
 		back := batch.running[least]
 		batch.running = append(batch.running[:least], batch.running[least+1:]...)
-		// Why: what was written is read anew with the prompt.
+		// What was written is read anew with the prompt.
 		back.prompt, back.read, back.began = back.prompt+back.written, 0, false
 		batch.waiting = append(batch.waiting, back)
 	}
--- a/proof/place/place.go
+++ b/proof/place/place.go
@@ -8,7 +8,6 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
 	"wardtray/process/budget"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
@@ -16,6 +15,7 @@
 	"wardtray/proof/sim"
 	"wardtray/proof/standin"
 	"wardtray/request/award"
+	"wardtray/wire"
 )
 
 // greatest takes the offer of the whole pool that is worth most, equal ones by lot.
@@ -133,9 +133,9 @@
 		names[number] = fmt.Sprint("d", number)
 	}
 	for number, name := range names {
-		indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, kvblock.DefaultRunners, 0)
-		if failure != nil {
-			return nil, failure
+		indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, kvblock.DefaultRunners, 0)
+		if err != nil {
+			return nil, err
 		}
 		made := &daemon{budget: budget.New(budget.Default, nil), zone: setting.Zones[number%len(setting.Zones)], book: pressure.NewBook(stage.world.Now, name), tickets: map[*award.Ticket]*job{}}
 		made.book.List(stage.world.Now, lines)
--- a/proof/place/place_test.go
+++ b/proof/place/place_test.go
@@ -7,37 +7,37 @@
 	"wardtray/proof/load"
 )
 
-func measure(test *testing.T, deployment, way string, rate, hot float64) map[string]*Result {
-	test.Helper()
+func measure(t *testing.T, deployment, way string, rate, hot float64) map[string]*Result {
+	t.Helper()
 	setting := Settings[deployment]
 	setting.Way, setting.Rate, setting.Hot, setting.Length, setting.Seed = way, rate, hot, 8*time.Second, 3
-	results, failure := Measure(setting)
-	if failure != nil {
-		test.Fatal(failure)
+	results, err := Measure(setting)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return results
 }
 
 // In simulated time and so the same on every machine: the index and the homes find far more in caches than
 // chance does.
-func TestPlacementBeatsChance(test *testing.T) {
+func TestPlacementBeatsChance(t *testing.T) {
 	for _, deployment := range []string{"guild", "ferries"} {
-		ours, chance := measure(test, deployment, "wardtray", 60, 0)[""], measure(test, deployment, "random", 60, 0)[""]
+		ours, chance := measure(t, deployment, "wardtray", 60, 0)[""], measure(t, deployment, "random", 60, 0)[""]
 		if ours.Done != ours.Requests {
-			test.Errorf("%s: %d of %d done with room to spare", deployment, ours.Done, ours.Requests)
+			t.Errorf("%s: %d of %d done with room to spare", deployment, ours.Done, ours.Requests)
 		}
 		if ours.CacheShare() < 1.5*chance.CacheShare() {
-			test.Errorf("%s: %.0f%% cached, by chance %.0f%%", deployment, 100*ours.CacheShare(), 100*chance.CacheShare())
+			t.Errorf("%s: %.0f%% cached, by chance %.0f%%", deployment, 100*ours.CacheShare(), 100*chance.CacheShare())
 		}
 		if ours.Across > chance.Across {
-			test.Errorf("%s: %d awards across zones, by chance %d", deployment, ours.Across, chance.Across)
+			t.Errorf("%s: %d awards across zones, by chance %d", deployment, ours.Across, chance.Across)
 		}
 	}
 }
 
 // A prompt crosses zones for its opening, whose second reading costs fifty times what its bytes do. One
 // without an opening stays where it came.
-func TestPromptsWithoutOpeningsStayInTheirZone(test *testing.T) {
+func TestPromptsWithoutOpeningsStayInTheirZone(t *testing.T) {
 	for _, deployment := range []string{"guild", "ferries"} {
 		across := map[string]int{}
 		for _, way := range []string{"wardtray", "random"} {
@@ -47,40 +47,40 @@
 			for place := range setting.Mix.Kinds {
 				setting.Mix.Kinds[place].Opening, setting.Mix.Kinds[place].Own = 0, 800
 			}
-			results, failure := Measure(setting)
-			if failure != nil {
-				test.Fatal(failure)
+			results, err := Measure(setting)
+			if err != nil {
+				t.Fatal(err)
 			}
 			across[way] = results[""].Across
 		}
 		if across["wardtray"]*3 > across["random"]*2 {
-			test.Errorf("%s: %d awards across zones, by chance %d", deployment, across["wardtray"], across["random"])
+			t.Errorf("%s: %d awards across zones, by chance %d", deployment, across["wardtray"], across["random"])
 		}
 	}
 }
 
 // One key with nine tenths of the work spills: nobody is turned away, and no runner is filled to where it puts back.
-func TestHotKeySpillsOverTheFleet(test *testing.T) {
-	ours := measure(test, "guild", "wardtray", 150, 0.9)[""]
+func TestHotKeySpillsOverTheFleet(t *testing.T) {
+	ours := measure(t, "guild", "wardtray", 150, 0.9)[""]
 	if ours.Done != ours.Requests || ours.CacheShare() < 0.7 {
-		test.Errorf("%d of %d done, %.0f%% cached", ours.Done, ours.Requests, 100*ours.CacheShare())
+		t.Errorf("%d of %d done, %.0f%% cached", ours.Done, ours.Requests, 100*ours.CacheShare())
 	}
 }
 
 // At twice what the fleet can do: every lane still gets some, what is worth more gets more of what it
 // asks for, and nearly all refusals come at the door.
-func TestOverloadIsSharedAndToldEarly(test *testing.T) {
-	results := measure(test, "guild", "wardtray", 500, 0)
+func TestOverloadIsSharedAndToldEarly(t *testing.T) {
+	results := measure(t, "guild", "wardtray", 500, 0)
 	share := func(lane string) float64 { return float64(results[lane].Done) / float64(results[lane].Requests) }
 	for lane, result := range results {
 		if share(lane) < 0.1 {
-			test.Errorf("%s starves: %d of %d done", lane, result.Done, result.Requests)
+			t.Errorf("%s starves: %d of %d done", lane, result.Done, result.Requests)
 		}
 	}
 	if dear, cheap := results["confirm"].Quantile(0.5), results["survey"].Quantile(0.5); dear*2 > cheap {
-		test.Errorf("confirm waits %v, survey %v", dear, cheap)
+		t.Errorf("confirm waits %v, survey %v", dear, cheap)
 	}
 	if all := results[""]; all.Late > all.Early {
-		test.Errorf("%d late refusals, %d early", all.Late, all.Early)
+		t.Errorf("%d late refusals, %d early", all.Late, all.Early)
 	}
 }
--- a/proof/place/play.go
+++ b/proof/place/play.go
@@ -7,14 +7,14 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/process/budget"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
 	"wardtray/proof/sim"
 	"wardtray/proof/standin"
 	"wardtray/request/award"
+	"wardtray/wire"
 )
 
 // Play is one measurement of a deployment.
@@ -136,8 +136,8 @@
 		fleet.add(fmt.Sprint("z", number%play.Deployment.Zones))
 	}
 	fleet.prepare()
-	if failure := fleet.hire(); failure != nil {
-		return nil, failure
+	if err := fleet.hire(); err != nil {
+		return nil, err
 	}
 	fleet.observe()
 	fleet.settle()
@@ -197,11 +197,11 @@
 	for number := range play.Deployment.Daemons {
 		fleet.names = append(fleet.names, fmt.Sprint("d", number))
 	}
-	pool := spec.Pool{Engine: spec.Engine{Slots: play.Deployment.Engine.Slots, MemoryTokens: play.Deployment.Engine.MemoryTokens, EventTokens: play.Deployment.Engine.Stride}}
+	pool := config.Pool{Engine: config.Engine{Slots: play.Deployment.Engine.Slots, MemoryTokens: play.Deployment.Engine.MemoryTokens, EventTokens: play.Deployment.Engine.Stride}}
 	for number, name := range fleet.names {
-		indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, kvblock.DefaultRunners, 0)
-		if failure != nil {
-			return failure
+		indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, kvblock.DefaultRunners, 0)
+		if err != nil {
+			return err
 		}
 		made := &desked{name: name, zone: fmt.Sprint("z", number%play.Deployment.Zones), book: pressure.NewBook(fleet.world.Now, name),
 			budget: budget.New(budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, func() int { return len(fleet.names) })}
@@ -214,7 +214,7 @@
 		}
 		fleet.daemons = append(fleet.daemons, made)
 	}
-	// Why: clients are handed to daemons of their zone by a hash, so that shares are uneven.
+	// Clients are handed to daemons of their zone by a hash, so that shares are uneven.
 	for number := range play.Deployment.Clients {
 		zone := fmt.Sprint("z", number%play.Deployment.Zones)
 		var near []*desked
@@ -290,7 +290,7 @@
 		}
 		for _, batch := range chosen(play.Crash) {
 			batch.die()
-			// Why: one that says nothing any more is taken off the list only after some calls have not come.
+			// One that says nothing any more is taken off the list only after some calls have not come.
 			fleet.world.After(3600*time.Millisecond, func() { fleet.remove(batch) })
 			fleet.world.After(length, func() { fleet.add(batch.zone); fleet.relist() })
 		}
--- a/proof/place/play_test.go
+++ b/proof/place/play_test.go
@@ -5,65 +5,65 @@
 	"time"
 )
 
-func played(test *testing.T, deployment, way string, change func(play *Play)) map[string]*Earned {
-	test.Helper()
+func played(t *testing.T, deployment, way string, change func(play *Play)) map[string]*Earned {
+	t.Helper()
 	play := Play{Deployment: Deployments[deployment], Load: 1, Length: 9 * time.Second, Seed: 5, Way: way, Polls: time.Second}
 	if change != nil {
 		change(&play)
 	}
-	results, failure := play.Run()
-	if failure != nil {
-		test.Fatal(failure)
+	results, err := play.Run()
+	if err != nil {
+		t.Fatal(err)
 	}
 	return results
 }
 
 // On batching engines, at the usual load: more is earned after prices than by the reports alone, and what all runners
 // together read once more is half of it at most.
-func TestForecastBeatsReports(test *testing.T) {
+func TestForecastBeatsReports(t *testing.T) {
 	for _, deployment := range []string{"guild", "ferries", "slow-engines"} {
 		results := map[string]*Earned{}
 		for _, way := range []string{"wardtray", "least-loaded"} {
-			// Why: three seeds, since engines with few slots get few requests.
+			// Three seeds, since engines with few slots get few requests.
 			play := Play{Deployment: Deployments[deployment], Length: 9 * time.Second, Seed: 5, Polls: time.Second}
-			sums, failure := sum(play, 1, way, 3)
-			if failure != nil {
-				test.Fatal(failure)
+			sums, err := sum(play, 1, way, 3)
+			if err != nil {
+				t.Fatal(err)
 			}
 			results[way] = sums[""]
 		}
 		ours, reports := results["wardtray"], results["least-loaded"]
-		// Why: engines with few slots and few requests earn much the same either way; what they read again tells.
+		// Engines with few slots and few requests earn much the same either way; what they read again tells.
 		if ours.Share() < reports.Share()-0.01 || ours.Net() < reports.Net()+0.05 {
-			test.Errorf("%s: earned %.3f, after prices %.3f, by reports %.3f and %.3f", deployment, ours.Share(), ours.Net(), reports.Share(), reports.Net())
+			t.Errorf("%s: earned %.3f, after prices %.3f, by reports %.3f and %.3f", deployment, ours.Share(), ours.Net(), reports.Share(), reports.Net())
 		}
 		if 2*ours.Reread > reports.Reread {
-			test.Errorf("%s: %d tokens read again, by reports %d", deployment, ours.Reread, reports.Reread)
+			t.Errorf("%s: %d tokens read again, by reports %d", deployment, ours.Reread, reports.Reread)
 		}
 		if ours.Refused > 0 || 50*ours.Lost > ours.Requests {
-			test.Errorf("%s: %d refused and %d lost of %d", deployment, ours.Refused, ours.Lost, ours.Requests)
+			t.Errorf("%s: %d refused and %d lost of %d", deployment, ours.Refused, ours.Lost, ours.Requests)
 		}
 	}
 }
 
 // Well above what the fleet can do, those that can be in time are, and of the largest at least half as many
 // are served as of the rest.
-func TestOverloadOfBatches(test *testing.T) {
+func TestOverloadOfBatches(t *testing.T) {
 	change := func(play *Play) { play.Load = 1.5 }
-	ours, reports := played(test, "guild", "wardtray", change), played(test, "guild", "least-loaded", change)
+	ours, reports := played(t, "guild", "wardtray", change), played(t, "guild", "least-loaded", change)
 	if ours[""].Share() < reports[""].Share()+0.1 {
-		test.Errorf("earned %.3f, by reports %.3f", ours[""].Share(), reports[""].Share())
+		t.Errorf("earned %.3f, by reports %.3f", ours[""].Share(), reports[""].Share())
 	}
 	for lane, earned := range ours {
 		served := earned.InTime + earned.Late
 		if 2*earned.LargeServed*earned.Requests < served*earned.Large {
-			test.Errorf("%q: %d of %d large ones served, %d of %d in all", lane, earned.LargeServed, earned.Large, served, earned.Requests)
+			t.Errorf("%q: %d of %d large ones served, %d of %d in all", lane, earned.LargeServed, earned.Large, served, earned.Requests)
 		}
 	}
 }
 
 // A crowd's opening spreads over several runners, and slow and crashed runners are gone around.
-func TestTroublesOfBatches(test *testing.T) {
+func TestTroublesOfBatches(t *testing.T) {
 	troubles := map[string]func(play *Play){
 		"hot":     func(play *Play) { play.Hot, play.HotLane = 0.28, "confirm" },
 		"slow":    func(play *Play) { play.Slow = 0.15 },
@@ -71,21 +71,21 @@
 		"release": func(play *Play) { play.Release = 0.45 },
 	}
 	for name, change := range troubles {
-		ours, reports := played(test, "guild", "wardtray", change)[""], played(test, "guild", "least-loaded", change)[""]
+		ours, reports := played(t, "guild", "wardtray", change)[""], played(t, "guild", "least-loaded", change)[""]
 		if ours.Net() < reports.Net()+0.1 {
-			test.Errorf("%s: %.3f left after prices, by reports %.3f", name, ours.Net(), reports.Net())
+			t.Errorf("%s: %.3f left after prices, by reports %.3f", name, ours.Net(), reports.Net())
 		}
 		if ours.Refused > 0 {
-			test.Errorf("%s: %d refused", name, ours.Refused)
+			t.Errorf("%s: %d refused", name, ours.Refused)
 		}
 	}
 }
 
 // Where each of many daemons sees a hundredth of the work, homes that all agree on stand for what nobody tells.
-func TestHomesOfAGrownFleet(test *testing.T) {
+func TestHomesOfAGrownFleet(t *testing.T) {
 	change := func(play *Play) { play.Polls, play.Length = 0, 9*time.Second }
-	ours, index := played(test, "ferries-grown", "wardtray", change)[""], played(test, "ferries-grown", "random", change)[""]
+	ours, index := played(t, "ferries-grown", "wardtray", change)[""], played(t, "ferries-grown", "random", change)[""]
 	if ours.Share() < index.Share() || 2*ours.Reread > index.Reread {
-		test.Errorf("earned %.3f with %d read again, by lot %.3f with %d", ours.Share(), ours.Reread, index.Share(), index.Reread)
+		t.Errorf("earned %.3f with %d read again, by lot %.3f with %d", ours.Share(), ours.Reread, index.Share(), index.Reread)
 	}
 }
--- a/proof/place/report.go
+++ b/proof/place/report.go
@@ -16,9 +16,9 @@
 	fmt.Fprintln(writer, "LOAD\tWAY\tLANE\tREQUESTS\tWORTH\tNET\tWORST 3 S\tIN TIME\tLATE\tREFUSED\tLOST\tLARGE SERVED\tREREAD\tSENDS\tACROSS\tFIRST 50%\t95%\t99%")
 	for _, load := range loads {
 		for _, way := range ways {
-			sums, failure := sum(play, load, way, seeds)
-			if failure != nil {
-				return failure
+			sums, err := sum(play, load, way, seeds)
+			if err != nil {
+				return err
 			}
 			for _, lane := range slices.Sorted(maps.Keys(sums)) {
 				earned := sums[lane]
--- a/proof/place/settings.go
+++ b/proof/place/settings.go
@@ -38,9 +38,9 @@
 	for _, rate := range rates {
 		for _, way := range WayNames() {
 			setting.Rate, setting.Way = rate, way
-			results, failure := Measure(setting)
-			if failure != nil {
-				return failure
+			results, err := Measure(setting)
+			if err != nil {
+				return err
 			}
 			for _, lane := range slices.Sorted(maps.Keys(results)) {
 				result := results[lane]
--- a/proof/sim/callers.go
+++ b/proof/sim/callers.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/registry"
+	"wardtray/control/registry"
+	"wardtray/wire"
 )
 
 const (
@@ -107,7 +107,7 @@
 		life.acked(draining)
 	})
 	world := life.callers.world
-	// Why: a copy may be long on its way and come to a core that has heard nothing else of this life.
+	// A copy may be long on its way and come to a core that has heard nothing else of this life.
 	if world.random.Intn(8) == 0 {
 		world.After(time.Duration(world.random.Int63n(int64(4*time.Second))), func() {
 			host := world.pick(world.Cores())
--- a/proof/sim/callers_test.go
+++ b/proof/sim/callers_test.go
@@ -25,42 +25,42 @@
 	return slices.DeleteFunc(FaultNames(), func(name string) bool { return name == "runner replaced" })
 }
 
-func playCallers(test *testing.T, shape Shape, names []string, atOnce int, kept time.Duration) {
-	for number := range seedCount(test) * 6 {
+func playCallers(t *testing.T, shape Shape, names []string, atOnce int, kept time.Duration) {
+	for number := range seedCount(t) * 6 {
 		seed := int64(number + 1)
-		test.Run(fmt.Sprint("seed ", seed), func(test *testing.T) {
-			test.Parallel()
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			world := PlayCallers(seed, shape, names, atOnce, kept)
 			for _, line := range world.Check.Broken {
-				test.Error(line)
+				t.Error(line)
 			}
-			if test.Failed() {
-				test.Log(world.Log)
+			if t.Failed() {
+				t.Log(world.Log)
 			}
-			test.Log(world.Callers.Acks, "acknowledged,", world.Callers.Refusals, "refused,", len(world.Callers.Lives), "lives", world.Check.Margins)
+			t.Log(world.Callers.Acks, "acknowledged,", world.Callers.Refusals, "refused,", len(world.Callers.Lives), "lives", world.Check.Margins)
 		})
 	}
 }
 
-func TestRunnersThatCallAreKeptThroughFaults(test *testing.T) {
-	playCallers(test, Guild, whole, 1, arrives)
+func TestRunnersThatCallAreKeptThroughFaults(t *testing.T) {
+	playCallers(t, Guild, whole, 1, arrives)
 }
 
-func TestRunnersThatCallAreKeptWithoutControl(test *testing.T) {
-	playCallers(test, Ferries, apart, 1, arrivesApart)
+func TestRunnersThatCallAreKeptWithoutControl(t *testing.T) {
+	playCallers(t, Ferries, apart, 1, arrivesApart)
 }
 
-func TestRunnersThatLeaveAreNotUsed(test *testing.T) {
-	playCallers(test, Ferries, registryFaults(), 1, 0)
+func TestRunnersThatLeaveAreNotUsed(t *testing.T) {
+	playCallers(t, Ferries, registryFaults(), 1, 0)
 }
 
-func TestRunnersThatLeaveAreNotUsedWithManyFaults(test *testing.T) {
-	playCallers(test, Guild, registryFaults(), 3, 0)
+func TestRunnersThatLeaveAreNotUsedWithManyFaults(t *testing.T) {
+	playCallers(t, Guild, registryFaults(), 3, 0)
 }
 
 // In a calm time nothing is told of runners that only call on: what the processes say to each other does
 // not grow with their number.
-func TestCallsAloneCostNoMessages(test *testing.T) {
+func TestCallsAloneCostNoMessages(t *testing.T) {
 	counts := map[int]uint64{}
 	for _, count := range []int{0, 60} {
 		world := Found(1, Guild, func(world *World) { world.StartCallers(count, Guild.Zones) })
@@ -71,23 +71,23 @@
 	}
 	// The cores tell each other twice a beat who has called.
 	if allowed := counts[0] + 20*2*6*2; counts[60] > allowed {
-		test.Fatal(counts)
+		t.Fatal(counts)
 	}
 }
 
 // A large fleet: what the registry adds must be small beside 10 Mbit/s, also while runners are replaced.
-func TestReleaseInALargeFleetCostsLittle(test *testing.T) {
+func TestReleaseInALargeFleetCostsLittle(t *testing.T) {
 	if underRace {
-		test.Skip("played without the race detector")
+		t.Skip("played without the race detector")
 	}
 	const bytesOfLink = 10_000_000 / 8
 	none, _ := MeasureCallers(1, 72, 0, time.Hour)
 	calm, release := MeasureCallers(1, 72, 112, 500*time.Millisecond)
-	test.Logf("none %+v, calm %+v, release %+v", none, calm, release)
+	t.Logf("none %+v, calm %+v, release %+v", none, calm, release)
 	if calm.Core-none.Core > bytesOfLink/200 || calm.Daemon-none.Daemon > bytesOfLink/1000 {
-		test.Error("calm", calm.Core-none.Core, calm.Daemon-none.Daemon)
+		t.Error("calm", calm.Core-none.Core, calm.Daemon-none.Daemon)
 	}
 	if release.Core-none.Core > bytesOfLink/10 || release.Daemon-none.Daemon > bytesOfLink/100 {
-		test.Error("release", release.Core-none.Core, release.Daemon-none.Daemon)
+		t.Error("release", release.Core-none.Core, release.Daemon-none.Daemon)
 	}
 }
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -8,10 +8,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
-	"wardtray/process/core"
+	"wardtray/config"
+	"wardtray/control/core"
 	"wardtray/proof/history"
+	"wardtray/wire"
 )
 
 // Order is one operator's change in the simulation.
@@ -80,9 +80,9 @@
 	document := host.node.Chain().Committed()
 	if document.Sequence > checker.seen[host.Address] || document.Sequence > 0 && checker.committed[document.Sequence] == [32]byte{} {
 		checker.seen[host.Address] = document.Sequence
-		content, failure := proto.MarshalOptions{Deterministic: true}.Marshal(document)
-		if failure != nil {
-			panic(failure)
+		content, err := proto.MarshalOptions{Deterministic: true}.Marshal(document)
+		if err != nil {
+			panic(err)
 		}
 		sum := sha256.Sum256(content)
 		if other, found := checker.committed[document.Sequence]; found && other != sum {
@@ -166,7 +166,7 @@
 // Resend has an operator send a change that was sent before, unchanged, through another core.
 func (checker *Checker) Resend(host *Host, order *Order, ask *wire.OperatorAsk) *Order {
 	order.Again = true
-	// Why: a way to the head that was not found is no word on the change, which may be sent again.
+	// A way to the head that was not found is no word on the change, which may be sent again.
 	if order.Status == 503 {
 		delete(checker.refused, order.Operation)
 	}
@@ -190,12 +190,12 @@
 	world.on(host, host.life, func() {
 		host.node.Ask(world.local(host), ask, func(status int, body []byte) {
 			reply := core.Reply{}
-			if failure := json.Unmarshal(body, &reply); failure != nil {
+			if err := json.Unmarshal(body, &reply); err != nil {
 				checker.broken("an answer that is no JSON: %s", body)
 				return
 			}
 			order.Got, order.Outcome, order.Epoch, order.Status = world.Now, reply.Outcome, reply.Epoch, status
-			// Why: of an operation that was sent twice, one copy may find no way to the head while the other does.
+			// Of an operation that was sent twice, one copy may find no way to the head while the other does.
 			if status == 504 || order.Again && status == 503 {
 				order.Outcome = "unknown"
 			}
@@ -211,7 +211,7 @@
 	told := &history.Order{Operation: ask.Operation, Verb: ask.Verb, Zone: ask.Zone, Base: ask.Base, HasBase: ask.HasBase, Sent: order.Sent, Outcome: "unknown"}
 	if traffic := checker.world.Traffic; traffic != nil && ask.Verb != "get" {
 		told.Spec = traffic.specs[ask.Operation]
-		if change, failure := spec.ParseChange(ask.Spec); ask.Verb == "change" && failure == nil {
+		if change, err := config.ParseChange(ask.Spec); ask.Verb == "change" && err == nil {
 			told.Change = change
 		}
 		traffic.History.Orders = append(traffic.History.Orders, told)
@@ -257,7 +257,7 @@
 			checker.broken("%s and %s were both accepted on one base", other.Operation, order.Operation)
 		}
 	}
-	// Why: with three disks or more no change may be told as accepted that stands on one disk only.
+	// With three disks or more no change may be told as accepted that stands on one disk only.
 	for _, host := range checker.world.Cores() {
 		if host.up && !host.frozen && host.node.Leading(checker.world.local(host)) {
 			checker.count(host)
--- a/proof/sim/conn.go
+++ b/proof/sim/conn.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
-	"wardtray/connection/seam"
 	"wardtray/process/fault"
+	"wardtray/transport/seam"
 )
 
 const retryEvery = 60 * time.Millisecond
@@ -42,7 +42,7 @@
 	reached  time.Time
 	ended    bool
 	closed   bool
-	failure  error
+	err      error
 	deadline time.Time
 	reader   *strand
 }
@@ -84,9 +84,9 @@
 	return near, nil
 }
 
-func (conn *conn) fail(failure error) {
-	if conn.failure == nil {
-		conn.failure = failure
+func (conn *conn) fail(err error) {
+	if conn.err == nil {
+		conn.err = err
 	}
 	conn.flight = nil
 	conn.world.wake(conn.reader)
@@ -141,7 +141,7 @@
 		return
 	}
 	conn.flight = conn.flight[1:]
-	if peer.closed || peer.failure != nil {
+	if peer.closed || peer.err != nil {
 		conn.fail(errReset)
 		return
 	}
@@ -166,8 +166,8 @@
 			conn.arrived = conn.arrived[count:]
 			return count, nil
 		}
-		if conn.failure != nil {
-			return 0, conn.failure
+		if conn.err != nil {
+			return 0, conn.err
 		}
 		if conn.ended {
 			return 0, io.EOF
@@ -186,8 +186,8 @@
 	if conn.closed {
 		return 0, net.ErrClosed
 	}
-	if conn.failure != nil {
-		return 0, conn.failure
+	if conn.err != nil {
+		return 0, conn.err
 	}
 	conn.flight = append(conn.flight, packet{content: append([]byte{}, content...), sent: conn.world.Now})
 	conn.pump()
@@ -214,7 +214,7 @@
 
 // Quiet tells whether nothing has come that was not asked for.
 func (conn *conn) Quiet() bool {
-	return !conn.closed && conn.failure == nil && !conn.ended && len(conn.arrived) == 0
+	return !conn.closed && conn.err == nil && !conn.ended && len(conn.arrived) == 0
 }
 
 // SetDeadline bounds reading, by the owner's own clock.
@@ -224,7 +224,7 @@
 		return nil
 	}
 	left := at.Sub(conn.world.local(conn.owner))
-	// Why: the owner's clock may go half a percent slower than the world's.
+	// The owner's clock may go half a percent slower than the world's.
 	conn.world.After(max(0, left+left/100+time.Millisecond), func() {
 		if conn.deadline.Equal(at) {
 			conn.world.wake(conn.reader)
--- a/proof/sim/faults.go
+++ b/proof/sim/faults.go
@@ -283,7 +283,7 @@
 		world.Schedule(trial.Length, trial.Faults, trial.AtOnce)
 	}
 	world.Run(trial.Length + time.Millisecond)
-	// Why: whether service is back can only be seen while somebody asks for it.
+	// Whether service is back can only be seen while somebody asks for it.
 	traffic.Takes = 0
 	world.Run(returnBound)
 	operators.Stop()
@@ -293,7 +293,7 @@
 		world.Check.broken("not recovered %v after the last fault\n%s", returnBound, world.Describe())
 	}
 	traffic.stopped = true
-	// Why: the longest patience must be over before a request can be called forgotten.
+	// The longest patience must be over before a request can be called forgotten.
 	for end := world.Now.Add(45 * time.Second); traffic.waiting() > 0 && world.Now.Before(end) && len(world.Check.Broken) == 0; {
 		world.Run(time.Second)
 	}
--- a/proof/sim/idle.go
+++ b/proof/sim/idle.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // Idle is what a process of one kind sends and receives in a second in which nothing happens.
--- a/proof/sim/pace_test.go
+++ b/proof/sim/pace_test.go
@@ -26,7 +26,7 @@
 	"daemons restarted":    {[]string{"daemons restarted"}, 800 * time.Millisecond, 0},
 }
 
-func TestPace(test *testing.T) {
+func TestPace(t *testing.T) {
 	const count = 1
 	for _, shape := range []struct {
 		name  string
@@ -35,23 +35,23 @@
 	}{{"guild", sorted(paces), Guild}, {"grown", []string{"all restarted", "core killed"}, Grown}} {
 		for _, name := range shape.kinds {
 			bounds := paces[name]
-			test.Run(shape.name+"/"+name, func(test *testing.T) {
-				test.Parallel()
+			t.Run(shape.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
 				whole := &Pace{}
 				for seed := int64(1); seed <= count; seed++ {
 					pace := MeasurePace(seed, shape.Shape, bounds.names)
 					for _, line := range pace.Broken {
-						test.Error(line)
+						t.Error(line)
 					}
 					whole.Acks, whole.Gaps, whole.Starts = append(whole.Acks, pace.Acks...), append(whole.Gaps, pace.Gaps...), append(whole.Starts, pace.Starts...)
 				}
-				test.Logf("%4d acks: half %v, 0.9 %v, 0.99 %v, all %v; %3d pauses up to %v; %3d starts: half %v, all %v", len(whole.Acks), At(whole.Acks, 0.5), At(whole.Acks, 0.9),
+				t.Logf("%4d acks: half %v, 0.9 %v, 0.99 %v, all %v; %3d pauses up to %v; %3d starts: half %v, all %v", len(whole.Acks), At(whole.Acks, 0.5), At(whole.Acks, 0.9),
 					At(whole.Acks, 0.99), At(whole.Acks, 1), len(whole.Gaps), At(whole.Gaps, 1), len(whole.Starts), At(whole.Starts, 0.5), At(whole.Starts, 1))
 				if len(whole.Acks) < 40 || At(whole.Acks, 1) > bounds.ack {
-					test.Errorf("%d acknowledgements, up to %v; at most %v", len(whole.Acks), At(whole.Acks, 1), bounds.ack)
+					t.Errorf("%d acknowledgements, up to %v; at most %v", len(whole.Acks), At(whole.Acks, 1), bounds.ack)
 				}
 				if At(whole.Gaps, 1) > bounds.pause {
-					test.Errorf("%d pauses of daemons that were left alone, up to %v; at most %v", len(whole.Gaps), At(whole.Gaps, 1), bounds.pause)
+					t.Errorf("%d pauses of daemons that were left alone, up to %v; at most %v", len(whole.Gaps), At(whole.Gaps, 1), bounds.pause)
 				}
 			})
 		}
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -8,10 +8,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
-	"wardtray/process/director"
+	"wardtray/edge/director"
 	"wardtray/proof/history"
 	"wardtray/proof/load"
+	"wardtray/wire"
 )
 
 const (
@@ -228,7 +228,7 @@
 	if random.Intn(2) == 0 {
 		ask.Epoch, ask.HasEpoch = operators.base+1+uint64(random.Intn(5)), true
 	}
-	// Why: whoever carries an order marks it, and the operator's own copy must stay as it was.
+	// Whoever carries an order marks it, and the operator's own copy must stay as it was.
 	operators.last = proto.Clone(ask).(*wire.OperatorAsk)
 	operators.order = operators.world.Check.Send(host, ask)
 	return operators.order
@@ -333,7 +333,7 @@
 		return reboot(world, host)
 	},
 	"core wiped": func(world *World) func() {
-		// Why: two disks lost at once are more than any deployment bears, and nothing could be checked after that.
+		// Two disks lost at once are more than any deployment bears, and nothing could be checked after that.
 		if !world.redundant() {
 			return func() {}
 		}
@@ -392,7 +392,7 @@
 		var overs []func()
 		world.Check.OnAccepted = func() {
 			world.Check.OnAccepted = nil
-			// Why: whatever was told as accepted must be on the disks by now, however many machines stop here.
+			// Whatever was told as accepted must be on the disks by now, however many machines stop here.
 			world.After(0, func() {
 				for _, host := range world.Hosts {
 					if host.up && (host.Core || world.random.Intn(2) == 0) {
@@ -415,7 +415,7 @@
 		var lost []*Host
 		var overs []func()
 		world.Check.OnAccepted = func() {
-			// Why: as many disks as may be lost, while the memory of every other machine is only what its disk holds.
+			// As many disks as may be lost, while the memory of every other machine is only what its disk holds.
 			if !world.redundant() {
 				return
 			}
@@ -445,10 +445,10 @@
 	"disk damaged": func(world *World) func() {
 		host := world.pick(world.Cores())
 		names := []string{"slot.0", "slot.1", "log"}
-		// Why: other copies must be whole, or the fleet would have lost two disks.
+		// Other copies must be whole, or the fleet would have lost two disks.
 		if content := host.disk.files[names[world.random.Intn(3)]]; len(content) > 0 && world.redundant() {
 			content[world.random.Intn(len(content))] ^= 0x40
-			// Why: until a sweep has found it, or the machine has started anew, the loss of another disk is one too many.
+			// Until a sweep has found it, or the machine has started anew, the loss of another disk is one too many.
 			world.unswept = world.Now.Add(sweepAllowance)
 		}
 		return func() {}
@@ -528,7 +528,7 @@
 		return func() { world.Loss = 0 }
 	},
 	"slow network": func(world *World) func() {
-		// Why: at 0.4 s a message no daemon can be sure of a new spec in time; the brief knows no such network.
+		// At 0.4 s a message no daemon can be sure of a new spec in time; the brief knows no such network.
 		over := world.touch(false, silentLoss, world.Hosts...)
 		world.Jitter = 400 * time.Millisecond
 		return both(over, func() { world.Jitter = 4 * time.Millisecond })
@@ -659,7 +659,7 @@
 func (world *World) Schedule(length time.Duration, names []string, atOnce int) {
 	end := world.Now.Add(length)
 	active := 0
-	// Why: a machine that another fault still holds can't come back, so the repair counts from the end of the last.
+	// A machine that another fault still holds can't come back, so the repair counts from the end of the last.
 	doing, since := 0, world.Now
 	var undos []func()
 	var next func()
--- a/proof/sim/rules_test.go
+++ b/proof/sim/rules_test.go
@@ -8,46 +8,46 @@
 	"time"
 )
 
-func try(test *testing.T, seed int64, shape Shape, attempt Attempt) *World {
-	test.Helper()
+func try(t *testing.T, seed int64, shape Shape, attempt Attempt) *World {
+	t.Helper()
 	trial := attempt.Trial(15 * time.Second)
 	if underRace {
 		trial.Length = 5 * time.Second
 	}
 	world := Try(seed, shape, trial)
 	for _, line := range world.Check.Broken {
-		test.Error(line)
+		t.Error(line)
 	}
-	if test.Failed() {
-		test.Log(world.Log)
+	if t.Failed() {
+		t.Log(world.Log)
 	}
 	return world
 }
 
 // seedCount is how many seeds each attempt gets at each deployment; WARDTRAY_SEEDS asks for more than one.
-func seedCount(test *testing.T) int {
+func seedCount(t *testing.T) int {
 	text := os.Getenv("WARDTRAY_SEEDS")
 	if text == "" {
 		return 1
 	}
-	count, failure := strconv.Atoi(text)
-	if failure != nil || count < 1 {
-		test.Fatalf("WARDTRAY_SEEDS=%q is no count", text)
+	count, err := strconv.Atoi(text)
+	if err != nil || count < 1 {
+		t.Fatalf("WARDTRAY_SEEDS=%q is no count", text)
 	}
 	return count
 }
 
-func TestRules(test *testing.T) {
+func TestRules(t *testing.T) {
 	for name, attempt := range Attempts {
 		if underRace && name != "run twice, sent again" && name != "not whole" {
 			continue
 		}
 		for place, shape := range []Shape{GuildPath, FerriesPath} {
-			test.Run(fmt.Sprint(name, ", ", shape.Mix.Pool), func(test *testing.T) {
-				test.Parallel()
-				for number := range seedCount(test) {
-					test.Log(try(test, int64(place+1+2*number), shape, attempt).Traffic.Summary())
-					if test.Failed() {
+			t.Run(fmt.Sprint(name, ", ", shape.Mix.Pool), func(t *testing.T) {
+				t.Parallel()
+				for number := range seedCount(t) {
+					t.Log(try(t, int64(place+1+2*number), shape, attempt).Traffic.Summary())
+					if t.Failed() {
 						return
 					}
 				}
@@ -56,16 +56,16 @@
 	}
 }
 
-func TestSameSeedSamePath(test *testing.T) {
+func TestSameSeedSamePath(t *testing.T) {
 	if underRace {
-		test.Skip("played without the race detector")
+		t.Skip("played without the race detector")
 	}
 	attempt := Attempt{Faults: append(RunnerFaultNames(), FaultNames()...)}
-	first, second := try(test, 3, GuildPath, attempt), try(test, 3, GuildPath, attempt)
+	first, second := try(t, 3, GuildPath, attempt), try(t, 3, GuildPath, attempt)
 	if first.Trace() != second.Trace() || first.Traffic.Summary() != second.Traffic.Summary() {
-		test.Fatalf("one seed gave two runs: %s; %s", first.Traffic.Summary(), second.Traffic.Summary())
+		t.Fatalf("one seed gave two runs: %s; %s", first.Traffic.Summary(), second.Traffic.Summary())
 	}
-	if third := try(test, 4, GuildPath, attempt); third.Trace() == first.Trace() {
-		test.Fatal("two seeds gave one run")
+	if third := try(t, 4, GuildPath, attempt); third.Trace() == first.Trace() {
+		t.Fatal("two seeds gave one run")
 	}
 }
--- a/proof/sim/runner.go
+++ b/proof/sim/runner.go
@@ -10,11 +10,11 @@
 	"strings"
 	"time"
 
-	"wardtray/connection/wire"
 	"wardtray/process/pressure"
 	"wardtray/proof/history"
 	"wardtray/proof/standin"
 	"wardtray/request/intake"
+	"wardtray/wire"
 )
 
 // engine is the runner of one host, as it is in one life.
@@ -58,7 +58,7 @@
 	host.engine = &engine{world: world, host: host, id: fmt.Sprintf("%s-%d", host.Address, world.identities), service: service, weights: weights,
 		nature: standin.DefaultNature, begun: world.Now, cache: standin.NewCache[string](standin.DefaultNature.CacheTokens)}
 	world.every(host, host.life, 100*time.Millisecond, host.engine.observe)
-	// Why: a stranger at a runner's address is nobody's runner, and the platform does not list it.
+	// A stranger at a runner's address is nobody's runner, and the platform does not list it.
 	if host.service == "" {
 		world.Platform.set(host, "cold")
 		life := host.life
@@ -95,13 +95,13 @@
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
 	for {
-		request, failure := http.ReadRequest(reader)
-		if failure != nil {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
 			return
 		}
 		reached := connection.reached
-		// Why: a request whose end never came is none.
-		if _, failure := io.Copy(io.Discard, request.Body); failure != nil {
+		// A request whose end never came is none.
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
 		paths := map[string]func(connection *conn, request *http.Request, reached time.Time) bool{"/identity": engine.identity, "/pressure": engine.pressure, "/run": engine.run}
@@ -118,12 +118,12 @@
 }
 
 func answer(connection *conn, status int, value any) bool {
-	content, failure := json.Marshal(value)
-	if failure != nil {
-		panic(failure)
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
-	_, failure = fmt.Fprintf(connection, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(content), content)
-	return failure == nil
+	_, err = fmt.Fprintf(connection, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(content), content)
+	return err == nil
 }
 
 func (engine *engine) identity(connection *conn, _ *http.Request, _ time.Time) bool {
@@ -236,12 +236,12 @@
 	name := run.Name
 	events := min(12, 2+length/24)
 	gap := time.Duration(length) * engine.nature.AnswerTime * time.Duration(max(1, engine.slow)) / time.Duration(events)
-	if _, failure := io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); failure != nil {
+	if _, err := io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return false
 	}
 	chunk := func(text string) bool {
-		_, failure := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(text), text)
-		return failure == nil
+		_, err := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(text), text)
+		return err == nil
 	}
 	for number := run.After + 1; number <= events; number++ {
 		if engine.partial && number > events/2 {
@@ -256,13 +256,13 @@
 		}
 		engine.world.sleep(gap)
 	}
-	// Why: the run is whole from the moment its last event may have left.
+	// The run is whole from the moment its last event may have left.
 	run.Whole, run.Events = true, events
 	if !chunk(fmt.Sprintf("id: %d\nevent: done\ndata: {\"run\":%q,\"events\":%d}\n\n", events+1, name, events)) {
 		return false
 	}
-	_, failure := io.WriteString(connection, "0\r\n\r\n")
-	return failure == nil
+	_, err := io.WriteString(connection, "0\r\n\r\n")
+	return err == nil
 }
 
 // platform is the simulated list of runners. What it serves trails the truth, and may be troubled.
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -5,72 +5,72 @@
 	"testing"
 )
 
-func play(test *testing.T, seed int64, shape Shape, names []string, atOnce int) *World {
-	test.Helper()
+func play(t *testing.T, seed int64, shape Shape, names []string, atOnce int) *World {
+	t.Helper()
 	world := Play(seed, shape, names, atOnce)
 	for _, line := range world.Check.Broken {
-		test.Error(line)
+		t.Error(line)
 	}
 	return world
 }
 
-func TestSameSeedSameRun(test *testing.T) {
-	first, second := play(test, 5, Guild, FaultNames(), 1), play(test, 5, Guild, FaultNames(), 1)
+func TestSameSeedSameRun(t *testing.T) {
+	first, second := play(t, 5, Guild, FaultNames(), 1), play(t, 5, Guild, FaultNames(), 1)
 	if first.Trace() != second.Trace() {
-		test.Fatal("one seed gave two runs")
+		t.Fatal("one seed gave two runs")
 	}
-	if third := play(test, 6, Guild, FaultNames(), 1); third.Trace() == first.Trace() {
-		test.Fatal("two seeds gave one run")
+	if third := play(t, 6, Guild, FaultNames(), 1); third.Trace() == first.Trace() {
+		t.Fatal("two seeds gave one run")
 	}
 }
 
 // seeds plays many seeds side by side.
-func seeds(test *testing.T, shape Shape, count int64, names []string, atOnce int) {
+func seeds(t *testing.T, shape Shape, count int64, names []string, atOnce int) {
 	for seed := int64(1); seed <= count; seed++ {
-		test.Run(fmt.Sprint("seed ", seed), func(test *testing.T) {
-			test.Parallel()
-			play(test, seed, shape, names, atOnce)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, shape, names, atOnce)
 		})
 	}
 }
 
 // One fault at a time, repaired before the next, is what a deployment must bear without a pause longer than the brief's.
-func TestSingleFaultsOnTheGuild(test *testing.T)   { seeds(test, Guild, 16, FaultNames(), 1) }
-func TestSingleFaultsOnTheFerries(test *testing.T) { seeds(test, Ferries, 16, FaultNames(), 1) }
+func TestSingleFaultsOnTheGuild(t *testing.T)   { seeds(t, Guild, 16, FaultNames(), 1) }
+func TestSingleFaultsOnTheFerries(t *testing.T) { seeds(t, Ferries, 16, FaultNames(), 1) }
 
 // As many machines as may lose their disks lose them, a moment after a change was acknowledged, while all
 // others lose their power.
-func TestDisksLostInTheDark(test *testing.T) {
+func TestDisksLostInTheDark(t *testing.T) {
 	for name, shape := range map[string]Shape{"guild": Guild, "ferries": Ferries, "grown": Grown, "narrow": Narrow} {
-		test.Run(name, func(test *testing.T) { seeds(test, shape, 6, []string{"disks lost in the dark"}, 1) })
+		t.Run(name, func(t *testing.T) { seeds(t, shape, 6, []string{"disks lost in the dark"}, 1) })
 	}
 }
 
 // Fewer disks than seeds should be, and many in one zone.
-func TestFewDisksAndFewZones(test *testing.T) {
+func TestFewDisksAndFewZones(t *testing.T) {
 	kinds := []string{"core killed", "core without power", "core frozen", "data killed", "data frozen", "disk stalled", "all down"}
 	for name, shape := range map[string]Shape{"single": Single, "pair": Pair, "narrow": Narrow} {
-		test.Run(name, func(test *testing.T) { seeds(test, shape, 4, kinds, 1) })
+		t.Run(name, func(t *testing.T) { seeds(t, shape, 4, kinds, 1) })
 	}
 }
 
-func TestSingleFaultsOnTheGrown(test *testing.T) { seeds(test, Grown, 6, FaultNames(), 1) }
+func TestSingleFaultsOnTheGrown(t *testing.T) { seeds(t, Grown, 6, FaultNames(), 1) }
 
 // More at once may stop service, but must break no rule, and service comes back.
-func TestManyFaultsAtOnce(test *testing.T) { seeds(test, Guild, 12, FaultNames(), 3) }
+func TestManyFaultsAtOnce(t *testing.T) { seeds(t, Guild, 12, FaultNames(), 3) }
 
 // Found by seed 6 of the single faults: records that failed on a full disk kept putting off the
 // attempt to write the memory anew, so that the machine stayed sick when there was space again.
-func TestFullDiskComesBack(test *testing.T) { seeds(test, Guild, 4, []string{"disk full"}, 1) }
+func TestFullDiskComesBack(t *testing.T) { seeds(t, Guild, 4, []string{"disk full"}, 1) }
 
 // Found by seed 16: with the head wiped before a machine that had been out was back in the chain, the
 // one left waited for the lost one for good.
-func TestLastOfTheChainTeachesTheOthers(test *testing.T) {
-	seeds(test, Guild, 6, []string{"core wiped", "core link cut one way"}, 2)
+func TestLastOfTheChainTeachesTheOthers(t *testing.T) {
+	seeds(t, Guild, 6, []string{"core wiped", "core link cut one way"}, 2)
 }
 
 // A byte is damaged on one disk after another, and machines restart: the sweep finds it and a whole
 // memory is written anew, or the machine starts as a new one; no change is lost.
-func TestSweepMendsDamagedDisks(test *testing.T) {
-	seeds(test, Guild, 6, []string{"disk damaged", "core killed", "disk damaged"}, 1)
+func TestSweepMendsDamagedDisks(t *testing.T) {
+	seeds(t, Guild, 6, []string{"disk damaged", "core killed", "disk damaged"}, 1)
 }
--- a/proof/sim/spread.go
+++ b/proof/sim/spread.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"wardtray/connection/wire"
+	"wardtray/wire"
 )
 
 // Spread is how a change reached a cohort of some size.
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -10,12 +10,12 @@
 	"strings"
 	"time"
 
-	"wardtray/connection/seam"
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/proof/history"
 	"wardtray/proof/load"
 	"wardtray/proof/standin"
 	"wardtray/request/intake"
+	"wardtray/transport/seam"
 )
 
 // Traffic is the request path of a world: requesters, runners, and what all of them saw.
@@ -33,7 +33,7 @@
 	fit     map[string]bool
 	ready   map[string]time.Time
 	weights string
-	specs   map[string]*spec.Spec
+	specs   map[string]*config.Spec
 	// Uneven sends most requesters of a zone to one of its daemons.
 	Uneven bool
 	// Takes is the part of the operators' specs that take away what requests need.
@@ -47,7 +47,7 @@
 // StartTraffic brings the request path in: so many runners, and requesters once Rate is above zero.
 func (world *World) StartTraffic(mix load.Mix, zones []string, runners int) *Traffic {
 	traffic := &Traffic{world: world, random: rand.New(rand.NewSource(world.random.Int63())), Mix: mix, History: history.New(), fit: map[string]bool{},
-		ready: map[string]time.Time{}, weights: mix.Weights, specs: map[string]*spec.Spec{}}
+		ready: map[string]time.Time{}, weights: mix.Weights, specs: map[string]*config.Spec{}}
 	world.Traffic = traffic
 	traffic.History.Begun, traffic.History.Zones = world.Now, zones
 	traffic.History.Service, traffic.History.Weights = mix.Service, mix.Weights
@@ -284,7 +284,7 @@
 	lost := !asker.record.Done && !asker.record.Error
 	asker.finish(lost)
 	traffic := asker.traffic
-	// Why: where daemons can't hear one another no word of a taken request can pass; docs/interface.md says so.
+	// Where daemons can't hear one another no word of a taken request can pass; docs/interface.md says so.
 	if !lost || traffic.Repeats == 0 || traffic.world.Loss > 0 || len(traffic.world.cuts) > 0 || asker.record.Again {
 		return
 	}
@@ -330,7 +330,7 @@
 func (asker *asker) Answer(status int, headers []seam.Header, body []byte) {
 	asker.head(status, headers)
 	load.Refused(asker.record, body)
-	// Why: from the moment at which its last way was lost a request has nothing to wait for.
+	// From the moment at which its last way was lost a request has nothing to wait for.
 	world := asker.traffic.world
 	if held := world.Now.Sub(world.current.decided); !world.current.decided.IsZero() && held > answerBound && world.local(asker.host).Before(asker.host.plane.Snapshot().Until) {
 		world.Check.broken("held-back: %s got its final %q %v after it was decided", asker.record.Request, asker.record.Kind, held)
@@ -341,13 +341,13 @@
 	asker.head(status, headers)
 	defer source.Close()
 	for buffer := make([]byte, 4<<10); ; {
-		count, failure := source.Read(buffer)
+		count, err := source.Read(buffer)
 		if count > 0 {
 			if _, gone := asker.Write(buffer[:count]); gone != nil {
 				return
 			}
 		}
-		if failure != nil {
+		if err != nil {
 			return
 		}
 	}
@@ -380,7 +380,7 @@
 
 // Spec gives a spec for an operator to send; the number marks it. Now and then it takes away what
 // requests may be waiting for: a lane, a zone, the service or the weights.
-func (traffic *Traffic) Spec(number int) *spec.Spec {
+func (traffic *Traffic) Spec(number int) *config.Spec {
 	made := traffic.Mix.Spec(traffic.History.Zones, fmt.Sprintf("marker-%d", number))
 	takes := map[int]func(){
 		0: func() { made.Lanes = made.Lanes[1:] },
@@ -402,16 +402,16 @@
 }
 
 // amend makes a change of named entries: it sets right whatever an earlier spec took, or takes something itself.
-func (traffic *Traffic) amend(number int) *spec.Change {
+func (traffic *Traffic) amend(number int) *config.Change {
 	made := traffic.Mix.Spec(traffic.History.Zones, fmt.Sprintf("marker-%d", number))
-	change := &spec.Change{Upsert: spec.Entries{Zones: made.Zones, Pools: made.Pools, Lanes: made.Lanes}}
+	change := &config.Change{Upsert: config.Entries{Zones: made.Zones, Pools: made.Pools, Lanes: made.Lanes}}
 	if traffic.random.Float64() >= traffic.Takes {
 		return change
 	}
 	takes := []func(){
 		func() { change.Remove.Lanes, change.Upsert.Lanes = []string{made.Lanes[0].Name}, made.Lanes[1:] },
 		func() {
-			change.Upsert = spec.Entries{Zones: []spec.Zone{{Name: made.Zones[traffic.random.Intn(len(made.Zones))].Name, Closed: true}}}
+			change.Upsert = config.Entries{Zones: []config.Zone{{Name: made.Zones[traffic.random.Intn(len(made.Zones))].Name, Closed: true}}}
 		},
 		func() { change.Upsert.Pools[0].Services = []string{"another-service"} },
 	}
@@ -445,7 +445,7 @@
 				for _, outcome := range document.Outcomes {
 					final.Known[outcome.Operation] = outcome.SpecEpoch
 				}
-				if parsed, failure := spec.Parse(document.Spec); failure == nil {
+				if parsed, err := config.Parse(document.Spec); err == nil {
 					final.Lanes = nil
 					for _, lane := range parsed.Lanes {
 						final.Lanes = append(final.Lanes, lane.Name)
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -12,14 +12,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/seam"
-	"wardtray/connection/wire"
-	"wardtray/process/core"
-	"wardtray/process/director"
-	"wardtray/process/drive"
-	"wardtray/process/machine"
-	"wardtray/process/plane"
-	"wardtray/process/slots"
+	"wardtray/control/core"
+	"wardtray/control/drive"
+	"wardtray/coordination/machine"
+	"wardtray/coordination/snapshot"
+	"wardtray/edge/director"
+	"wardtray/edge/plane"
+	"wardtray/transport/seam"
+	"wardtray/wire"
 )
 
 const (
@@ -67,7 +67,7 @@
 	dark    bool
 	service string
 	disk    *disk
-	store   *slots.Store
+	store   *snapshot.Store
 	writes  []machine.Write
 	writing bool
 	up      bool
@@ -225,12 +225,12 @@
 		return
 	}
 	host.disk.dying = false
-	restored, failure := drive.Restore(host.disk, func() string {
+	restored, err := drive.Restore(host.disk, func() string {
 		world.identities++
 		return fmt.Sprintf("disk-%d-%s", world.identities, host.Address)
 	}, "")
-	if failure != nil {
-		// Why: a full disk lets nothing start; the machine is tried again later, as an operator's supervisor would.
+	if err != nil {
+		// A full disk lets nothing start; the machine is tried again later, as an operator's supervisor would.
 		host.up = false
 		life := host.life
 		world.After(time.Second, func() {
@@ -241,7 +241,7 @@
 		return
 	}
 	host.store = restored.Store
-	// Why: only the very first start may found a fleet; a machine whose disk is lost later must not.
+	// Only the very first start may found a fleet; a machine whose disk is lost later must not.
 	founding := !host.newcomer
 	host.newcomer = true
 	host.node = core.New(now, core.Startup{Address: host.Address, Zone: host.Zone, Seeds: host.seeds, Founders: world.founders,
@@ -317,7 +317,7 @@
 		return
 	}
 	host.writing = false
-	// Why: the disk works on while the process is frozen; the process hears of it when it wakes.
+	// The disk works on while the process is frozen; the process hears of it when it wakes.
 	drive.Carry(host.store, batch, func(sequence uint64) {
 		world.on(host, life, func() { host.node.Synced(world.local(host), sequence) })
 	}, func(error) {
@@ -328,9 +328,9 @@
 
 func (world *World) send(host *Host, parcels []machine.Parcel) {
 	for _, parcel := range parcels {
-		content, failure := proto.MarshalOptions{Deterministic: true}.Marshal(parcel.Envelope)
-		if failure != nil {
-			panic(failure)
+		content, err := proto.MarshalOptions{Deterministic: true}.Marshal(parcel.Envelope)
+		if err != nil {
+			panic(err)
 		}
 		world.Messages++
 		world.Bytes += uint64(len(content))
@@ -404,13 +404,13 @@
 }
 
 func (world *World) deliver(from, to *Host, content []byte) {
-	// Why: a frozen machine's sockets hold only so much.
+	// A frozen machine's sockets hold only so much.
 	if world.cuts[[2]string{from.Address, to.Address}] || !to.up || to.frozen && len(to.held) >= heldMost {
 		return
 	}
 	envelope := &wire.Envelope{}
-	if failure := proto.Unmarshal(content, envelope); failure != nil {
-		panic(failure)
+	if err := proto.Unmarshal(content, envelope); err != nil {
+		panic(err)
 	}
 	world.on(to, to.life, func() {
 		if to.Core {
@@ -511,15 +511,15 @@
 // bootData starts a data daemon as its process would.
 func (world *World) bootData(host *Host, random *rand.Rand) {
 	life := host.life
-	made, failure := plane.New(seam.World{
+	made, err := plane.New(seam.World{
 		Now:  func() time.Time { return world.local(host) },
 		Go:   func(work func()) { world.spawn(host, work) },
 		Wait: world.sleep,
 		Dial: func(address string, terms seam.Terms) (seam.Conn, error) { return world.dial(host, address, terms) },
 	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds, Registered: world.Callers != nil}, Random: random, Await: world.await,
 		Send: func(parcels []machine.Parcel) { world.send(host, parcels) }, Poll: func() { world.Platform.poll(host, life) }, Log: silent})
-	if failure != nil {
-		panic(failure)
+	if err != nil {
+		panic(err)
 	}
 	host.plane = made
 	made.Look(func(director *director.Director) { host.data = director })
--- a/proof/standin/platform.go
+++ b/proof/standin/platform.go
@@ -47,9 +47,9 @@
 	platform := &Platform{record: record, runners: map[string]line{}, listed: []byte("[]"), known: map[string]bool{}, ready: map[string]time.Time{}, daemons: daemons,
 		fit: map[string]bool{}, random: rand.New(rand.NewSource(seed)), stopped: make(chan struct{}),
 		client: &fasthttp.Client{ReadTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, MaxIdleConnDuration: time.Second}}
-	listener, failure := net.Listen("tcp", address)
-	if failure != nil {
-		return nil, failure
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
 	}
 	platform.server = &fasthttp.Server{Handler: platform.handle, Name: "platform"}
 	go func() { _ = platform.server.Serve(listener) }()
@@ -117,14 +117,14 @@
 		}
 	}
 	sort.Slice(lines, func(left, right int) bool { return lines[left].RunnerID < lines[right].RunnerID })
-	content, failure := json.Marshal(lines)
-	if failure != nil {
+	content, err := json.Marshal(lines)
+	if err != nil {
 		return
 	}
 	now := time.Now()
 	platform.record.Change(func(record *history.History) {
 		for _, leave := range record.Leaves {
-			// Why: a runner that drains never comes back under its identity; one that was only missing may.
+			// A runner that drains never comes back under its identity; one that was only missing may.
 			if live[leave.Runner] && leave.Back.IsZero() && !leave.Drained {
 				leave.Back = now
 			}
@@ -148,10 +148,10 @@
 			waiting.Add(1)
 			go func() {
 				defer waiting.Done()
-				status, _, failure := platform.client.GetTimeout(nil, "http://"+address+"/fitness", 300*time.Millisecond)
+				status, _, err := platform.client.GetTimeout(nil, "http://"+address+"/fitness", 300*time.Millisecond)
 				platform.mutex.Lock()
 				defer platform.mutex.Unlock()
-				platform.fit[address] = failure == nil && status == 200
+				platform.fit[address] = err == nil && status == 200
 			}()
 		}
 	}
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -80,15 +80,15 @@
 	runner.stopped, runner.connections = make(chan struct{}), map[net.Conn]bool{}
 	runner.cache = NewCache[string](nature.CacheTokens)
 	runner.slots = make(chan struct{}, nature.Slots)
-	listener, failure := net.Listen("tcp", runner.Address)
-	if failure != nil {
-		return failure
+	listener, err := net.Listen("tcp", runner.Address)
+	if err != nil {
+		return err
 	}
 	runner.listener = listener
 	runner.server = &fasthttp.Server{Handler: runner.handle, Name: "runner", ReadBufferSize: 128 << 10, MaxRequestBodySize: 4 << 20,
 		Concurrency: 4096, IdleTimeout: 30 * time.Second, NoDefaultDate: true, ConnState: runner.track}
 	go func() {
-		// Why: a runner that was stopped ends its serving with an error that says just that.
+		// A runner that was stopped ends its serving with an error that says just that.
 		_ = runner.server.Serve(listener)
 	}()
 	go runner.observe()
@@ -176,8 +176,8 @@
 }
 
 func answer(context *fasthttp.RequestCtx, status int, value any) {
-	content, failure := json.Marshal(value)
-	if failure != nil {
+	content, err := json.Marshal(value)
+	if err != nil {
 		status = 500
 	}
 	context.SetStatusCode(status)
@@ -287,13 +287,13 @@
 		if partial && number > events/2 {
 			runner.mutex.Lock()
 			defer runner.mutex.Unlock()
-			// Why: only an abrupt end of the connection leaves a stream that is not whole.
+			// Only an abrupt end of the connection leaves a stream that is not whole.
 			for connection := range runner.connections {
 				_ = connection.Close()
 			}
 			return
 		}
-		if _, failure := fmt.Fprintf(writer, "id: %d\nevent: token\ndata: {\"run\":%q,\"text\":\"rhan %d\"}\n\n", number, name, number); failure != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\nevent: token\ndata: {\"run\":%q,\"text\":\"rhan %d\"}\n\n", number, name, number); err != nil {
 			return
 		}
 		if writer.Flush() != nil {
@@ -304,9 +304,9 @@
 	if !going {
 		return
 	}
-	// Why: the run is whole from the moment its last event may have left.
+	// The run is whole from the moment its last event may have left.
 	runner.record.Change(func(*history.History) { run.Whole, run.Events = true, events })
-	if _, failure := fmt.Fprintf(writer, "id: %d\nevent: done\ndata: {\"run\":%q,\"events\":%d}\n\n", events+1, name, events); failure == nil {
-		_ = writer.Flush() // Why: a requester gone at the very end changes nothing about the run.
+	if _, err := fmt.Fprintf(writer, "id: %d\nevent: done\ndata: {\"run\":%q,\"events\":%d}\n\n", events+1, name, events); err == nil {
+		_ = writer.Flush() // A requester gone at the very end changes nothing about the run.
 	}
 }
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		slots := float64(max(1, offer.Slots))
-		// Why: a place beyond the slots waits for one of them to come free; one within still shares the engine with the others.
+		// A place beyond the slots waits for one of them to come free; one within still shares the engine with the others.
 		queued := max(0, offer.Load+1-slots) / slots * prices.PlaceSeconds
 		first := queued + offer.Wait + offer.Prefill
 		lost := float64(offer.SharedTokens) - offer.Chance*float64(min(offer.HeldTokens, offer.SharedTokens))
@@ -196,7 +196,7 @@
 
 // full tells whether a runner may have no more work of ours now.
 func full(runner pressure.Runner) bool {
-	// Why: smoothed reports go on for seconds after a crowd has gone; nobody is turned away for those.
+	// Smoothed reports go on for seconds after a crowd has gone; nobody is turned away for those.
 	return runner.Sure >= float64(Places(runner)) || runner.InFlight >= runner.Limit
 }
 
@@ -249,7 +249,7 @@
 	if len(quotes) == 0 {
 		return noRunner(bid, market)
 	}
-	// Why: beyond its purse a lane takes only what nobody else would miss.
+	// Beyond its purse a lane takes only what nobody else would miss.
 	pursed := bid.InPurse || market.Slack >= slackForAll
 	best := -1
 	if market.Room {
@@ -301,13 +301,13 @@
 }
 
 func noRunner(bid Bid, market Market) Step {
-	// Why: a runner that is only paused or warming may come within the patience; without any there is nothing to wait for.
+	// A runner that is only paused or warming may come within the patience; without any there is nothing to wait for.
 	for _, offer := range market.Offers {
 		if offer.Reason != pressure.ReasonLeaving && !bid.Shut[offer.ID] && bid.Waited < bid.bound() {
 			return Step{Kind: Wait, Reason: "every fit runner is paused or warming"}
 		}
 	}
-	// Why: a runner that is only left alone for a while tells when to come back; where there is none at all the
+	// A runner that is only left alone for a while tells when to come back; where there is none at all the
 	// waitlist's own pace is all that is known.
 	retry := seconds(market.Prices.PlaceSeconds)
 	for _, offer := range market.Offers {
--- a/request/award/award_test.go
+++ b/request/award/award_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
+	"wardtray/wire"
 )
 
 var begun = time.Unix(1_700_000_000, 0)
@@ -23,10 +23,10 @@
 	now     time.Time
 }
 
-func newStall(test *testing.T, runners int) *stall {
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, 16, 0)
-	if failure != nil {
-		test.Fatal(failure)
+func newStall(t *testing.T, runners int) *stall {
+	indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, 100_000, 16, 0)
+	if err != nil {
+		t.Fatal(err)
 	}
 	made := &stall{book: pressure.NewBook(begun, "d1"), indexer: indexer, now: begun}
 	for number := range runners {
@@ -60,19 +60,19 @@
 	}
 }
 
-func TestPrefixGoesWhereItIsHeld(test *testing.T) {
-	stall := newStall(test, 18)
+func TestPrefixGoesWhereItIsHeld(t *testing.T) {
+	stall := newStall(t, 18)
 	first, _ := stall.enter(stall.ticket("l", 1, 1, time.Second, "system", "one"))
 	stall.Release(stall.now, &Ticket{Lane: "l"}, first.Runner.ID)
 	second, _ := stall.enter(stall.ticket("l", 1, 1, time.Second, "system", "one"))
 	if second.Runner.ID != first.Runner.ID || second.HeldTokens != 2000 {
-		test.Fatalf("first %s, then %s with %d tokens held", first.Runner.ID, second.Runner.ID, second.HeldTokens)
+		t.Fatalf("first %s, then %s with %d tokens held", first.Runner.ID, second.Runner.ID, second.HeldTokens)
 	}
 }
 
 // One key draws all the traffic: it spills over many runners, and none gets more than slots and a short queue.
-func TestHotKeySpills(test *testing.T) {
-	stall := newStall(test, 18)
+func TestHotKeySpills(t *testing.T) {
+	stall := newStall(t, 18)
 	counts := map[string]int{}
 	for range 60 {
 		step, passed := stall.enter(stall.ticket("l", 1, 1, 10*time.Second, "hot"))
@@ -81,65 +81,65 @@
 		}
 	}
 	if len(counts) < 12 {
-		test.Fatalf("a hot key stayed on %d runners: %v", len(counts), counts)
+		t.Fatalf("a hot key stayed on %d runners: %v", len(counts), counts)
 	}
 	for runner, count := range counts {
 		if count > 6 {
-			test.Errorf("%s has %d at once", runner, count)
+			t.Errorf("%s has %d at once", runner, count)
 		}
 	}
 }
 
-func TestTiesFallByLot(test *testing.T) {
+func TestTiesFallByLot(t *testing.T) {
 	counts := map[string]int{}
 	for seed := range 200 {
-		stall := newStall(test, 6)
+		stall := newStall(t, 6)
 		stall.Desk.random = rand.New(rand.NewSource(int64(seed)))
 		step, _ := stall.enter(stall.ticket("l", 1, 1, time.Second, "x"))
 		counts[step.Runner.ID]++
 	}
 	for runner, count := range counts {
 		if count < 10 || count > 70 {
-			test.Errorf("%s won %d of 200 ties among 6", runner, count)
+			t.Errorf("%s won %d of 200 ties among 6", runner, count)
 		}
 	}
 	if len(counts) != 6 {
-		test.Fatalf("only %d of 6 ever won", len(counts))
+		t.Fatalf("only %d of 6 ever won", len(counts))
 	}
 }
 
 // A full pool: whoever can't be served within its patience is told at once, when to come back too.
-func TestRefusalsAreEarly(test *testing.T) {
-	stall := newStall(test, 2)
+func TestRefusalsAreEarly(t *testing.T) {
+	stall := newStall(t, 2)
 	for range 12 {
 		if step, passed := stall.enter(stall.ticket("l", 1, 1, time.Minute, "x")); !passed || step.Kind != Pass {
-			test.Fatalf("the pool filled up too soon: %v", step)
+			t.Fatalf("the pool filled up too soon: %v", step)
 		}
 	}
 	step, answered := stall.enter(stall.ticket("l", 1, 1, 100*time.Millisecond, "x"))
 	if !answered || step.Kind != Refuse || step.Fault != fault.PatienceShort || step.RetryAfter < time.Second {
-		test.Fatalf("short patience: %+v", step)
+		t.Fatalf("short patience: %+v", step)
 	}
 	patient := stall.ticket("l", 1, 1, time.Minute, "x")
 	if step, answered := stall.enter(patient); answered {
-		test.Fatalf("long patience: %+v", step)
+		t.Fatalf("long patience: %+v", step)
 	}
 	stall.Release(stall.now, &Ticket{Lane: "l"}, "r00")
 	if step := <-patient.Steps; step.Kind != Pass || step.Runner.ID != "r00" {
-		test.Fatalf("a place came free: %+v", step)
+		t.Fatalf("a place came free: %+v", step)
 	}
 	stall.now = stall.now.Add(2 * time.Minute)
 	late := stall.ticket("l", 1, 1, time.Minute, "x")
 	stall.Enter(stall.now.Add(-2*time.Minute), late)
 	stall.Settle(stall.now)
 	if step := <-late.Steps; step.Kind != Refuse {
-		test.Fatalf("patience used up: %+v", step)
+		t.Fatalf("patience used up: %+v", step)
 	}
 }
 
 // Worth decides who goes first, and a full waitlist gives up its least bid.
-func TestWorthOrdersTheWaitlist(test *testing.T) {
-	stall := newStall(test, 1)
+func TestWorthOrdersTheWaitlist(t *testing.T) {
+	stall := newStall(t, 1)
 	for range 6 {
 		stall.enter(stall.ticket("l", 1, 1, time.Minute, "x"))
 	}
@@ -152,74 +152,74 @@
 	}
 	dear := stall.ticket("dear", 50, 1, time.Hour, "x")
 	if step, answered := stall.enter(dear); answered {
-		test.Fatalf("the dear one: %+v", step)
+		t.Fatalf("the dear one: %+v", step)
 	}
 	refused := 0
 	for _, ticket := range cheap {
 		select {
 		case step := <-ticket.Steps:
 			if step.Fault != fault.WaitlistFull {
-				test.Fatalf("a cheap one: %+v", step)
+				t.Fatalf("a cheap one: %+v", step)
 			}
 			refused++
 		default:
 		}
 	}
 	if refused != 1 {
-		test.Fatalf("%d cheap ones gave way", refused)
+		t.Fatalf("%d cheap ones gave way", refused)
 	}
 	stall.Release(stall.now, &Ticket{Lane: "l"}, "r00")
 	select {
 	case step := <-dear.Steps:
 		if step.Kind != Pass {
-			test.Fatalf("the dear one: %+v", step)
+			t.Fatalf("the dear one: %+v", step)
 		}
 	default:
-		test.Fatal("a cheap one went first")
+		t.Fatal("a cheap one went first")
 	}
 }
 
 // Under overload a lane beyond its purse waits behind one within, however much the first is worth.
-func TestPurseKeepsLanesFromStarving(test *testing.T) {
-	stall := newStall(test, 2)
+func TestPurseKeepsLanesFromStarving(t *testing.T) {
+	stall := newStall(t, 2)
 	for range 20 {
 		stall.Enter(stall.now, stall.ticket("rich", 100, 0.3, time.Hour, "x"))
 	}
 	poor := stall.ticket("poor", 1, 0.3, time.Hour, "y")
 	if step, answered := stall.enter(poor); !answered || step.Kind != Pass {
 		// The rich lane may hold only what others do not miss, so there is room.
-		test.Fatalf("the poor lane starves: %+v %v", step, answered)
+		t.Fatalf("the poor lane starves: %+v %v", step, answered)
 	}
 	_, waiting, lanes := stall.State()
 	if lanes["rich"] == 0 || waiting == 0 {
-		test.Fatalf("the rich lane holds %d and %d wait", lanes["rich"], waiting)
+		t.Fatalf("the rich lane holds %d and %d wait", lanes["rich"], waiting)
 	}
 }
 
-func TestVerdictsCoverEveryEnd(test *testing.T) {
+func TestVerdictsCoverEveryEnd(t *testing.T) {
 	for _, end := range []End{NotSent, PutBack, Doubt, Broken} {
 		for _, repeatable := range []bool{false, true} {
 			verdict := After(end, repeatable)
 			if verdict.Otherwise == "" || verdict.Ran == "" {
-				test.Errorf("%s, %v: no verdict", end, repeatable)
+				t.Errorf("%s, %v: no verdict", end, repeatable)
 			}
 			if verdict.Again && (end == Broken || end == Doubt && !repeatable) {
-				test.Errorf("%s, %v: passed again", end, repeatable)
+				t.Errorf("%s, %v: passed again", end, repeatable)
 			}
 			if verdict.Again && end != NotSent && !verdict.Spends {
-				test.Errorf("%s, %v: repeats without budget", end, repeatable)
+				t.Errorf("%s, %v: repeats without budget", end, repeatable)
 			}
 			if (end == Doubt || end == Broken) && verdict.Ran != Unknown {
-				test.Errorf("%s, %v: told as sure", end, repeatable)
+				t.Errorf("%s, %v: told as sure", end, repeatable)
 			}
 		}
 	}
 }
 
 func BenchmarkAward(bench *testing.B) {
-	indexer, failure := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, 16, 0)
-	if failure != nil {
-		bench.Fatal(failure)
+	indexer, err := kvblock.NewIndexer(kvblock.DefaultSeed, kvblock.DefaultKeys, 16, 0)
+	if err != nil {
+		bench.Fatal(err)
 	}
 	book := pressure.NewBook(begun, "d1")
 	var runners []*wire.Runner
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"wardtray/epoch/spec"
+	"wardtray/config"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
@@ -39,7 +39,7 @@
 type Field struct {
 	Runners []pressure.Runner
 	Daemons int
-	Pool    spec.Pool
+	Pool    config.Pool
 }
 
 // Scene gives the field as it is now.
@@ -96,7 +96,7 @@
 	desk.waitlist = append(desk.waitlist, ticket)
 	desk.settle(now)
 	if len(desk.waitlist) > WaitlistLength {
-		// Why: the longest list gives up its least bid, which learns of it at once, whoever came last.
+		// The longest list gives up its least bid, which learns of it at once, whoever came last.
 		least := desk.waitlist[len(desk.waitlist)-1]
 		desk.waitlist = desk.waitlist[:len(desk.waitlist)-1]
 		desk.end(least, Step{Kind: Refuse, Fault: fault.WaitlistFull, RetryAfter: max(leastComeback, seconds(float64(len(desk.waitlist))*desk.prices.PlaceSeconds/max(1, desk.slots))), Reason: "too many better bids wait"})
@@ -154,7 +154,7 @@
 // First takes in how long the first event of a run took after it was sent.
 func (desk *Desk) First(ticket *Ticket, step Step, took time.Duration) {
 	desk.answered(ticket, step, took)
-	// Why: only on a runner that was not busy does the time of the first event speak of its cache.
+	// Only on a runner that was not busy does the time of the first event speak of its cache.
 	if step.HeldTokens >= reuseTokens && step.Runner.Load < float64(step.Runner.Slots)/2 {
 		middle := (float64(ticket.Bid.PromptTokens) - float64(step.HeldTokens)/2) * desk.Prices().TokenSeconds
 		desk.indexer.Pool.Add(kvblock.ReuseSeen{Runner: step.Runner.ID, Keys: ticket.Keys, Held: took.Seconds() <= middle})
@@ -184,7 +184,7 @@
 	desk.book.Failed(now, step.Runner.ID, "puts requests back")
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	// Why: reports are too old to keep many daemons from filling a runner at once. What they put back is
+	// Reports are too old to keep many daemons from filling a runner at once. What they put back is
 	// the one sign that is fresh, so it narrows what this daemon has under way, and each run that ends widens it.
 	if now.Sub(desk.narrowed) >= narrowEvery {
 		desk.narrowed = now
@@ -271,7 +271,7 @@
 	slots, used, places := 0.0, 0.0, 0.0
 	for _, runner := range neverEmpty(runners) {
 		if limit := field.Pool.ConnectionLimit; limit > 0 {
-			// Why: a runner resets what it gets beyond its limit from all daemons together.
+			// A runner resets what it gets beyond its limit from all daemons together.
 			runner.Limit = min(runner.Limit, max(1, limit/max(1, daemons)))
 		}
 		market.Offers = append(market.Offers, Offer{Runner: runner})
@@ -342,9 +342,9 @@
 		if ticket.done {
 			continue
 		}
-		// Why: the purse may have been filled by a better bid of the same lane a moment ago.
+		// The purse may have been filled by a better bid of the same lane a moment ago.
 		ticket.Bid.InPurse = desk.inPurse(ticket, market)
-		// Why: with every runner full nothing can change for who waits but its patience, and a long waitlist
+		// With every runner full nothing can change for who waits but its patience, and a long waitlist
 		// priced anew at each tick would take a core.
 		market.Room = market.Room && float64(desk.inFlight) < desk.window
 		if ticket.waited && !market.Room && ticket.Bid.Waited < ticket.Bid.bound() {
@@ -362,7 +362,7 @@
 		if step.Kind == Wait {
 			kept = append(kept, ticket)
 			ticket.waited = true
-			// Why: one that waits only for its purse, or for runners shut to it alone, holds up nobody behind it.
+			// One that waits only for its purse, or for runners shut to it alone, holds up nobody behind it.
 			if ticket.Bid.InPurse && len(ticket.Bid.Shut) == 0 {
 				ahead++
 			}
--- a/request/award/forecast.go
+++ b/request/award/forecast.go
@@ -132,7 +132,7 @@
 		return 0
 	}
 	left := found.free.Sub(now).Seconds()
-	// Why: whatever was reckoned, prompts without an event are still being read.
+	// Whatever was reckoned, prompts without an event are still being read.
 	return max(left, found.pending[len(found.pending)-1].work/2)
 }
 
