--- a/request/award/forecast_test.go
+++ b/request/award/forecast_test.go
@@ -12,7 +12,7 @@
 
 // The speeds of engines of several kinds are found within some hundred first events, though a third of them
 // were held up by others and a tenth found the opening gone.
-func TestSpeedsAreLearned(test *testing.T) {
+func TestSpeedsAreLearned(t *testing.T) {
 	for _, true := range []Speeds{{0.005, 0.000015, 6e-10}, {0.03, 0.0001, 3e-9}, {0.002, 0.000004, 1e-10}} {
 		random := rand.New(rand.NewSource(1))
 		speeds := DefaultSpeeds
@@ -31,7 +31,7 @@
 		for _, prompt := range []int{2000, 8000, 30000} {
 			found, wanted := speeds.Overhead+speeds.Prefill(prompt, 500), true.Overhead+true.Prefill(prompt, 500)
 			if found < wanted/1.5 || found > wanted*1.5 {
-				test.Errorf("%+v: %d tokens take %.3f s, reckoned %.3f", true, prompt, wanted, found)
+				t.Errorf("%+v: %d tokens take %.3f s, reckoned %.3f", true, prompt, wanted, found)
 			}
 		}
 	}
@@ -46,7 +46,7 @@
 }
 
 // Every daemon ranks runners alike, each key has its own first, and a runner that goes moves only what was its own.
-func TestHomesAreAgreedAndStay(test *testing.T) {
+func TestHomesAreAgreedAndStay(t *testing.T) {
 	runners, firsts, moved := fleetOf(20), map[string]int{}, 0
 	without := append(append([]pressure.Runner{}, runners[:7]...), runners[8:]...)
 	for key := range uint64(2000) {
@@ -55,25 +55,25 @@
 		if after := rank(without, key*0x9e3779b97f4a7c15)[0]; after != first {
 			moved++
 			if first != "r007" {
-				test.Fatalf("key %d moved from %s to %s", key, first, after)
+				t.Fatalf("key %d moved from %s to %s", key, first, after)
 			}
 		}
 	}
 	for runner, count := range firsts {
 		if count < 60 || count > 145 {
-			test.Errorf("%s is the first of %d of 2000 keys", runner, count)
+			t.Errorf("%s is the first of %d of 2000 keys", runner, count)
 		}
 	}
 	if moved != firsts["r007"] {
-		test.Errorf("%d moved, %d were at home there", moved, firsts["r007"])
+		t.Errorf("%d moved, %d were at home there", moved, firsts["r007"])
 	}
 }
 
 // Two daemons that have never heard of each other send an opening to the same runner.
-func TestDaemonsAgreeOnAHomeWithoutAMessage(test *testing.T) {
+func TestDaemonsAgreeOnAHomeWithoutAMessage(t *testing.T) {
 	chosen := map[string]int{}
 	for daemon := range 8 {
-		stall := newStall(test, 18)
+		stall := newStall(t, 18)
 		stall.Desk.random = rand.New(rand.NewSource(int64(daemon)))
 		stall.Desk.forecast.seen = newcomer
 		scene := stall.Desk.scene
@@ -87,13 +87,13 @@
 		chosen[step.Runner.ID]++
 	}
 	if len(chosen) != 1 {
-		test.Fatalf("daemons chose %v", chosen)
+		t.Fatalf("daemons chose %v", chosen)
 	}
 }
 
 // A short prompt goes around a runner that reads a long one of ours, and comes back once that is read.
-func TestShortPromptsGoAroundLongOnes(test *testing.T) {
-	stall := newStall(test, 3)
+func TestShortPromptsGoAroundLongOnes(t *testing.T) {
+	stall := newStall(t, 3)
 	long := stall.ticket("survey", 1, 1, time.Second)
 	long.Bid.PromptTokens = 50_000
 	step, _ := stall.enter(long)
@@ -102,83 +102,83 @@
 		short := stall.ticket("confirm", 1, 1, 400*time.Millisecond)
 		short.Bid.PromptTokens = 500
 		if step, _ := stall.enter(short); step.Runner.ID == busy {
-			test.Fatal("a short prompt went behind a long one")
+			t.Fatal("a short prompt went behind a long one")
 		}
 	}
 }
 
 // What can't be in time anywhere is told to let others go ahead, and what is read in no time to go ahead.
-func TestShortPromptsGoAheadOfLongOnes(test *testing.T) {
-	stall := newStall(test, 3)
+func TestShortPromptsGoAheadOfLongOnes(t *testing.T) {
+	stall := newStall(t, 3)
 	late, soon := stall.ticket("l", 1, 1, 100*time.Millisecond), stall.ticket("l", 1, 1, 100*time.Millisecond)
 	late.Bid.PromptTokens, soon.Bid.PromptTokens = 100_000, 100
 	if step, _ := stall.enter(late); step.Urgency != Behind {
-		test.Fatalf("a late one: %+v", step)
+		t.Fatalf("a late one: %+v", step)
 	}
 	if step, _ := stall.enter(soon); step.Urgency != Ahead {
-		test.Fatalf("one in time: %+v", step)
+		t.Fatalf("one in time: %+v", step)
 	}
 }
 
 // With a deadline told, who finds every runner full waits past its patience, up to its part of the deadline.
-func TestDeadlinesAreWaitedFor(test *testing.T) {
-	stall := newStall(test, 1)
+func TestDeadlinesAreWaitedFor(t *testing.T) {
+	stall := newStall(t, 1)
 	for range 6 {
 		stall.enter(stall.ticket("l", 1, 1, time.Minute, "x"))
 	}
 	ticket := stall.ticket("l", 1, 1, 100*time.Millisecond, "x")
 	ticket.Bid.Deadline = 20 * time.Second
 	if step, answered := stall.enter(ticket); answered {
-		test.Fatalf("at once: %+v", step)
+		t.Fatalf("at once: %+v", step)
 	}
 	if !stall.Waiting() {
-		test.Fatal("nobody waits")
+		t.Fatal("nobody waits")
 	}
 	stall.now = stall.now.Add(5 * time.Second)
 	stall.Settle(stall.now)
 	select {
 	case step := <-ticket.Steps:
-		test.Fatalf("past its patience: %+v", step)
+		t.Fatalf("past its patience: %+v", step)
 	default:
 	}
 	stall.now = stall.now.Add(10 * time.Second)
 	stall.Settle(stall.now)
 	if step := <-ticket.Steps; step.Kind != Refuse {
-		test.Fatalf("past its part of the deadline: %+v", step)
+		t.Fatalf("past its part of the deadline: %+v", step)
 	}
 	if stall.Waiting() {
-		test.Fatal("somebody still waits")
+		t.Fatal("somebody still waits")
 	}
 }
 
 // A runner whose memory is full is gone around.
-func TestFullMemoryIsGoneAround(test *testing.T) {
-	stall := newStall(test, 2)
+func TestFullMemoryIsGoneAround(t *testing.T) {
+	stall := newStall(t, 2)
 	stall.book.Reported(stall.now, "r00", pressure.Report{Slots: 64, Tokens: 990_000, Room: 1_000_000})
 	stall.book.Reported(stall.now, "r01", pressure.Report{Slots: 64, Tokens: 100_000, Room: 1_000_000})
 	for range 3 {
 		ticket := stall.ticket("l", 1, 1, time.Second)
 		ticket.Bid.PromptTokens = 10_000
 		if step, _ := stall.enter(ticket); step.Runner.ID != "r01" {
-			test.Fatal("a prompt went where no memory is left")
+			t.Fatal("a prompt went where no memory is left")
 		}
 	}
 }
 
 // Where most runners are left alone, those soonest to come back are used all the same: a pool is never emptied.
-func TestPoolIsNeverEmptied(test *testing.T) {
-	stall := newStall(test, 8)
+func TestPoolIsNeverEmptied(t *testing.T) {
+	stall := newStall(t, 8)
 	for number := range 8 {
 		stall.book.Failed(stall.now, fmt.Sprintf("r%02d", number), "gave no answer")
 	}
 	if step, answered := stall.enter(stall.ticket("l", 1, 1, time.Second, "x")); !answered || step.Kind != Pass {
-		test.Fatalf("%+v", step)
+		t.Fatalf("%+v", step)
 	}
 }
 
 // The connections that a runner takes are shared out among the daemons.
-func TestConnectionsAreSharedOut(test *testing.T) {
-	stall := newStall(test, 1)
+func TestConnectionsAreSharedOut(t *testing.T) {
+	stall := newStall(t, 1)
 	scene := stall.Desk.scene
 	stall.Desk.scene = func(now time.Time) Field {
 		field := scene(now)
@@ -188,7 +188,7 @@
 	for place := range 4 {
 		_, answered := stall.enter(stall.ticket("l", 1, 1, time.Minute, "x"))
 		if answered != (place < 3) {
-			test.Fatalf("request %d: passed %v", place, answered)
+			t.Fatalf("request %d: passed %v", place, answered)
 		}
 	}
 }
--- a/request/award/outlook.go
+++ b/request/award/outlook.go
@@ -35,7 +35,7 @@
 // survey adds to a market what is forecast of the traffic.
 func (desk *Desk) survey(now time.Time, market *Market, field Field) {
 	forecast := desk.forecast
-	// Why: one that is only left alone for a while keeps its side. If another took its place, the openings at home
+	// One that is only left alone for a while keeps its side. If another took its place, the openings at home
 	// there would move as well.
 	var staying []pressure.Runner
 	for _, offer := range market.Offers {
@@ -49,7 +49,7 @@
 	wait := func(of *sizes, runners int) (usual, each float64) {
 		busy := forecast.busy(now, of, market.Daemons, runners)
 		each = of.left()
-		// Why: the mean wait of a single queue that serves one prompt after the other.
+		// The mean wait of a single queue that serves one prompt after the other.
 		return busy / (1 - busy) * each, each
 	}
 	market.Usual, market.Each = wait(&forecast.short, max(1, short))
@@ -68,7 +68,7 @@
 // Why by our own: all daemons agree on the homes of openings, so that where ours are, theirs are too.
 func (market *Market) coming(inFlight int, runner pressure.Runner) float64 {
 	others := float64(inFlight * (market.Daemons - 1))
-	// Why: the more daemons, the more one of our own stands for, and the less it tells.
+	// The more daemons, the more one of our own stands for, and the less it tells.
 	supposed := evenly * float64(market.Daemons)
 	part := (float64(runner.InFlight) + supposed/float64(max(1, len(market.Offers)))) / (float64(inFlight) + supposed)
 	return max(0, others*part-(runner.Load-float64(runner.InFlight)))
@@ -168,10 +168,10 @@
 		opening := home(ticket.Keys)
 		homes := 1 + int(spread*forecast.openingPart(opening)*float64(len(group)))
 		if len(group) > 0 {
-			// Why: a daemon can't see that others send the same. Even if each sends one at once, homes have places.
+			// A daemon can't see that others send the same. Even if each sends one at once, homes have places.
 			each := market.Daemons / Places(group[0])
 			if forecast.seen < newcomer {
-				// Why: daemons that begin together send the first of several openings at once.
+				// Daemons that begin together send the first of several openings at once.
 				each = 2 * market.Daemons / Places(group[0])
 			}
 			homes = max(homes, each)
--- a/request/award/traffic.go
+++ b/request/award/traffic.go
@@ -66,7 +66,7 @@
 		traffic.short.fade()
 		traffic.requests *= fade
 		traffic.tokens *= fade
-		// Why: what is less than a fair part of one request counts for nothing any more.
+		// What is less than a fair part of one request counts for nothing any more.
 		least := (traffic.long.work + traffic.short.work) / max(1, traffic.requests) / 4
 		for key, seen := range traffic.openings {
 			if seen *= fade; seen < least {
@@ -78,7 +78,7 @@
 	}
 	traffic.requests++
 	traffic.tokens += float64(tokens)
-	// Why: one long prompt makes no crowd.
+	// One long prompt makes no crowd.
 	mean := (traffic.long.work + traffic.short.work + work) / traffic.requests
 	traffic.openings[opening] += min(work, 2*mean)
 	if long {
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -16,11 +16,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/link"
-	"wardtray/connection/seam"
-	"wardtray/epoch/spec"
+	"wardtray/config"
+	"wardtray/edge/director"
 	"wardtray/process/budget"
-	"wardtray/process/director"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
 	"wardtray/process/once"
@@ -30,6 +28,8 @@
 	"wardtray/request/intake"
 	"wardtray/request/speech"
 	"wardtray/request/stream"
+	"wardtray/transport/link"
+	"wardtray/transport/seam"
 )
 
 const (
@@ -123,8 +123,8 @@
 	begun     time.Time
 
 	request *intake.Request
-	lane    spec.Lane
-	pool    spec.Pool
+	lane    config.Lane
+	pool    config.Pool
 	desk    *award.Desk
 	ticket  *award.Ticket
 
@@ -173,8 +173,8 @@
 	if yard.Draining.Load() {
 		requester.Last()
 	}
-	if failure := course.read(); failure != nil {
-		course.refuse(*course.refusalOf(failure))
+	if err := course.read(); err != nil {
+		course.refuse(*course.refusalOf(err))
 		return
 	}
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Requests++ })
@@ -222,7 +222,7 @@
 		course.yard.Once.End(course.now(), *course.key, state)
 		return
 	}
-	// Why: what surely did not run may be sent again, here and elsewhere in the zone.
+	// What surely did not run may be sent again, here and elsewhere in the zone.
 	course.yard.Once.Drop(*course.key)
 	if course.told {
 		course.yard.Tell(*course.key, true)
@@ -232,10 +232,10 @@
 // comeback reckons when another try may help.
 func (course *Course) comeback(kind fault.Kind) time.Duration {
 	reckons := map[fault.Kind]func() time.Duration{
-		// Why: a silence lasts, as far as can be known, about as long again as it has lasted.
+		// A silence lasts, as far as can be known, about as long again as it has lasted.
 		fault.NotServing: func() time.Duration {
 			until := course.yard.Snapshot().Until
-			// Why: one that has just begun is sure of its spec within a moment; there is no silence to reckon by yet.
+			// One that has just begun is sure of its spec within a moment; there is no silence to reckon by yet.
 			if until.Before(course.yard.Begun) {
 				return max(director.AskEvery, usualStart-course.now().Sub(course.yard.Begun))
 			}
@@ -255,7 +255,7 @@
 // learn a newer one. It tells whether it is.
 func (course *Course) sure() bool {
 	until := course.now().Add(sureBound)
-	// Why: nobody waits past the requester's own deadline, whatever lane the request has.
+	// Nobody waits past the requester's own deadline, whatever lane the request has.
 	if wait := course.request.Wait; wait > 0 && course.begun.Add(wait).Before(until) {
 		until = course.begun.Add(wait)
 	}
@@ -276,15 +276,15 @@
 // Explain tells what would happen to a request, and passes it nowhere.
 func (yard *Yard) Explain(requester seam.Requester) {
 	course := &Course{yard: yard, requester: requester, state: reading, begun: yard.World.Now()}
-	if failure := course.read(); failure != nil {
-		found := fault.Of(failure)
+	if err := course.read(); err != nil {
+		found := fault.Of(err)
 		yard.Speech.Refuse(requester, course.request, speech.Refusal{Kind: found.Kind, Detail: found.Detail, Ran: award.DidNotRun, DidNotRun: true})
 		return
 	}
 	quotes, step := course.desk.Explain(course.begun, course.ticket)
-	content, failure := json.Marshal(map[string]any{"step": step, "quotes": quotes, "prices": course.desk.Prices(), "bid": course.ticket.Bid})
-	if failure != nil {
-		yard.Speech.Refuse(requester, course.request, speech.Refusal{Kind: fault.Internal, Detail: failure.Error(), Ran: award.DidNotRun, DidNotRun: true})
+	content, err := json.Marshal(map[string]any{"step": step, "quotes": quotes, "prices": course.desk.Prices(), "bid": course.ticket.Bid})
+	if err != nil {
+		yard.Speech.Refuse(requester, course.request, speech.Refusal{Kind: fault.Internal, Detail: err.Error(), Ran: award.DidNotRun, DidNotRun: true})
 		return
 	}
 	requester.Answer(200, []seam.Header{{Name: "Content-Type", Value: "application/json"}}, content)
@@ -312,7 +312,7 @@
 	if !pool.Serves(request.Adapter) {
 		return fault.New(fault.UnknownAdapter, "pool %q has no adapter %q", pool.Name, request.Adapter)
 	}
-	// Why: a request that was relayed in part belongs to the pool that began it.
+	// A request that was relayed in part belongs to the pool that began it.
 	if course.relayed && pool.Name != course.pool.Name {
 		return fault.New(fault.UnknownLane, "lane %q now belongs to pool %q", lane.Name, pool.Name)
 	}
@@ -326,7 +326,7 @@
 }
 
 // laneOf finds the lane that a request names, or the one that its host and path choose.
-func laneOf(book *spec.Book, request *intake.Request) *spec.Lane {
+func laneOf(book *config.Book, request *intake.Request) *config.Lane {
 	if request.Lane != "" || request.Target == "" {
 		return book.Lanes[request.Lane]
 	}
@@ -337,7 +337,7 @@
 // poolOf gives the lane's pool, or the one of its split that falls to this request.
 //
 // Why by its id: the draw is then the same at every look and needs no memory.
-func poolOf(book *spec.Book, lane *spec.Lane, request *intake.Request) *spec.Pool {
+func poolOf(book *config.Book, lane *config.Lane, request *intake.Request) *config.Pool {
 	return book.PoolAt(lane, float64(xxhash.Sum64String(request.ID)>>11)/(1<<53))
 }
 
@@ -376,9 +376,9 @@
 
 // read checks the request against the newest spec.
 func (course *Course) read() error {
-	request, failure := course.yard.Speech.Read(course.requester)
-	if failure != nil {
-		return failure
+	request, err := course.yard.Speech.Read(course.requester)
+	if err != nil {
+		return err
 	}
 	course.request, course.after = request, request.After
 	if known := course.take(); known != "" {
@@ -420,9 +420,9 @@
 			verdict := course.following(last)
 			return course.refusal(verdict.Otherwise, "every attempt failed", verdict.Ran, course.comeback(verdict.Otherwise))
 		}
-		// Why: the spec may have taken the lane or its pool away since the last attempt.
-		if failure := course.proper(); failure != nil {
-			return course.refusalOf(failure)
+		// The spec may have taken the lane or its pool away since the last attempt.
+		if err := course.proper(); err != nil {
+			return course.refusalOf(err)
 		}
 		course.desk.Enter(course.now(), course.ticket)
 		course.step = course.yard.Await(course.ticket.Steps)
@@ -443,7 +443,7 @@
 		if !verdict.Again {
 			return course.refusal(verdict.Otherwise, fmt.Sprintf("runner %s gave no answer", course.step.Runner.ID), verdict.Ran, course.comeback(verdict.Otherwise))
 		}
-		// Why: a runner is not at fault where this daemon was not sure of its spec.
+		// A runner is not at fault where this daemon was not sure of its spec.
 		if end != award.NotSent || course.yard.Snapshot().Until.After(course.now()) {
 			course.ticket.Bid.Shut[course.step.Runner.ID] = true
 		}
@@ -454,7 +454,7 @@
 // following gives what may follow an attempt that ended so.
 func (course *Course) following(end award.End) award.Verdict {
 	verdict := award.After(end, course.lane.Repeatable)
-	// Why: what was relayed stands; a stream that may be resumed goes on behind it at another runner.
+	// What was relayed stands; a stream that may be resumed goes on behind it at another runner.
 	if end == award.Broken && course.lane.Resumable {
 		verdict.Again, verdict.Spends = true, true
 	}
@@ -466,7 +466,7 @@
 	if word := ranWords[course.said]; word != "" {
 		return word
 	}
-	// Why: what was relayed did run.
+	// What was relayed did run.
 	if course.doubted || course.relayed {
 		return award.Unknown
 	}
@@ -487,15 +487,15 @@
 }
 
 // refusalOf tells what a fault means for the requester.
-func (course *Course) refusalOf(failure error) *speech.Refusal {
-	found := fault.Of(failure)
+func (course *Course) refusalOf(err error) *speech.Refusal {
+	found := fault.Of(err)
 	return course.refusal(found.Kind, found.Detail, award.DidNotRun, course.comeback(found.Kind))
 }
 
 // refusal gives what to tell of a request that gets no stream, or no more of one.
 func (course *Course) refusal(kind fault.Kind, detail, ran string, retry time.Duration) *speech.Refusal {
 	ran = course.ran(ran)
-	// Why: whatever ended this attempt, an earlier one may have run, and that is what the requester must know.
+	// Whatever ended this attempt, an earlier one may have run, and that is what the requester must know.
 	if course.doubted {
 		kind = fault.OutcomeUnknown
 	}
@@ -544,7 +544,7 @@
 		return false
 	}
 	course.epoch = snapshot.SpecEpoch
-	// Why: where runners are not asked who they are, every request states whom it means, and another one turns it away.
+	// Where runners are not asked who they are, every request states whom it means, and another one turns it away.
 	if course.yard.Speech.Identity() == "" {
 		return true
 	}
@@ -552,7 +552,7 @@
 }
 
 // Permits tells whether a spec lets a pool use a runner.
-func Permits(book *spec.Book, pool *spec.Pool, runner pressure.Runner) bool {
+func Permits(book *config.Book, pool *config.Pool, runner pressure.Runner) bool {
 	return pool.Allows(runner.Service) && book.Open(runner.Zone)
 }
 
@@ -560,9 +560,9 @@
 // answer may be relayed, and otherwise how the attempt ended.
 func (course *Course) pass() award.End {
 	runner := course.step.Runner
-	connection, failure := course.yard.Links.TakeWithin(runner.ID, runner.Address, course.left())
-	if failure != nil {
-		course.yard.Book.Failed(course.now(), runner.ID, string(fault.Of(failure).Kind))
+	connection, err := course.yard.Links.TakeWithin(runner.ID, runner.Address, course.left())
+	if err != nil {
+		course.yard.Book.Failed(course.now(), runner.ID, string(fault.Of(err).Kind))
 		course.countFree()
 		return award.NotSent
 	}
@@ -598,7 +598,7 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	if course.sends == 0 {
-		// Why: an attempt that ends before its last byte is no send, and its request counts once.
+		// An attempt that ends before its last byte is no send, and its request counts once.
 		if !course.counted {
 			course.counted = true
 			budget.budget.Request(course.now())
@@ -606,7 +606,7 @@
 		return true
 	}
 	if !budget.budget.Repeat(course.now()) {
-		// Why: without budget no later attempt can go out either, so the final answer is given now.
+		// Without budget no later attempt can go out either, so the final answer is given now.
 		course.attempts = maximumAttempts
 		return false
 	}
@@ -636,14 +636,14 @@
 	}
 	_ = course.connection.SetDeadline(course.now().Add(bound))
 	if len(content) > 4*lastPart {
-		if _, failure := course.connection.Write(content[:len(content)-lastPart]); failure != nil || !course.allowed(course.connection.Identity) {
+		if _, err := course.connection.Write(content[:len(content)-lastPart]); err != nil || !course.allowed(course.connection.Identity) {
 			return false
 		}
 		content = content[len(content)-lastPart:]
 	}
-	// Why: what was not even taken over whole by our own system no runner can have read whole. After that a failure
+	// What was not even taken over whole by our own system no runner can have read whole. After that a failure
 	// to write tells nothing of what the runner got, and reading the answer decides.
-	if written, failure := course.connection.Write(content); failure != nil && written < len(content) {
+	if written, err := course.connection.Write(content); err != nil && written < len(content) {
 		return false
 	}
 	course.sends++
@@ -656,14 +656,14 @@
 func (course *Course) firstBound() time.Duration {
 	patience, left := time.Duration(course.lane.Patience), course.left()
 	if left > 0 {
-		// Why: a run that can't be repeated is worth something up to the requester's own deadline, and a silent runner
+		// A run that can't be repeated is worth something up to the requester's own deadline, and a silent runner
 		// may yet answer. One that can be is better begun anew at another runner while that is in time.
 		if !course.lane.Repeatable || !course.mayTry() {
 			return left
 		}
 		return min(left, max(patience, left/2))
 	}
-	// Why: a run that can't be repeated is given its patience once more before its outcome is called unknown;
+	// A run that can't be repeated is given its patience once more before its outcome is called unknown;
 	// one that can be is better begun anew. Longer than that nobody waits for a runner that seems well.
 	if !course.lane.Repeatable {
 		return max(patience+leastBound, 2*patience)
@@ -687,7 +687,7 @@
 func (course *Course) answer() award.End {
 	runner := course.step.Runner
 	_ = course.connection.SetDeadline(course.now().Add(course.firstBound()))
-	if failure := course.head(); failure != nil {
+	if err := course.head(); err != nil {
 		course.yard.Book.Failed(course.now(), runner.ID, "gave no answer")
 		return award.Doubt
 	}
@@ -710,7 +710,7 @@
 		return award.PutBack
 	},
 	speech.Elsewhere: func(course *Course) award.End {
-		// Why: the address has gone over to another runner; whoever waits for the former one waits in vain.
+		// The address has gone over to another runner; whoever waits for the former one waits in vain.
 		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "another runner answers at its address")
 		return award.PutBack
 	},
@@ -720,15 +720,15 @@
 func (course *Course) head() error {
 	for range strayBound {
 		course.response = &fasthttp.Response{StreamBody: true, SkipBody: course.request.Method == fasthttp.MethodHead}
-		if failure := course.response.ReadLimitBody(course.connection.Reader, -1); failure != nil {
-			return fault.Wrap(failure, fault.RunFailed, "reading the head of an answer")
+		if err := course.response.ReadLimitBody(course.connection.Reader, -1); err != nil {
+			return fault.Wrap(err, fault.RunFailed, "reading the head of an answer")
 		}
 		course.word = course.yard.Speech.Judge(course.response, course.request, course.run())
 		if course.word.Said != speech.Stray {
 			return nil
 		}
-		if _, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), maximumAnswer)); failure != nil {
-			return fault.Wrap(failure, fault.RunFailed, "reading an answer to another request")
+		if _, err := io.Copy(io.Discard, io.LimitReader(course.rest(), maximumAnswer)); err != nil {
+			return fault.Wrap(err, fault.RunFailed, "reading an answer to another request")
 		}
 	}
 	return fault.New(fault.RunFailed, "only answers to other requests came")
@@ -745,8 +745,8 @@
 // begin reads the first event of a stream.
 func (course *Course) begin() award.End {
 	course.reader = stream.NewReader(course.rest(), course.yard.Speech.Rules(), course.after)
-	first, failure := course.reader.Next()
-	if failure != nil {
+	first, err := course.reader.Next()
+	if err != nil {
 		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "gave no first event")
 		return award.Doubt
 	}
@@ -756,17 +756,17 @@
 
 // whole reads an answer that is no stream.
 func (course *Course) whole() award.End {
-	// Why: the answer has its head and some events already, and nothing but events can go on behind them.
+	// The answer has its head and some events already, and nothing but events can go on behind them.
 	if course.relayed {
 		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "gave no events")
 		return award.Doubt
 	}
-	// Why: a body of unknown length that ends with its connection can't be told from one that was cut.
+	// A body of unknown length that ends with its connection can't be told from one that was cut.
 	if course.response.BodyStream() != nil && course.response.Header.ContentLength() < -1 {
 		return award.Doubt
 	}
-	body, failure := io.ReadAll(io.LimitReader(course.rest(), maximumAnswer))
-	if failure != nil || len(body) == maximumAnswer {
+	body, err := io.ReadAll(io.LimitReader(course.rest(), maximumAnswer))
+	if err != nil || len(body) == maximumAnswer {
 		course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off an answer")
 		return award.Doubt
 	}
@@ -778,7 +778,7 @@
 // failed takes a failure of the runner's own: the run has ended and may be begun anew only where that does no harm.
 func (course *Course) failed() award.End {
 	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "failed a run")
-	// Why: nothing of a resumed stream's later failure may be passed on; the answer has its head already.
+	// Nothing of a resumed stream's later failure may be passed on; the answer has its head already.
 	if course.lane.Repeatable && course.mayTry() {
 		return award.Doubt
 	}
@@ -791,8 +791,8 @@
 		return
 	}
 	_ = course.connection.SetDeadline(course.now().Add(tailBound))
-	// Why: what is left of a longer body would be taken for the head of the next answer.
-	if read, failure := io.Copy(io.Discard, io.LimitReader(course.rest(), lastPart)); failure != nil || read == lastPart {
+	// What is left of a longer body would be taken for the head of the next answer.
+	if read, err := io.Copy(io.Discard, io.LimitReader(course.rest(), lastPart)); err != nil || read == lastPart {
 		return
 	}
 	course.yard.Links.Keep(course.connection, course.word.Keep)
@@ -820,7 +820,7 @@
 		course.connection.Answered()
 	}
 	took, runner := course.now().Sub(course.sentAt), course.step.Runner
-	// Why: a failure of the runner's own is passed on, and is no reason to send it more at once.
+	// A failure of the runner's own is passed on, and is no reason to send it more at once.
 	if course.word.Said != speech.Failed {
 		course.yard.Book.Served(runner.ID)
 	}
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -14,11 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/link"
-	"wardtray/connection/seam"
-	"wardtray/connection/wire"
-	"wardtray/epoch/spec"
-	"wardtray/process/director"
+	"wardtray/config"
+	"wardtray/edge/director"
 	"wardtray/process/kvblock"
 	"wardtray/process/once"
 	"wardtray/process/pressure"
@@ -26,6 +23,9 @@
 	"wardtray/request/award"
 	"wardtray/request/intake"
 	"wardtray/request/speech"
+	"wardtray/transport/link"
+	"wardtray/transport/seam"
+	"wardtray/wire"
 )
 
 // plainSpeech takes a success that names no events for a whole answer, as platforms do whose answers are not all streams.
@@ -81,27 +81,27 @@
 func fails(connection net.Conn, request *http.Request)   { respond(connection, 500, `{"oh":"no"}`) }
 func hangsUp(connection net.Conn, request *http.Request) { _ = connection.Close() }
 
-func start(test *testing.T, id string, script ...func(net.Conn, *http.Request)) *scripted {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+func start(t *testing.T, id string, script ...func(net.Conn, *http.Request)) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	test.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	runner := &scripted{id: id, address: listener.Addr().String(), script: script}
 	turns := make(chan struct{}, 1)
 	turns <- struct{}{}
 	go func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go func() {
 				defer connection.Close()
 				reader := bufio.NewReader(connection)
 				for {
-					request, failure := http.ReadRequest(reader)
-					if failure != nil {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
 						return
 					}
 					_, _ = io.Copy(io.Discard, request.Body)
@@ -129,20 +129,20 @@
 	number   int
 }
 
-func build(test *testing.T, runners ...*scripted) *house {
-	parsed, failure := spec.Parse([]byte(`{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","model":"m","weights":"w","adapters":["cy"],"services":["s"]}],
+func build(t *testing.T, runners ...*scripted) *house {
+	parsed, err := config.Parse([]byte(`{"zones":[{"name":"a","closed":false}],"pools":[{"name":"p","model":"m","weights":"w","adapters":["cy"],"services":["s"]}],
 "lanes":[{"name":"once","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false},{"name":"free","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":true},
 {"name":"resumed","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":true,"resumable":true,"pause":"1s"},
 {"name":"short","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false,"deadline":"150ms"}]}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	now := time.Now()
-	indexer, failure := kvblock.NewIndexer("x", 1000, 16, 0)
-	if failure != nil {
-		test.Fatal(failure)
+	indexer, err := kvblock.NewIndexer("x", 1000, 16, 0)
+	if err != nil {
+		t.Fatal(err)
 	}
-	made := &house{snapshot: &director.Snapshot{SpecEpoch: 1, Book: spec.NewBook(parsed), Until: now.Add(time.Hour)}}
+	made := &house{snapshot: &director.Snapshot{SpecEpoch: 1, Book: config.NewBook(parsed), Until: now.Add(time.Hour)}}
 	book := pressure.NewBook(now, "d")
 	var lines []*wire.Runner
 	for _, runner := range runners {
@@ -155,13 +155,13 @@
 		World: seam.Real(nil), Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Once: once.New(), Tell: func(key once.Key, dropped bool) { made.told = append(made.told, dropped) },
 		Indexer: indexer, Links: link.New(seam.Real(nil), speech.Own{}.Identity()), Speech: speech.Own{}, Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	server := &fasthttp.Server{Handler: func(context *fasthttp.RequestCtx) { made.Serve(seam.FromHTTP(context)) }}
 	go func() { _ = server.Serve(listener) }()
-	test.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	made.address = listener.Addr().String()
 	made.credit(now)
 	return made
@@ -177,20 +177,20 @@
 	}
 }
 
-func (house *house) post(test *testing.T, lane string) (status int, body string) {
+func (house *house) post(t *testing.T, lane string) (status int, body string) {
 	house.number++
-	return house.send(test, lane, fmt.Sprint("r", house.number))
+	return house.send(t, lane, fmt.Sprint("r", house.number))
 }
 
-func (house *house) send(test *testing.T, lane, id string) (status int, body string) {
-	return house.sendWith(test, lane, id, nil)
+func (house *house) send(t *testing.T, lane, id string) (status int, body string) {
+	return house.sendWith(t, lane, id, nil)
 }
 
 // sendWith sends further headers, where they are not empty.
-func (house *house) sendWith(test *testing.T, lane, id string, more map[string]string) (status int, body string) {
-	request, failure := http.NewRequest("POST", "http://"+house.address+"/v1/stream", strings.NewReader(`{"prompt":"x"}`))
-	if failure != nil {
-		test.Fatal(failure)
+func (house *house) sendWith(t *testing.T, lane, id string, more map[string]string) (status int, body string) {
+	request, err := http.NewRequest("POST", "http://"+house.address+"/v1/stream", strings.NewReader(`{"prompt":"x"}`))
+	if err != nil {
+		t.Fatal(err)
 	}
 	for name, value := range map[string]string{intake.HeaderLane: lane, intake.HeaderModel: "m", intake.HeaderRequest: id, intake.HeaderPrompt: "100", intake.HeaderAnswer: "10"} {
 		request.Header.Set(name, value)
@@ -200,98 +200,98 @@
 			request.Header.Set(name, value)
 		}
 	}
-	response, failure := http.DefaultClient.Do(request)
-	if failure != nil {
-		test.Fatal(failure)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	content, failure := io.ReadAll(response.Body)
-	if failure != nil {
-		test.Fatal(failure)
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return response.StatusCode, string(content)
 }
 
-func TestWholeStreamIsRelayed(test *testing.T) {
-	house := build(test, start(test, "r1", events(3, done(3), true)))
-	status, body := house.post(test, "once")
+func TestWholeStreamIsRelayed(t *testing.T) {
+	house := build(t, start(t, "r1", events(3, done(3), true)))
+	status, body := house.post(t, "once")
 	if status != 200 || strings.Count(body, "event: token") != 3 || !strings.HasSuffix(body, done(3)) {
-		test.Fatalf("%d %s", status, body)
+		t.Fatalf("%d %s", status, body)
 	}
 }
 
 // What a runner puts back goes to another, also on a lane that runs at most once: it surely did not start.
-func TestPutBackGoesElsewhere(test *testing.T) {
-	first, second := start(test, "r1", putsBack, events(1, done(1), true)), start(test, "r2", putsBack, events(1, done(1), true))
-	house := build(test, first, second)
+func TestPutBackGoesElsewhere(t *testing.T) {
+	first, second := start(t, "r1", putsBack, events(1, done(1), true)), start(t, "r2", putsBack, events(1, done(1), true))
+	house := build(t, first, second)
 	// Both put the first request back; the third attempt finds nobody left and says that nothing ran.
-	status, body := house.post(test, "once")
+	status, body := house.post(t, "once")
 	if status != 503 || !strings.Contains(body, award.DidNotRun) || first.reached.Load()+second.reached.Load() != 2 {
-		test.Fatalf("%d %s", status, body)
+		t.Fatalf("%d %s", status, body)
 	}
-	third := start(test, "r3", events(1, done(1), true))
-	fourth := start(test, "r4", putsBack, events(1, done(1), true))
-	house = build(test, third, fourth)
+	third := start(t, "r3", events(1, done(1), true))
+	fourth := start(t, "r4", putsBack, events(1, done(1), true))
+	house = build(t, third, fourth)
 	for range 4 {
-		if status, body = house.post(test, "once"); status != 200 {
-			test.Fatalf("%d %s", status, body)
+		if status, body = house.post(t, "once"); status != 200 {
+			t.Fatalf("%d %s", status, body)
 		}
 	}
 }
 
 // A once lane's doubt is told as unknown, and no other runner ever sees the request.
-func TestDoubtIsNeverRepeatedOnOnceLanes(test *testing.T) {
+func TestDoubtIsNeverRepeatedOnOnceLanes(t *testing.T) {
 	for name, step := range map[string]func(net.Conn, *http.Request){"hangs up": hangsUp, "fails": fails, "empty stream": events(0, "", false)} {
-		first, second := start(test, "r1", step), start(test, "r2", step)
-		house := build(test, first, second)
-		status, body := house.post(test, "once")
+		first, second := start(t, "r1", step), start(t, "r2", step)
+		house := build(t, first, second)
+		status, body := house.post(t, "once")
 		if status != 504 || !strings.Contains(body, `"ran":"unknown"`) || first.reached.Load()+second.reached.Load() != 1 {
-			test.Errorf("%s: %d %s, reached %d", name, status, body, first.reached.Load()+second.reached.Load())
+			t.Errorf("%s: %d %s, reached %d", name, status, body, first.reached.Load()+second.reached.Load())
 		}
 	}
 }
 
 // A repeatable lane's doubt is repeated within the budget, and an answer in doubt stays one.
-func TestDoubtIsRepeatedWithinTheBudget(test *testing.T) {
-	first, second := start(test, "r1", hangsUp), start(test, "r2", hangsUp)
-	house := build(test, first, second)
-	if status, body := house.post(test, "free"); status != 504 || !strings.Contains(body, `"ran":"unknown"`) || first.reached.Load() != 1 || second.reached.Load() != 1 {
-		test.Fatalf("%d %s, reached %d and %d", status, body, first.reached.Load(), second.reached.Load())
+func TestDoubtIsRepeatedWithinTheBudget(t *testing.T) {
+	first, second := start(t, "r1", hangsUp), start(t, "r2", hangsUp)
+	house := build(t, first, second)
+	if status, body := house.post(t, "free"); status != 504 || !strings.Contains(body, `"ran":"unknown"`) || first.reached.Load() != 1 || second.reached.Load() != 1 {
+		t.Fatalf("%d %s, reached %d and %d", status, body, first.reached.Load(), second.reached.Load())
 	}
-	house = build(test, start(test, "r1", hangsUp, events(1, done(1), true)), start(test, "r2", hangsUp, events(1, done(1), true)))
+	house = build(t, start(t, "r1", hangsUp, events(1, done(1), true)), start(t, "r2", hangsUp, events(1, done(1), true)))
 	house.budgets.Clear()
-	if status, body := house.post(test, "free"); status != 504 {
-		test.Fatalf("without budget: %d %s", status, body)
+	if status, body := house.post(t, "free"); status != 504 {
+		t.Fatalf("without budget: %d %s", status, body)
 	}
 }
 
 // Once an event was relayed only the same run may go on: a break, a skip, a repeat or a false end is
 // told as an error, and never as a success.
-func TestBrokenStreamsEndWithAnError(test *testing.T) {
+func TestBrokenStreamsEndWithAnError(t *testing.T) {
 	for name, last := range map[string]string{
 		"break": "", "skip": "id: 4\nevent: token\ndata: {}\n\n" + done(4), "repeat": "id: 2\nevent: token\ndata: {}\n\n" + done(2),
 		"false count": "id: 3\nevent: done\ndata: {\"events\":5}\n\n", "strange": "id: 3\nevent: other\ndata: {}\n\n", "no number": "id: x\nevent: token\ndata: {}\n\n",
 	} {
 		for _, lane := range []string{"once", "free"} {
-			other := start(test, "r2", events(2, last, last != ""))
-			house := build(test, start(test, "r1", events(2, last, last != "")), other)
-			status, body := house.post(test, lane)
+			other := start(t, "r2", events(2, last, last != ""))
+			house := build(t, start(t, "r1", events(2, last, last != "")), other)
+			status, body := house.post(t, lane)
 			if status != 200 || !strings.Contains(body, "id: 3\nevent: error") || strings.Contains(body, "event: done") || strings.Count(body, "event: token") != 2 {
-				test.Errorf("%s, %s: %d %s", name, lane, status, body)
+				t.Errorf("%s, %s: %d %s", name, lane, status, body)
 			}
 		}
 	}
 }
 
 // Nothing may go out under a spec that is not surely present, to a closed zone or a service no longer allowed.
-func TestLastLookBeforeBytesGoOut(test *testing.T) {
+func TestLastLookBeforeBytesGoOut(t *testing.T) {
 	change := func(text string) func(house *house) {
 		return func(house *house) {
-			parsed, failure := spec.Parse([]byte(text))
-			if failure != nil {
-				test.Fatal(failure)
+			parsed, err := config.Parse([]byte(text))
+			if err != nil {
+				t.Fatal(err)
 			}
-			house.snapshot = &director.Snapshot{SpecEpoch: 2, Book: spec.NewBook(parsed), Until: time.Now().Add(time.Hour)}
+			house.snapshot = &director.Snapshot{SpecEpoch: 2, Book: config.NewBook(parsed), Until: time.Now().Add(time.Hour)}
 		}
 	}
 	text := `{"zones":[{"name":"a","closed":%v}],"pools":[{"name":"p","model":"m","weights":%q,"services":[%q]}],"lanes":[{"name":"once","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false}]}`
@@ -304,8 +304,8 @@
 			house.Book.List(time.Now(), []*wire.Runner{{RunnerId: "r1", Zone: "a", Service: "s", State: "draining"}})
 		},
 	} {
-		runner := start(test, "r1", events(1, done(1), true))
-		house := build(test, runner)
+		runner := start(t, "r1", events(1, done(1), true))
+		house := build(t, runner)
 		// The change comes between the award and the send: the connection is being made meanwhile.
 		course := &Course{yard: house.Yard, state: bidding, lane: *house.snapshot.Book.Lanes["once"], pool: *house.snapshot.Book.Pools["p"],
 			request: &intake.Request{Lane: "once", Model: "m"}, desk: house.Desk("p"), ticket: &award.Ticket{Lane: "once"}}
@@ -313,13 +313,13 @@
 		course.to(passing)
 		break_(house)
 		if end := course.pass(); end != award.NotSent || runner.reached.Load() != 0 {
-			test.Errorf("%s: %q, the runner saw %d", name, end, runner.reached.Load())
+			t.Errorf("%s: %q, the runner saw %d", name, end, runner.reached.Load())
 		}
 	}
 }
 
 // The same request sent again on a lane that runs at most once: it is taken again only if it surely did not run.
-func TestSameRequestAgain(test *testing.T) {
+func TestSameRequestAgain(t *testing.T) {
 	for name, trial := range map[string]struct {
 		script []func(net.Conn, *http.Request)
 		lane   string
@@ -333,17 +333,17 @@
 		"after put back":    {[]func(net.Conn, *http.Request){putsBack, events(1, done(1), true)}, "once", 200, "event: done", 2},
 		"on the other kind": {[]func(net.Conn, *http.Request){events(1, done(1), true)}, "free", 200, "event: done", 2},
 	} {
-		runner := start(test, "r1", trial.script...)
-		house := build(test, runner)
-		house.send(test, trial.lane, "same")
+		runner := start(t, "r1", trial.script...)
+		house := build(t, runner)
+		house.send(t, trial.lane, "same")
 		house.Book.Served("r1")
-		status, body := house.send(test, trial.lane, "same")
+		status, body := house.send(t, trial.lane, "same")
 		if status != trial.second || !strings.Contains(body, trial.body) || runner.reached.Load() != trial.runs {
-			test.Errorf("%s: %d %s, the runner saw %d", name, status, body, runner.reached.Load())
+			t.Errorf("%s: %d %s, the runner saw %d", name, status, body, runner.reached.Load())
 		}
 		if told := map[string][]bool{"after put back": {false, true, false}, "on the other kind": nil}; name == "after put back" || trial.lane == "free" {
 			if fmt.Sprint(house.told) != fmt.Sprint(told[name]) {
-				test.Errorf("%s: the zone was told %v", name, house.told)
+				t.Errorf("%s: the zone was told %v", name, house.told)
 			}
 		}
 	}
@@ -351,12 +351,12 @@
 
 // A long request's last part goes out only after another look: a change that comes while its bytes are on
 // their way keeps it from being whole, and so from running.
-func TestLongRequestsAreLookedAtAgain(test *testing.T) {
-	runner := start(test, "r1", events(1, done(1), true))
-	house := build(test, runner)
-	connection, failure := house.Links.Take("r1", runner.address)
-	if failure != nil {
-		test.Fatal(failure)
+func TestLongRequestsAreLookedAtAgain(t *testing.T) {
+	runner := start(t, "r1", events(1, done(1), true))
+	house := build(t, runner)
+	connection, err := house.Links.Take("r1", runner.address)
+	if err != nil {
+		t.Fatal(err)
 	}
 	course := &Course{yard: house.Yard, state: bidding, lane: *house.snapshot.Book.Lanes["once"], pool: *house.snapshot.Book.Pools["p"], connection: connection,
 		request: &intake.Request{Lane: "once", Model: "m", Body: make([]byte, 100<<10)}, desk: house.Desk("p"), ticket: &award.Ticket{Lane: "once"}}
@@ -364,23 +364,23 @@
 	course.to(passing)
 	house.snapshot = &director.Snapshot{SpecEpoch: 1, Book: house.snapshot.Book}
 	if course.send() || runner.reached.Load() != 0 {
-		test.Fatalf("a long request went out whole under a spec that is not surely present; the runner saw %d", runner.reached.Load())
+		t.Fatalf("a long request went out whole under a spec that is not surely present; the runner saw %d", runner.reached.Load())
 	}
 }
 
-func TestImproperRequestsAreTypedAndSurelyNotRun(test *testing.T) {
-	runner := start(test, "r1", events(1, done(1), true))
-	house := build(test, runner)
+func TestImproperRequestsAreTypedAndSurelyNotRun(t *testing.T) {
+	runner := start(t, "r1", events(1, done(1), true))
+	house := build(t, runner)
 	for lane, want := range map[string]int{"nowhere": 404, "": 400} {
-		if status, body := house.post(test, lane); status != want || !strings.Contains(body, award.DidNotRun) || !strings.Contains(body, "remedy") {
-			test.Errorf("lane %q: %d %s", lane, status, body)
+		if status, body := house.post(t, lane); status != want || !strings.Contains(body, award.DidNotRun) || !strings.Contains(body, "remedy") {
+			t.Errorf("lane %q: %d %s", lane, status, body)
 		}
 	}
 	house.snapshot = &director.Snapshot{}
-	if status, body := house.post(test, "once"); status != 503 || !strings.Contains(body, "not_serving") {
-		test.Errorf("without a spec: %d %s", status, body)
+	if status, body := house.post(t, "once"); status != 503 || !strings.Contains(body, "not_serving") {
+		t.Errorf("without a spec: %d %s", status, body)
 	}
 	if runner.reached.Load() != 0 {
-		test.Error("the runner was reached")
+		t.Error("the runner was reached")
 	}
 }
--- a/request/course/relay.go
+++ b/request/course/relay.go
@@ -30,7 +30,7 @@
 
 // Read gives at least one whole event, and whatever else is there already.
 func (relay *relay) Read(into []byte) (int, error) {
-	// Why: a run that goes on elsewhere has given nothing yet.
+	// A run that goes on elsewhere has given nothing yet.
 	for len(relay.pending) == 0 && relay.ending == nil {
 		relay.fetch()
 	}
@@ -66,9 +66,9 @@
 	for event := course.first; ; course.first.Raw = nil {
 		if event = course.first; event.Raw == nil {
 			_ = course.connection.SetDeadline(course.now().Add(course.pauseBound()))
-			next, failure := course.reader.Next()
-			if failure != nil {
-				relay.stopped(failure)
+			next, err := course.reader.Next()
+			if err != nil {
+				relay.stopped(err)
 				return
 			}
 			event = next
@@ -93,15 +93,15 @@
 }
 
 // stopped looks what may follow a run that gives no more events.
-func (relay *relay) stopped(failure error) {
+func (relay *relay) stopped(err error) {
 	course := relay.course
-	if failure == io.EOF {
+	if err == io.EOF {
 		relay.whole()
 		return
 	}
 	course.yard.Book.Failed(course.now(), course.step.Runner.ID, "broke off a stream")
 	verdict := course.following(award.Broken)
-	refusal := &speech.Refusal{Kind: verdict.Otherwise, Detail: fault.Of(failure).Detail, Ran: verdict.Ran}
+	refusal := &speech.Refusal{Kind: verdict.Otherwise, Detail: fault.Of(err).Detail, Ran: verdict.Ran}
 	relay.conclude = func() { course.finish(string(fault.RunFailed), false) }
 	if verdict.Again && course.mayTry() && !course.over() {
 		refusal = course.resume()
@@ -111,7 +111,7 @@
 		relay.conclude = course.abandon
 	}
 	relay.ending = errBrokenOff
-	// Why: a speech that tells in its own words that the stream is not whole ends it in order.
+	// A speech that tells in its own words that the stream is not whole ends it in order.
 	if told := course.yard.Speech.Broken(course.after, *refusal); len(told) > 0 {
 		relay.pending, relay.ending = append(relay.pending, told...), io.EOF
 	}
@@ -120,7 +120,7 @@
 // resume has the run go on at another runner behind the last whole event that was relayed; otherwise it tells why not.
 func (course *Course) resume() *speech.Refusal {
 	course.drop()
-	// Why: the first event came long ago; the rest is bid for anew, with the patience and the time that are left.
+	// The first event came long ago; the rest is bid for anew, with the patience and the time that are left.
 	shut := course.ticket.Bid.Shut
 	course.draw()
 	shut[course.step.Runner.ID] = true
--- a/request/course/resume_test.go
+++ b/request/course/resume_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/link"
-	"wardtray/connection/seam"
-	"wardtray/connection/wire"
-	"wardtray/process/director"
+	"wardtray/edge/director"
 	"wardtray/request/intake"
 	"wardtray/request/speech"
+	"wardtray/transport/link"
+	"wardtray/transport/seam"
+	"wardtray/wire"
 )
 
 // goesOn answers like a runner that can begin behind an event: it gives so many events up to a whole of total, and
@@ -55,7 +55,7 @@
 }
 
 // A stream of a lane that may be resumed goes on behind its last whole event, at runners that have not had it yet.
-func TestBrokenStreamGoesOnAtAnotherRunner(test *testing.T) {
+func TestBrokenStreamGoesOnAtAnotherRunner(t *testing.T) {
 	for name, trial := range map[string]struct {
 		lane    string
 		scripts [][]func(net.Conn, *http.Request)
@@ -76,10 +76,10 @@
 	} {
 		runners := make([]*scripted, len(trial.scripts))
 		for place, script := range trial.scripts {
-			runners[place] = start(test, fmt.Sprint("r", place), script...)
+			runners[place] = start(t, fmt.Sprint("r", place), script...)
 		}
-		house := build(test, runners...)
-		status, body := house.post(test, trial.lane)
+		house := build(t, runners...)
+		status, body := house.post(t, trial.lane)
 		sends := int64(0)
 		for _, runner := range runners {
 			sends += runner.reached.Load()
@@ -88,48 +88,48 @@
 		// Whatever came of it, ids count on and what is not whole does not look whole.
 		for place, id := range strings.Fields(seen) {
 			if id != fmt.Sprint(place+1) {
-				test.Errorf("%s: ids %s", name, seen)
+				t.Errorf("%s: ids %s", name, seen)
 			}
 		}
 		if status != 200 || trial.ids != "" && seen != trial.ids || trial.sends > 0 && sends != trial.sends ||
 			trial.ids != "" && strings.Contains(body, "event: done") != trial.whole || strings.Contains(body, "event: done") == strings.Contains(body, "event: error") {
-			test.Errorf("%s: %d, ids %s, %d sends, %s", name, status, seen, sends, body)
+			t.Errorf("%s: %d, ids %s, %d sends, %s", name, status, seen, sends, body)
 		}
 		if strings.Contains(body, "did not run") {
-			test.Errorf("%s: what was relayed is said not to have run: %s", name, body)
+			t.Errorf("%s: what was relayed is said not to have run: %s", name, body)
 		}
 		if in := house.InFlight.Load(); in != 0 {
-			test.Errorf("%s: %d are in flight", name, in)
+			t.Errorf("%s: %d are in flight", name, in)
 		}
 	}
 }
 
 // What is no stream can't go on where a stream broke off.
-func TestNothingButEventsFollowsEvents(test *testing.T) {
-	first, second := start(test, "r1", goesOn("a", 2, 5), plainly), start(test, "r2", goesOn("a", 2, 5), plainly)
-	house := build(test, first, second)
+func TestNothingButEventsFollowsEvents(t *testing.T) {
+	first, second := start(t, "r1", goesOn("a", 2, 5), plainly), start(t, "r2", goesOn("a", 2, 5), plainly)
+	house := build(t, first, second)
 	house.Speech = plainSpeech{house.Speech}
-	if status, body := house.post(test, "resumed"); status != 200 || strings.Contains(body, "all of it") || !strings.Contains(body, "event: error") {
-		test.Errorf("%d %s", status, body)
+	if status, body := house.post(t, "resumed"); status != 200 || strings.Contains(body, "all of it") || !strings.Contains(body, "event: error") {
+		t.Errorf("%d %s", status, body)
 	}
 }
 
 // A failure of the runner's own is passed on where the request can't be repeated, and the runner is left alone for a while.
-func TestFailingRunnerIsLeftAlone(test *testing.T) {
-	failing := start(test, "r1", fails)
-	house := build(test, failing)
+func TestFailingRunnerIsLeftAlone(t *testing.T) {
+	failing := start(t, "r1", fails)
+	house := build(t, failing)
 	house.Speech = plainSpeech{house.Speech}
 	begun := time.Now()
-	if status, body := house.post(test, "once"); status != 200 || !strings.Contains(body, "oh") {
-		test.Errorf("%d %s", status, body)
+	if status, body := house.post(t, "once"); status != 200 || !strings.Contains(body, "oh") {
+		t.Errorf("%d %s", status, body)
 	}
 	if runner, _ := house.Book.One(begun, "r1", house.Daemons()); runner.Usable || failing.reached.Load() != 1 {
-		test.Errorf("the runner is still used: %+v", runner)
+		t.Errorf("the runner is still used: %+v", runner)
 	}
 }
 
 // The lane's deadline and the requester's, the sooner of the two, end whatever is waited for.
-func TestDeadlineEndsEveryWait(test *testing.T) {
+func TestDeadlineEndsEveryWait(t *testing.T) {
 	silent := func(connection net.Conn, request *http.Request) { _, _ = io.Copy(io.Discard, connection) }
 	stalls := func(connection net.Conn, request *http.Request) {
 		text := "id: 1\nevent: token\ndata: {}\n\n"
@@ -149,21 +149,21 @@
 		"stalled, the requester's": {stalls, "once", "150", 200, "event: error"},
 		"stalled, may be resumed":  {stalls, "resumed", "150", 200, "event: error"},
 	} {
-		house := build(test, start(test, "r1", trial.script))
+		house := build(t, start(t, "r1", trial.script))
 		begun := time.Now()
-		status, body := house.sendWith(test, trial.lane, "d", map[string]string{intake.HeaderWait: trial.wait})
+		status, body := house.sendWith(t, trial.lane, "d", map[string]string{intake.HeaderWait: trial.wait})
 		if took := time.Since(begun); status != trial.status || !strings.Contains(body, trial.says) || took < 140*time.Millisecond || took > 2*time.Second {
-			test.Errorf("%s: %d %s after %v", name, status, body, took)
+			t.Errorf("%s: %d %s after %v", name, status, body, took)
 		}
 	}
 }
 
 // A stream that breaks long after its patience is still gone on with, also where a moment has to be waited for its next runner.
-func TestLongStreamGoesOnAfterAWait(test *testing.T) {
-	second := start(test, "r2", goesOn("b", 9, 5))
+func TestLongStreamGoesOnAfterAWait(t *testing.T) {
+	second := start(t, "r2", goesOn("b", 9, 5))
 	var passed atomic.Int64
 	var daemon *house
-	first := start(test, "r1", func(connection net.Conn, request *http.Request) {
+	first := start(t, "r1", func(connection net.Conn, request *http.Request) {
 		passed.Store(int64(time.Minute))
 		now := daemon.World.Now()
 		daemon.Book.List(now, []*wire.Runner{{RunnerId: "r1", Address: connection.LocalAddr().String(), Zone: "a", Service: "s", State: "ready"},
@@ -172,7 +172,7 @@
 		daemon.credit(now)
 		goesOn("a", 2, 5)(connection, request)
 	})
-	daemon = build(test, first)
+	daemon = build(t, first)
 	daemon.World.Now = func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }
 	ticker, ended := time.NewTicker(5*time.Millisecond), make(chan struct{})
 	defer ticker.Stop()
@@ -187,21 +187,21 @@
 			}
 		}
 	}()
-	status, body := daemon.post(test, "resumed")
+	status, body := daemon.post(t, "resumed")
 	if status != 200 || ids(body) != "1 2 3 4 5 6" || !strings.Contains(body, "event: done") {
-		test.Errorf("%d %s", status, body)
+		t.Errorf("%d %s", status, body)
 	}
 }
 
 // What is done before a request goes out keeps to its deadline as well: the wait for a sure spec, and the way to a runner.
-func TestDeadlineBoundsTheWayToARunner(test *testing.T) {
-	runner := start(test, "r1", events(1, done(1), true))
-	house := build(test, runner)
+func TestDeadlineBoundsTheWayToARunner(t *testing.T) {
+	runner := start(t, "r1", events(1, done(1), true))
+	house := build(t, runner)
 	sure := house.snapshot
 	house.snapshot = &director.Snapshot{SpecEpoch: 1, Book: sure.Book}
 	begun := time.Now()
-	if status, body := house.sendWith(test, "once", "unsure", map[string]string{intake.HeaderWait: "100"}); status != 503 || time.Since(begun) > sureBound/2 {
-		test.Errorf("unsure of its spec: %d %s after %v", status, body, time.Since(begun))
+	if status, body := house.sendWith(t, "once", "unsure", map[string]string{intake.HeaderWait: "100"}); status != 503 || time.Since(begun) > sureBound/2 {
+		t.Errorf("unsure of its spec: %d %s after %v", status, body, time.Since(begun))
 	}
 	house.snapshot = sure
 	var terms []seam.Terms
@@ -211,10 +211,10 @@
 		return nil, io.ErrClosedPipe
 	}
 	house.Links = link.New(world, speech.Own{}.Identity())
-	house.sendWith(test, "once", "dials", map[string]string{intake.HeaderWait: "100"})
+	house.sendWith(t, "once", "dials", map[string]string{intake.HeaderWait: "100"})
 	house.Book.Served("r1")
-	house.send(test, "once", "dials in peace")
+	house.send(t, "once", "dials in peace")
 	if len(terms) != 2 || terms[0].Dial > 100*time.Millisecond || terms[0].Dial <= 0 || terms[1].Dial <= 100*time.Millisecond {
-		test.Errorf("terms of dialing: %+v", terms)
+		t.Errorf("terms of dialing: %+v", terms)
 	}
 }
--- a/request/intake/intake.go
+++ b/request/intake/intake.go
@@ -10,9 +10,9 @@
 
 	"github.com/mailru/easyjson"
 
-	"wardtray/connection/seam"
 	"wardtray/process/fault"
 	"wardtray/process/strict"
+	"wardtray/transport/seam"
 )
 
 //go:generate go tool easyjson -disallow_unknown_fields -output_filename intake_easyjson.go intake.go
@@ -85,9 +85,9 @@
 		{HeaderLane, &request.Lane, true}, {HeaderModel, &request.Model, true},
 		{HeaderAdapter, &request.Adapter, false}, {HeaderRequest, &request.ID, true},
 	} {
-		value, failure := one(header, text.name, text.required)
-		if failure != nil {
-			return nil, failure
+		value, err := one(header, text.name, text.required)
+		if err != nil {
+			return nil, err
 		}
 		*text.to = value
 	}
@@ -99,32 +99,32 @@
 		required bool
 	}{{HeaderPrompt, &request.PromptTokens, MaximumTokens, true}, {HeaderAnswer, &request.AnswerTokens, MaximumTokens, true},
 		{HeaderWait, &wait, MaximumWait, false}, {HeaderAfter, &request.After, MaximumTokens, false}} {
-		value, failure := one(header, count.name, count.required)
-		if failure != nil {
-			return nil, failure
+		value, err := one(header, count.name, count.required)
+		if err != nil {
+			return nil, err
 		}
 		if value == "" {
 			continue
 		}
-		number, failure := strconv.Atoi(value)
-		if failure != nil || number < 1 || number > count.most {
+		number, err := strconv.Atoi(value)
+		if err != nil || number < 1 || number > count.most {
 			return nil, fault.New(fault.Malformed, "%s: %q is no count from 1 to %d", count.name, clip(value), count.most)
 		}
 		*count.to = number
 	}
 	request.Wait = time.Duration(wait) * time.Millisecond
-	if failure := request.prefix(header(HeaderPrefix)); failure != nil {
-		return nil, failure
+	if err := request.prefix(header(HeaderPrefix)); err != nil {
+		return nil, err
 	}
 	if len(body) > MaximumBody {
 		return nil, fault.New(fault.TooLarge, "a body of %d bytes; at most %d", len(body), MaximumBody)
 	}
-	if failure := strict.Check(body); failure != nil {
-		return nil, failure
+	if err := strict.Check(body); err != nil {
+		return nil, err
 	}
 	parsed := &Body{}
-	if failure := easyjson.Unmarshal(body, parsed); failure != nil {
-		return nil, fault.New(fault.Malformed, "body: %v", failure)
+	if err := easyjson.Unmarshal(body, parsed); err != nil {
+		return nil, fault.New(fault.Malformed, "body: %v", err)
 	}
 	if parsed.Prompt == "" {
 		return nil, fault.New(fault.Malformed, "body: prompt is missing or empty")
@@ -157,8 +157,8 @@
 		for _, pair := range strings.Split(value, ",") {
 			pair = strings.TrimSpace(pair)
 			name, count, found := strings.Cut(pair, "=")
-			tokens, failure := strconv.Atoi(count)
-			if !found || failure != nil || name == "" || len(name) > MaximumPart || !utf8.ValidString(name) || tokens < 1 || tokens > MaximumTokens {
+			tokens, err := strconv.Atoi(count)
+			if !found || err != nil || name == "" || len(name) > MaximumPart || !utf8.ValidString(name) || tokens < 1 || tokens > MaximumTokens {
 				return fault.New(fault.Malformed, "%s: %q is no name=tokens", HeaderPrefix, clip(pair))
 			}
 			if len(request.Parts) >= MaximumParts {
--- a/request/intake/intake_test.go
+++ b/request/intake/intake_test.go
@@ -18,28 +18,28 @@
 	return Parse(func(name string) []string { return headers[name] }, []byte(body))
 }
 
-func TestProperRequest(test *testing.T) {
-	request, failure := parse(proper(), `{"prompt":"Shwmae, ŵyn a llŷn"}`)
-	if failure != nil {
-		test.Fatal(failure)
+func TestProperRequest(t *testing.T) {
+	request, err := parse(proper(), `{"prompt":"Shwmae, ŵyn a llŷn"}`)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if strings.Join(request.Parts, " ") != "system rheolau more" || request.PartTokens[1] != 20 {
-		test.Fatalf("parts %v %v", request.Parts, request.PartTokens)
+		t.Fatalf("parts %v %v", request.Parts, request.PartTokens)
 	}
 }
 
-func TestDeadlineAndResumptionAreRead(test *testing.T) {
+func TestDeadlineAndResumptionAreRead(t *testing.T) {
 	headers := proper()
-	if request, failure := parse(headers, `{"prompt":"x"}`); failure != nil || request.Wait != 0 || request.After != 0 {
-		test.Fatal(request, failure)
+	if request, err := parse(headers, `{"prompt":"x"}`); err != nil || request.Wait != 0 || request.After != 0 {
+		t.Fatal(request, err)
 	}
 	headers[HeaderWait], headers[HeaderAfter] = []string{"1500"}, []string{"7"}
-	if request, failure := parse(headers, `{"prompt":"x"}`); failure != nil || request.Wait != 1500*time.Millisecond || request.After != 7 {
-		test.Fatal(request, failure)
+	if request, err := parse(headers, `{"prompt":"x"}`); err != nil || request.Wait != 1500*time.Millisecond || request.After != 7 {
+		t.Fatal(request, err)
 	}
 }
 
-func TestImproperRequestsAreNamed(test *testing.T) {
+func TestImproperRequestsAreNamed(t *testing.T) {
 	headers := map[string]map[string][]string{
 		"no lane": {HeaderLane: nil}, "lane twice": {HeaderLane: {"a", "b"}}, "bad bytes": {HeaderModel: {"\xff"}}, "control": {HeaderRequest: {"a\x01"}},
 		"long": {HeaderRequest: {strings.Repeat("x", 300)}}, "no count": {HeaderPrompt: nil}, "zero": {HeaderAnswer: {"0"}}, "negative": {HeaderPrompt: {"-5"}},
@@ -53,29 +53,29 @@
 		for header, values := range change {
 			changed[header] = values
 		}
-		if _, failure := parse(changed, `{"prompt":"x"}`); !fault.Is(failure, fault.Malformed) {
-			test.Errorf("%s: %v", name, failure)
+		if _, err := parse(changed, `{"prompt":"x"}`); !fault.Is(err, fault.Malformed) {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
 	for name, body := range map[string]string{"nothing": "", "cut short": `{"prompt":"x`, "no prompt": `{}`, "empty": `{"prompt":""}`, "wrong type": `{"prompt":5}`,
 		"unknown field": `{"prompt":"x","y":1}`, "twice": `{"prompt":"x","prompt":"y"}`, "bad bytes": "{\"prompt\":\"\xc3\x28\"}", "more": `{"prompt":"x"} x`, "null": `null`} {
-		if _, failure := parse(proper(), body); !fault.Is(failure, fault.Malformed) {
-			test.Errorf("body %s: %v", name, failure)
+		if _, err := parse(proper(), body); !fault.Is(err, fault.Malformed) {
+			t.Errorf("body %s: %v", name, err)
 		}
 	}
-	if _, failure := parse(proper(), `{"prompt":"`+strings.Repeat("x", MaximumBody)+`"}`); !fault.Is(failure, fault.TooLarge) {
-		test.Errorf("a large body: %v", failure)
+	if _, err := parse(proper(), `{"prompt":"`+strings.Repeat("x", MaximumBody)+`"}`); !fault.Is(err, fault.TooLarge) {
+		t.Errorf("a large body: %v", err)
 	}
 }
 
 func FuzzParse(fuzz *testing.F) {
 	fuzz.Add("l", "100", "system=40, more=20", []byte(`{"prompt":"x"}`))
 	fuzz.Add("l", "-1", "=,=", []byte(`{"prompt":5}`))
-	fuzz.Fuzz(func(test *testing.T, lane, count, prefix string, body []byte) {
+	fuzz.Fuzz(func(t *testing.T, lane, count, prefix string, body []byte) {
 		headers := proper()
 		headers[HeaderLane], headers[HeaderPrompt], headers[HeaderPrefix] = []string{lane}, []string{count}, []string{prefix}
-		request, failure := Parse(func(name string) []string { return headers[name] }, body)
-		if failure != nil {
+		request, err := Parse(func(name string) []string { return headers[name] }, body)
+		if err != nil {
 			return
 		}
 		total := 0
@@ -83,7 +83,7 @@
 			total += tokens
 		}
 		if total > request.PromptTokens || len(request.Parts) != len(request.PartTokens) {
-			test.Fatal("a prefix that is longer than its prompt")
+			t.Fatal("a prefix that is longer than its prompt")
 		}
 	})
 }
--- a/request/speech/speech.go
+++ b/request/speech/speech.go
@@ -12,11 +12,11 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/seam"
 	"wardtray/process/fault"
 	"wardtray/process/pressure"
 	"wardtray/request/intake"
 	"wardtray/request/stream"
+	"wardtray/transport/seam"
 )
 
 // Refusal is every answer that is not a stream.
@@ -129,8 +129,8 @@
 
 func (refusal Refusal) encode() []byte {
 	refusal.RetryMS, refusal.Remedy = refusal.Retry.Milliseconds(), (&fault.Fault{Kind: refusal.Kind}).Remedy()
-	content, failure := json.Marshal(refusal)
-	if failure != nil {
+	content, err := json.Marshal(refusal)
+	if err != nil {
 		return []byte(`{"kind":"internal"}`)
 	}
 	return content
@@ -169,7 +169,7 @@
 	}
 	outgoing.SetBodyRaw(request.Body)
 	content := &bytes.Buffer{}
-	// Why: writing to memory can't fail.
+	// Writing to memory can't fail.
 	_, _ = outgoing.WriteTo(content)
 	return content.Bytes()
 }
@@ -192,7 +192,7 @@
 		return Word{Said: Runs}
 	}
 	said := putBack{}
-	if failure := json.Unmarshal(response.Body(), &said); failure == nil && said.Started != nil && !*said.Started {
+	if err := json.Unmarshal(response.Body(), &said); err == nil && said.Started != nil && !*said.Started {
 		return Word{Said: PutBack}
 	}
 	return Word{Said: Unclear}
--- a/request/speech/speech_test.go
+++ b/request/speech/speech_test.go
@@ -10,23 +10,23 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/seam"
 	"wardtray/process/fault"
 	"wardtray/process/pressure"
 	"wardtray/request/intake"
+	"wardtray/transport/seam"
 )
 
-func response(test *testing.T, raw string) *fasthttp.Response {
-	test.Helper()
+func response(t *testing.T, raw string) *fasthttp.Response {
+	t.Helper()
 	read := &fasthttp.Response{StreamBody: true}
-	if failure := read.ReadLimitBody(bufio.NewReader(strings.NewReader(raw)), -1); failure != nil {
-		test.Fatal(failure)
+	if err := read.ReadLimitBody(bufio.NewReader(strings.NewReader(raw)), -1); err != nil {
+		t.Fatal(err)
 	}
 	return read
 }
 
 // Nothing but the runner's own word says that a request did not start.
-func TestOwnAnswersAreJudged(test *testing.T) {
+func TestOwnAnswersAreJudged(t *testing.T) {
 	for raw, want := range map[string]Said{
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                                      Runs,
 		"HTTP/1.1 503 x\r\nContent-Length: 17\r\n\r\n{\"started\":false}":                            PutBack,
@@ -39,14 +39,14 @@
 		"HTTP/1.1 204 x\r\n\r\n":                                                                     Unclear,
 		"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n{\"started\":false}\r\n0\r\n\r\n": PutBack,
 	} {
-		if word := (Own{}).Judge(response(test, raw), &intake.Request{}, Run{}); word.Said != want {
-			test.Errorf("%q: %q instead of %q", raw, word.Said, want)
+		if word := (Own{}).Judge(response(t, raw), &intake.Request{}, Run{}); word.Said != want {
+			t.Errorf("%q: %q instead of %q", raw, word.Said, want)
 		}
 	}
 }
 
 // What goes out is read back as the request that came, with what concerns this attempt.
-func TestOwnOutgoing(test *testing.T) {
+func TestOwnOutgoing(t *testing.T) {
 	request := &intake.Request{ID: "r", Lane: "l", Model: "m", Adapter: "cy", PromptTokens: 100, AnswerTokens: 10, Parts: []string{"a", "b"}, PartTokens: []int{30, 20}, Body: []byte(`{"prompt":"x"}`)}
 	for name, trial := range map[string]struct {
 		run    Run
@@ -57,34 +57,34 @@
 		"resumed, with a bound": {Run{Runner: pressure.Runner{ID: "r1", Address: "10.0.0.1:80"}, Left: 1500 * time.Millisecond, After: 3}, map[string]string{intake.HeaderWait: "1500", intake.HeaderAfter: "3"}},
 	} {
 		reader := bufio.NewReader(strings.NewReader(string(Own{}.Outgoing(request, trial.run))))
-		read, failure := http.ReadRequest(reader)
-		if failure != nil {
-			test.Fatal(failure)
+		read, err := http.ReadRequest(reader)
+		if err != nil {
+			t.Fatal(err)
 		}
 		for header, value := range trial.wanted {
 			if got := read.Header.Get(header); got != value {
-				test.Errorf("%s: %s is %q instead of %q", name, header, got, value)
+				t.Errorf("%s: %s is %q instead of %q", name, header, got, value)
 			}
 		}
-		again, failure := intake.Parse(func(name string) []string { return read.Header.Values(name) }, request.Body)
-		if failure != nil || again.ID != "r" || again.Lane != "l" || strings.Join(again.Parts, " ") != "a b" || again.After != trial.run.After || again.Wait != trial.run.Left || read.Method != "POST" || read.URL.Path != "/run" {
-			test.Errorf("%s: %+v %v", name, again, failure)
+		again, err := intake.Parse(func(name string) []string { return read.Header.Values(name) }, request.Body)
+		if err != nil || again.ID != "r" || again.Lane != "l" || strings.Join(again.Parts, " ") != "a b" || again.After != trial.run.After || again.Wait != trial.run.Left || read.Method != "POST" || read.URL.Path != "/run" {
+			t.Errorf("%s: %+v %v", name, again, err)
 		}
 	}
 }
 
-func TestOwnRefusals(test *testing.T) {
+func TestOwnRefusals(t *testing.T) {
 	for kind, status := range statuses {
 		context := &fasthttp.RequestCtx{}
 		Own{}.Refuse(seam.FromHTTP(context), nil, Refusal{Kind: kind, Detail: "why", Ran: "unknown", Retry: 1200 * time.Millisecond})
 		told := Refusal{}
-		if failure := json.Unmarshal(context.Response.Body(), &told); failure != nil || context.Response.StatusCode() != status || told.Kind != kind || told.Detail != "why" || told.Remedy == "" ||
+		if err := json.Unmarshal(context.Response.Body(), &told); err != nil || context.Response.StatusCode() != status || told.Kind != kind || told.Detail != "why" || told.Remedy == "" ||
 			told.RetryMS != 1200 || string(context.Response.Header.Peek("Retry-After")) != "2" {
-			test.Errorf("%s: %s %v", kind, context.Response.String(), failure)
+			t.Errorf("%s: %s %v", kind, context.Response.String(), err)
 		}
 	}
 	event := string(Own{}.Broken(4, Refusal{Kind: fault.RunFailed}))
 	if !strings.HasPrefix(event, "id: 5\nevent: error\ndata: {") || !strings.HasSuffix(event, "}\n\n") {
-		test.Error(event)
+		t.Error(event)
 	}
 }
--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -97,19 +97,19 @@
 	event := Event{}
 	for {
 		begun := len(event.Raw)
-		raw, failure := reader.line(event.Raw)
+		raw, err := reader.line(event.Raw)
 		event.Raw = raw
-		if failure == io.EOF && !reader.rules.Counted {
+		if err == io.EOF && !reader.rules.Counted {
 			reader.ended = true
-			// Why: what follows the last blank line belongs to the body and is passed on with it.
+			// What follows the last blank line belongs to the body and is passed on with it.
 			if len(event.Raw) > 0 {
 				event.ID = reader.last
 				return event, nil
 			}
 			return Event{}, io.EOF
 		}
-		if failure != nil {
-			return Event{}, fault.Wrap(failure, fault.RunFailed, "the stream broke off after event %d", reader.last)
+		if err != nil {
+			return Event{}, fault.Wrap(err, fault.RunFailed, "the stream broke off after event %d", reader.last)
 		}
 		if len(event.Raw) > MaximumEvent {
 			return Event{}, fault.New(fault.RunFailed, "an event of more than %d bytes", MaximumEvent)
@@ -121,7 +121,7 @@
 					event.Raw = nil
 					continue
 				}
-				// Why: a comment, or a line of the runner's own, is passed on and counts for nothing.
+				// A comment, or a line of the runner's own, is passed on and counts for nothing.
 				event.ID = reader.last
 				return event, nil
 			}
@@ -139,8 +139,8 @@
 		event.ID = reader.last
 		return event, nil
 	}
-	number, failure := strconv.Atoi(string(event.id))
-	if failure != nil || number <= reader.last || reader.rules.Counted && number != reader.last+1 {
+	number, err := strconv.Atoi(string(event.id))
+	if err != nil || number <= reader.last || reader.rules.Counted && number != reader.last+1 {
 		return Event{}, fault.New(fault.RunFailed, "event %q follows event %d", event.id, reader.last)
 	}
 	event.ID = number
@@ -159,7 +159,7 @@
 	reader.last = event.ID
 	if event.Done() {
 		said := closing{}
-		if failure := json.Unmarshal(event.Data, &said); failure != nil || said.Events != event.ID-1 {
+		if err := json.Unmarshal(event.Data, &said); err != nil || said.Events != event.ID-1 {
 			return Event{}, fault.New(fault.RunFailed, "the last event speaks of %d events; %d came", said.Events, event.ID-1)
 		}
 		reader.ended = true
@@ -169,17 +169,17 @@
 
 // End reads on to the end of the body, so that the connection can be used again.
 func (reader *Reader) End() bool {
-	_, failure := reader.source.ReadByte()
-	return failure == io.EOF
+	_, err := reader.source.ReadByte()
+	return err == io.EOF
 }
 
 // line puts the next line with its end behind what was read before.
 func (reader *Reader) line(raw []byte) ([]byte, error) {
 	for begun := len(raw); ; {
-		part, failure := reader.source.ReadSlice('\n')
+		part, err := reader.source.ReadSlice('\n')
 		raw = append(raw, part...)
-		if failure != bufio.ErrBufferFull {
-			return raw, failure
+		if err != bufio.ErrBufferFull {
+			return raw, err
 		}
 		if len(raw)-begun > MaximumEvent {
 			return raw, fault.New(fault.RunFailed, "a line of more than %d bytes", MaximumEvent)
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -29,7 +29,7 @@
 	length := min(pieces.random.Intn(pieces.most+1), len(pieces.rest), len(into))
 	copy(into, pieces.rest[:length])
 	pieces.rest = pieces.rest[length:]
-	// Why: a source may tell its end together with its last bytes.
+	// A source may tell its end together with its last bytes.
 	if len(pieces.rest) == 0 && pieces.random.Intn(2) == 0 {
 		return length, io.EOF
 	}
@@ -41,14 +41,14 @@
 	reader := NewReader(source, rules, last)
 	var events []Event
 	for {
-		// Why: what Ready tells must not change what follows.
+		// What Ready tells must not change what follows.
 		ready := reader.Ready()
-		event, failure := reader.Next()
-		if ready && failure != nil && fault.Of(failure).Kind != fault.RunFailed {
-			return events, fmt.Errorf("an event was ready, and then: %w", failure)
+		event, err := reader.Next()
+		if ready && err != nil && fault.Of(err).Kind != fault.RunFailed {
+			return events, fmt.Errorf("an event was ready, and then: %w", err)
 		}
-		if failure != nil {
-			return events, failure
+		if err != nil {
+			return events, err
 		}
 		events = append(events, event)
 		if event.Done() && rules.Counted {
@@ -123,7 +123,7 @@
 }
 
 // However a run is cut into pieces on its way, its events are the same, and no byte of it is lost.
-func TestPiecesMakeNoDifference(test *testing.T) {
+func TestPiecesMakeNoDifference(t *testing.T) {
 	properties := properties()
 	for _, counted := range []bool{false, true} {
 		rules := Rules{Counted: counted}
@@ -141,7 +141,7 @@
 			passed, rest := "", text
 			for _, event := range events {
 				passed += string(event.Raw)
-				// Why: between counted events blank lines and comments are left out, but nothing of an event itself.
+				// Between counted events blank lines and comments are left out, but nothing of an event itself.
 				_, behind, found := strings.Cut(rest, string(event.Raw))
 				if !found {
 					return false
@@ -160,11 +160,11 @@
 			return end == map[bool]error{true: nil, false: io.EOF}[counted]
 		}, gen.Int64(), gen.IntRange(1, 3000)))
 	}
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
 // Whatever comes, ids only rise behind where the run begins, and counted ones leave none out and end with the right count.
-func TestOrderIsNeverBroken(test *testing.T) {
+func TestOrderIsNeverBroken(t *testing.T) {
 	properties := properties()
 	for _, counted := range []bool{false, true} {
 		properties.Property(fmt.Sprint("ids rise, counted ", counted), prop.ForAll(func(seed int64, begins int) bool {
@@ -176,7 +176,7 @@
 				if event.ID < last || counted && event.ID != last+1 {
 					return false
 				}
-				// Why: an event that names no id has that of the event before it.
+				// An event that names no id has that of the event before it.
 				if event.ID == last && strings.Contains("\n"+string(event.Raw), "\nid:") && strings.HasSuffix(strings.ReplaceAll(string(event.Raw), "\r", ""), "\n\n") {
 					return false
 				}
@@ -185,25 +185,25 @@
 			return !counted || end != nil || len(events) > 0 && events[len(events)-1].Done()
 		}, gen.Int64(), gen.IntRange(0, 5)))
 	}
-	properties.TestingRun(test)
+	properties.TestingRun(t)
 }
 
-func TestEventsAreBounded(test *testing.T) {
+func TestEventsAreBounded(t *testing.T) {
 	for name, text := range map[string]string{"one line": "data: " + strings.Repeat("x", MaximumEvent), "many lines": strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", MaximumEvent/1000)} {
 		for _, counted := range []bool{false, true} {
-			if events, failure := read(strings.NewReader(text+"\n\n"), Rules{Counted: counted}, 0); len(events) > 0 || !fault.Is(failure, fault.RunFailed) {
-				test.Errorf("%s, counted %v: %d events, %v", name, counted, len(events), failure)
+			if events, err := read(strings.NewReader(text+"\n\n"), Rules{Counted: counted}, 0); len(events) > 0 || !fault.Is(err, fault.RunFailed) {
+				t.Errorf("%s, counted %v: %d events, %v", name, counted, len(events), err)
 			}
 		}
 	}
 }
 
 // A source that breaks off is not one that ends.
-func TestBreakIsNoEnd(test *testing.T) {
+func TestBreakIsNoEnd(t *testing.T) {
 	for _, text := range []string{"", "id: 1\n", "id: 1\ndata: x\n\n", "id: 1\ndata: x\n\nid: 2\nda"} {
 		for _, counted := range []bool{false, true} {
-			if _, failure := read(io.MultiReader(strings.NewReader(text), broken{}), Rules{Counted: counted}, 0); !fault.Is(failure, fault.RunFailed) {
-				test.Errorf("%q, counted %v: %v", text, counted, failure)
+			if _, err := read(io.MultiReader(strings.NewReader(text), broken{}), Rules{Counted: counted}, 0); !fault.Is(err, fault.RunFailed) {
+				t.Errorf("%q, counted %v: %v", text, counted, err)
 			}
 		}
 	}
--- a/tools/wiregen/main.go
+++ b/tools/wiregen/main.go
@@ -17,8 +17,8 @@
 )
 
 func main() {
-	if failure := run(os.Args[1:]); failure != nil {
-		fmt.Fprintln(os.Stderr, "wiregen:", failure)
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "wiregen:", err)
 		os.Exit(1)
 	}
 }
@@ -32,9 +32,9 @@
 		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{folder}},
 		SourceInfoMode: protocompile.SourceInfoStandard,
 	}
-	files, failure := compiler.Compile(context.Background(), name)
-	if failure != nil {
-		return failure
+	files, err := compiler.Compile(context.Background(), name)
+	if err != nil {
+		return err
 	}
 	descriptor := protodesc.ToFileDescriptorProto(files[0])
 	request := &pluginpb.CodeGeneratorRequest{
@@ -42,9 +42,9 @@
 		ProtoFile:      []*descriptorpb.FileDescriptorProto{descriptor},
 		Parameter:      proto.String("paths=source_relative"),
 	}
-	plugin, failure := protogen.Options{}.New(request)
-	if failure != nil {
-		return failure
+	plugin, err := protogen.Options{}.New(request)
+	if err != nil {
+		return err
 	}
 	for _, file := range plugin.Files {
 		internal_gengo.GenerateFile(plugin, file)
@@ -54,8 +54,8 @@
 		return fmt.Errorf("%s", response.GetError())
 	}
 	for _, file := range response.File {
-		if failure := os.WriteFile(filepath.Join(folder, file.GetName()), []byte(file.GetContent()), 0o644); failure != nil {
-			return failure
+		if err := os.WriteFile(filepath.Join(folder, file.GetName()), []byte(file.GetContent()), 0o644); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/connection/frame/frame.go
+++ b/transport/frame/frame.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
 const (
@@ -32,24 +32,24 @@
 	content := make([]byte, header, header+size)
 	content[0], content[1], content[2] = 'W', 'T', Edition
 	binary.BigEndian.PutUint32(content[4:], uint32(size))
-	content, failure := proto.MarshalOptions{}.MarshalAppend(content, envelope)
-	return content, fault.Wrap(failure, fault.BadFrame, "encoding")
+	content, err := proto.MarshalOptions{}.MarshalAppend(content, envelope)
+	return content, fault.Wrap(err, fault.BadFrame, "encoding")
 }
 
 // Decode reads the next frame. At the end between two frames it gives io.EOF; anything foreign,
 // torn or too large is a BadFrame fault, after which the stream is of no more use.
 func Decode(reader *bufio.Reader) (*wire.Envelope, int, error) {
 	var head [header]byte
-	if _, failure := io.ReadFull(reader, head[:]); failure != nil {
-		if failure == io.EOF {
+	if _, err := io.ReadFull(reader, head[:]); err != nil {
+		if err == io.EOF {
 			return nil, 0, io.EOF
 		}
-		return nil, 0, fault.Wrap(failure, fault.BadFrame, "a torn header")
+		return nil, 0, fault.Wrap(err, fault.BadFrame, "a torn header")
 	}
 	if head[0] != 'W' || head[1] != 'T' || head[3] != 0 {
 		return nil, 0, fault.New(fault.BadFrame, "not a wardtray frame")
 	}
-	// Why: a newer edition only adds fields, which decoding skips; an older one than Oldest lacks what we need.
+	// A newer edition only adds fields, which decoding skips; an older one than Oldest lacks what we need.
 	if head[2] < Oldest {
 		return nil, 0, fault.New(fault.BadFrame, "edition %d is older than %d", head[2], Oldest)
 	}
@@ -57,13 +57,13 @@
 	if size > Maximum {
 		return nil, 0, fault.New(fault.BadFrame, "a frame of %d bytes; at most %d", size, Maximum)
 	}
-	content, failure := readBounded(reader, int(size))
-	if failure != nil {
-		return nil, 0, fault.Wrap(failure, fault.BadFrame, "a torn frame")
+	content, err := readBounded(reader, int(size))
+	if err != nil {
+		return nil, 0, fault.Wrap(err, fault.BadFrame, "a torn frame")
 	}
 	envelope := &wire.Envelope{}
-	if failure := proto.Unmarshal(content, envelope); failure != nil {
-		return nil, 0, fault.Wrap(failure, fault.BadFrame, "not an envelope")
+	if err := proto.Unmarshal(content, envelope); err != nil {
+		return nil, 0, fault.Wrap(err, fault.BadFrame, "not an envelope")
 	}
 	return envelope, header + int(size), nil
 }
@@ -75,8 +75,8 @@
 	for len(content) < size {
 		start := len(content)
 		content = append(content, make([]byte, min(size-start, max(step, start)))...)
-		if _, failure := io.ReadFull(reader, content[start:]); failure != nil {
-			return nil, failure
+		if _, err := io.ReadFull(reader, content[start:]); err != nil {
+			return nil, err
 		}
 	}
 	return content, nil
--- a/connection/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -9,56 +9,56 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/connection/wire"
 	"wardtray/process/fault"
+	"wardtray/wire"
 )
 
-func encoded(test testing.TB) []byte {
-	content, failure := Encode(&wire.Envelope{From: "127.0.0.1:1", Epoch: 7, Body: &wire.Envelope_TickAsk{TickAsk: &wire.TickAsk{Nonce: 3}}})
-	if failure != nil {
-		test.Fatal(failure)
+func encoded(t testing.TB) []byte {
+	content, err := Encode(&wire.Envelope{From: "127.0.0.1:1", Epoch: 7, Body: &wire.Envelope_TickAsk{TickAsk: &wire.TickAsk{Nonce: 3}}})
+	if err != nil {
+		t.Fatal(err)
 	}
 	return content
 }
 
-func TestForeignTornAndOversizedFramesAreNamed(test *testing.T) {
-	whole := encoded(test)
+func TestForeignTornAndOversizedFramesAreNamed(t *testing.T) {
+	whole := encoded(t)
 	large := append([]byte{}, whole...)
 	large[4] = 0xff
 	ancient := append([]byte{}, whole...)
 	ancient[2] = 0
 	for name, content := range map[string][]byte{"foreign": []byte("GET / HTTP/1.1\r\n\r\n"), "torn header": whole[:5], "torn body": whole[:len(whole)-1],
 		"oversized": large, "ancient": ancient, "no envelope": append(append([]byte{}, whole[:8]...), bytes.Repeat([]byte{0xff}, len(whole)-8)...)} {
-		if _, _, failure := Decode(bufio.NewReader(bytes.NewReader(content))); !fault.Is(failure, fault.BadFrame) {
-			test.Errorf("%s: %v", name, failure)
+		if _, _, err := Decode(bufio.NewReader(bytes.NewReader(content))); !fault.Is(err, fault.BadFrame) {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
 	reader := bufio.NewReader(bytes.NewReader(append(append([]byte{}, whole...), whole...)))
 	for range 2 {
-		if envelope, _, failure := Decode(reader); failure != nil || envelope.GetTickAsk().GetNonce() != 3 {
-			test.Fatalf("two frames in a row: %v", failure)
+		if envelope, _, err := Decode(reader); err != nil || envelope.GetTickAsk().GetNonce() != 3 {
+			t.Fatalf("two frames in a row: %v", err)
 		}
 	}
-	if _, _, failure := Decode(reader); failure != io.EOF {
-		test.Fatalf("the end between two frames: %v", failure)
+	if _, _, err := Decode(reader); err != io.EOF {
+		t.Fatalf("the end between two frames: %v", err)
 	}
 }
 
 // A neighbour of the next edition may add fields; this one reads past them and keeps them when the
 // message is passed on. A neighbour of an older edition leaves newer fields out.
-func TestAdjacentEditionsUnderstandEachOther(test *testing.T) {
-	newer := encoded(test)
+func TestAdjacentEditionsUnderstandEachOther(t *testing.T) {
+	newer := encoded(t)
 	newer = protowire.AppendTag(newer, 900, protowire.BytesType)
 	newer = protowire.AppendString(newer, "from the next edition")
 	newer[2] = Edition + 1
 	newer[7] = byte(len(newer) - header)
-	envelope, _, failure := Decode(bufio.NewReader(bytes.NewReader(newer)))
-	if failure != nil || envelope.GetTickAsk().GetNonce() != 3 {
-		test.Fatalf("a frame of the next edition: %v", failure)
+	envelope, _, err := Decode(bufio.NewReader(bytes.NewReader(newer)))
+	if err != nil || envelope.GetTickAsk().GetNonce() != 3 {
+		t.Fatalf("a frame of the next edition: %v", err)
 	}
-	passed, failure := proto.Marshal(envelope)
-	if failure != nil || !bytes.Contains(passed, []byte("from the next edition")) {
-		test.Fatal("an unknown field was lost on the way")
+	passed, err := proto.Marshal(envelope)
+	if err != nil || !bytes.Contains(passed, []byte("from the next edition")) {
+		t.Fatal("an unknown field was lost on the way")
 	}
 	// An older encoding of a tick question, from before it told its zone and HTTP address.
 	var ask, older []byte
@@ -69,9 +69,9 @@
 	older = protowire.AppendTag(older, 26, protowire.BytesType)
 	older = protowire.AppendBytes(older, ask)
 	content := append([]byte{'W', 'T', Oldest, 0, 0, 0, 0, byte(len(older))}, older...)
-	envelope, _, failure = Decode(bufio.NewReader(bytes.NewReader(content)))
-	if failure != nil || envelope.GetTickAsk().GetNonce() != 9 || envelope.GetTickAsk().GetZone() != "" {
-		test.Fatalf("an older encoding: %v", failure)
+	envelope, _, err = Decode(bufio.NewReader(bytes.NewReader(content)))
+	if err != nil || envelope.GetTickAsk().GetNonce() != 9 || envelope.GetTickAsk().GetZone() != "" {
+		t.Fatalf("an older encoding: %v", err)
 	}
 }
 
@@ -79,16 +79,16 @@
 	fuzz.Add(encoded(fuzz))
 	fuzz.Add([]byte("WT\x01\x00\x00\x00\x00\x00"))
 	fuzz.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
-	fuzz.Fuzz(func(test *testing.T, content []byte) {
-		envelope, size, failure := Decode(bufio.NewReader(bytes.NewReader(content)))
-		if failure != nil {
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
+		envelope, size, err := Decode(bufio.NewReader(bytes.NewReader(content)))
+		if err != nil {
 			return
 		}
 		if size > len(content) {
-			test.Fatal("more read than there was")
+			t.Fatal("more read than there was")
 		}
-		if _, failure := Encode(envelope); failure != nil {
-			test.Fatal(failure)
+		if _, err := Encode(envelope); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
--- a/connection/link/link.go
+++ b/transport/link/link.go
@@ -13,8 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wardtray/connection/seam"
 	"wardtray/process/fault"
+	"wardtray/transport/seam"
 )
 
 const (
@@ -79,11 +79,11 @@
 
 // Read notes that the runner answers.
 func (connection *Connection) Read(into []byte) (int, error) {
-	count, failure := connection.Conn.Read(into)
+	count, err := connection.Conn.Read(into)
 	if count > 0 {
 		connection.touch()
 	}
-	return count, failure
+	return count, err
 }
 
 // Counters are what the links count.
@@ -130,7 +130,7 @@
 		last := len(shelf.idle) - 1
 		connection := shelf.idle[last]
 		shelf.idle = shelf.idle[:last]
-		// Why: a connection that the other side has closed would leave us in doubt about work sent over it.
+		// A connection that the other side has closed would leave us in doubt about work sent over it.
 		if connection.address == address && links.world.Now().Sub(connection.idle) < connection.idleBound() && connection.Quiet() {
 			shelf.busy = append(shelf.busy, connection)
 			shelf.mutex.Unlock()
@@ -141,11 +141,11 @@
 		_ = connection.Conn.Close()
 	}
 	shelf.mutex.Unlock()
-	connection, failure := links.dial(runner, address, bound)
-	if failure != nil {
-		return nil, failure
+	connection, err := links.dial(runner, address, bound)
+	if err != nil {
+		return nil, err
 	}
-	// Why: the shelf may have been forgotten while the connection was being made.
+	// The shelf may have been forgotten while the connection was being made.
 	shelf = links.shelf(runner)
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
@@ -158,7 +158,7 @@
 	if connection.keep == 0 {
 		return idleBound
 	}
-	// Why: the runner counts from its own last byte and closes a little before or after; a request sent at that
+	// The runner counts from its own last byte and closes a little before or after; a request sent at that
 	// moment would be in doubt.
 	return min(idleBound, connection.keep-keepMargin)
 }
@@ -170,10 +170,10 @@
 		dialing = min(dialing, bound)
 	}
 	begun := links.world.Now()
-	raw, failure := links.world.Dial(address, seam.Terms{Dial: dialing, Untaken: untakenBound})
-	if failure != nil {
+	raw, err := links.world.Dial(address, seam.Terms{Dial: dialing, Untaken: untakenBound})
+	if err != nil {
 		links.Counters.Unreachable.Add(1)
-		return nil, fault.Wrap(failure, fault.Unreachable, "runner %s at %s", runner, address)
+		return nil, fault.Wrap(err, fault.Unreachable, "runner %s at %s", runner, address)
 	}
 	connection := &Connection{Conn: raw, links: links, address: address}
 	connection.Reader = bufio.NewReaderSize(connection, readerSize)
@@ -185,14 +185,14 @@
 	if bound > 0 {
 		asking = min(asking, bound-links.world.Now().Sub(begun))
 	}
-	content, failure := connection.Get(links.identity, asking)
-	if failure == nil {
-		failure = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
+	content, err := connection.Get(links.identity, asking)
+	if err == nil {
+		err = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
 	}
-	if failure != nil {
+	if err != nil {
 		links.Counters.Unreachable.Add(1)
 		_ = raw.Close()
-		return nil, fault.Wrap(failure, fault.Unreachable, "asking runner %s at %s who it is", runner, address)
+		return nil, fault.Wrap(err, fault.Unreachable, "asking runner %s at %s who it is", runner, address)
 	}
 	if connection.Identity.RunnerID != runner {
 		links.Counters.WrongIdentity.Add(1)
@@ -333,19 +333,19 @@
 	request.Header.SetMethod("GET")
 	request.SetRequestURI(path)
 	request.Header.SetHost(connection.RemoteAddr().String())
-	if failure := connection.SetDeadline(connection.links.world.Now().Add(bound)); failure != nil {
-		return nil, fault.Wrap(failure, fault.Unreachable, "setting a deadline")
+	if err := connection.SetDeadline(connection.links.world.Now().Add(bound)); err != nil {
+		return nil, fault.Wrap(err, fault.Unreachable, "setting a deadline")
 	}
 	writer := bufio.NewWriter(connection)
-	failure := request.Write(writer)
-	if failure == nil {
-		failure = writer.Flush()
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
 	}
-	if failure == nil {
-		failure = response.ReadLimitBody(connection.Reader, maximumBody)
+	if err == nil {
+		err = response.ReadLimitBody(connection.Reader, maximumBody)
 	}
-	if failure != nil {
-		return nil, fault.Wrap(failure, fault.Unreachable, "asking %s", path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unreachable, "asking %s", path)
 	}
 	if response.StatusCode() != 200 {
 		return nil, fault.New(fault.Unreachable, "%s answers %d", path, response.StatusCode())
--- /dev/null
+++ b/transport/link/link_test.go
@@ -0,0 +1,165 @@
+package link
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"wardtray/process/fault"
+	"wardtray/proof/history"
+	"wardtray/proof/standin"
+	"wardtray/transport/seam"
+)
+
+// free gives an address that nobody listens on.
+func free(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func runner(t *testing.T, id, address string) *standin.Runner {
+	made := &standin.Runner{ID: id, Address: address, Zone: "a", Service: "s", Model: "m", Weights: "w"}
+	if err := standin.Start(made, standin.DefaultNature, history.New()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(made.Crash)
+	return made
+}
+
+// A gone runner's address that another now has: no connection to it is given out, new or kept.
+func TestReusedAddressGetsNobodyElsesWork(t *testing.T) {
+	address := free(t)
+	former := runner(t, "old", address)
+	links := New(seam.Real(nil), "/identity")
+	connection, err := links.Take("old", address)
+	if err != nil || connection.Identity.Service != "s" {
+		t.Fatalf("%v", err)
+	}
+	links.Keep(connection, 0)
+	if again, err := links.Take("old", address); err != nil || again != connection {
+		t.Fatalf("a kept connection was not used again: %v", err)
+	}
+	links.Keep(connection, 0)
+	former.Crash()
+	// The end of the connection reaches this side a moment after the crash; reading waits for it.
+	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := connection.Reader.ReadByte(); err == nil {
+		t.Fatal("a crashed runner still speaks")
+	}
+	runner(t, "new", address)
+	if _, err := links.Take("old", address); !fault.Is(err, fault.WrongIdentity) {
+		t.Fatalf("the old runner's work: %v", err)
+	}
+	if _, err := links.Take("new", address); err != nil {
+		t.Fatalf("the new runner's own: %v", err)
+	}
+	if links.Counters.WrongIdentity.Load() != 1 {
+		t.Fatal("not counted")
+	}
+}
+
+func TestNobodyThere(t *testing.T) {
+	if _, err := New(seam.Real(nil), "/identity").Take("r", free(t)); !fault.Is(err, fault.Unreachable) {
+		t.Fatal(err)
+	}
+}
+
+// A runner that is given up for lost ends the streams over which it answered a moment ago by itself; only those
+// on which it is silent are cut.
+func TestLivelyStreamsOutliveALoss(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for range 2 {
+			if connection, err := listener.Accept(); err == nil {
+				accepted <- connection
+			}
+		}
+	}()
+	now, world := time.Now(), seam.Real(nil)
+	world.Now = func() time.Time { return now }
+	links := New(world, "")
+	silent, err := links.Take("r", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	farSilent := <-accepted
+	defer farSilent.Close()
+	now = now.Add(2 * livelyBound)
+	lively, err := links.Take("r", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	farLively := <-accepted
+	defer farLively.Close()
+	links.Lose("r")
+	if _, err := farLively.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = lively.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if one, err := lively.Reader.ReadByte(); err != nil || one != 'x' {
+		t.Fatalf("the lively stream was cut: %v", err)
+	}
+	if _, err := silent.Write([]byte("x")); err == nil {
+		t.Fatal("the silent one goes on")
+	}
+	now = now.Add(2 * livelyBound)
+	links.Lose("r")
+	if _, err := lively.Write([]byte("x")); err == nil {
+		t.Fatal("one that has gone silent goes on")
+	}
+}
+
+// Who waits in silence is found, and only those who may go elsewhere are sent there.
+func TestSilentRunnersAreFoundAndLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	now, world := time.Now(), seam.Real(nil)
+	world.Now = func() time.Time { return now }
+	links := New(world, "")
+	var taken []*Connection
+	for _, again := range []bool{true, false} {
+		connection, err := links.Take("r", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		connection.Sent(again)
+		taken = append(taken, connection)
+	}
+	bound := 200 * time.Millisecond
+	if silent := links.Silent(bound); len(silent) != 0 {
+		t.Fatalf("%v is silent at once", silent)
+	}
+	now = now.Add(bound)
+	if silent := links.Silent(bound); len(silent) != 1 || silent[0] != "r" {
+		t.Fatalf("%v is silent; r should be", silent)
+	}
+	links.Hurry("r", bound)
+	if _, err := taken[0].Write([]byte("x")); err == nil {
+		t.Fatal("who may go elsewhere still waits")
+	}
+	if _, err := taken[1].Write([]byte("x")); err != nil {
+		t.Fatalf("who may not was cut: %v", err)
+	}
+	// A stream of the same runner that goes on says that it is there.
+	taken[1].Answered()
+	if silent := links.Silent(bound); len(silent) != 1 {
+		t.Fatalf("%v", silent)
+	}
+	taken[0].Answered()
+	taken[0].touch()
+	if silent := links.Silent(bound); len(silent) != 0 {
+		t.Fatalf("%v is silent while a stream goes on", silent)
+	}
+}
--- a/connection/transport/listen.go
+++ b/transport/listen.go
@@ -16,12 +16,12 @@
 func ListenTCP(address string) (net.Listener, error) {
 	begun := time.Now()
 	for {
-		listener, failure := net.Listen("tcp", address)
-		if failure == nil {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
 			return listener, nil
 		}
 		if time.Since(begun) > listenBound {
-			return nil, fault.Wrap(failure, fault.BadStartup, "listening on %s", address)
+			return nil, fault.Wrap(err, fault.BadStartup, "listening on %s", address)
 		}
 		time.Sleep(listenAgain)
 	}
--- a/connection/seam/real.go
+++ b/transport/seam/real.go
@@ -16,16 +16,16 @@
 func Real(local net.Addr) World {
 	return World{Now: time.Now, Go: func(work func()) { go work() }, Wait: time.Sleep, Dial: func(address string, terms Terms) (Conn, error) {
 		dialer := net.Dialer{Timeout: terms.Dial, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			outer := raw.Control(func(descriptor uintptr) { failure = keep(int(descriptor), terms) })
+			var err error
+			outer := raw.Control(func(descriptor uintptr) { err = keep(int(descriptor), terms) })
 			if outer != nil {
 				return outer
 			}
-			return failure
+			return err
 		}}
-		raw, failure := dialer.Dial("tcp", address)
-		if failure != nil {
-			return nil, fault.Wrap(failure, fault.Unreachable, "dialing %s", address)
+		raw, err := dialer.Dial("tcp", address)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Unreachable, "dialing %s", address)
 		}
 		return tcp{raw.(*net.TCPConn)}, nil
 	}}
@@ -33,12 +33,12 @@
 
 // keep sets the terms on a socket.
 //
-// Why: the system goes on sending what a closed, or killed, sender left behind. Work that was given up
+// The system goes on sending what a closed, or killed, sender left behind. Work that was given up
 // would reach its runner when a cut heals, long after the zone was closed or the runner left. With no time to
 // linger every end is an abort, and bytes that are not taken in time end the connection.
 func keep(descriptor int, terms Terms) error {
-	if failure := unix.SetsockoptLinger(descriptor, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0}); failure != nil {
-		return failure
+	if err := unix.SetsockoptLinger(descriptor, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0}); err != nil {
+		return err
 	}
 	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(terms.Untaken.Milliseconds()))
 }
@@ -47,18 +47,18 @@
 
 // Quiet looks into the socket without taking anything out.
 func (conn tcp) Quiet() bool {
-	raw, failure := conn.SyscallConn()
-	if failure != nil {
+	raw, err := conn.SyscallConn()
+	if err != nil {
 		return false
 	}
 	quiet := false
-	failure = raw.Read(func(descriptor uintptr) bool {
+	err = raw.Read(func(descriptor uintptr) bool {
 		var one [1]byte
 		_, _, peeked := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = peeked == unix.EAGAIN
 		return true
 	})
-	return failure == nil && quiet
+	return err == nil && quiet
 }
 
 type fromHTTP struct{ context *fasthttp.RequestCtx }
@@ -97,7 +97,7 @@
 	requester.context.ResetBody()
 	requester.context.SetStatusCode(status)
 	for _, header := range headers {
-		// Why: a header may be there several times, and all of them count.
+		// A header may be there several times, and all of them count.
 		requester.context.Response.Header.Add(header.Name, header.Value)
 	}
 }
--- a/connection/transport/transport.go
+++ b/transport/transport.go
@@ -15,10 +15,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"wardtray/connection/frame"
-	"wardtray/connection/wire"
+	"wardtray/coordination/machine"
 	"wardtray/process/fault"
-	"wardtray/process/machine"
+	"wardtray/transport/frame"
+	"wardtray/wire"
 )
 
 const (
@@ -67,9 +67,9 @@
 
 // Listen opens the port and begins to receive.
 func (transport *Transport) Listen() error {
-	listener, failure := ListenTCP(transport.address)
-	if failure != nil {
-		return failure
+	listener, err := ListenTCP(transport.address)
+	if err != nil {
+		return err
 	}
 	transport.listener = listener
 	go transport.accept()
@@ -80,18 +80,18 @@
 func (transport *Transport) Close() {
 	transport.stop()
 	if transport.listener != nil {
-		_ = transport.listener.Close() // Why: nothing can be done about a listener that won't close at the end.
+		_ = transport.listener.Close() // Nothing can be done about a listener that won't close at the end.
 	}
 }
 
 func (transport *Transport) accept() {
 	for {
-		connection, failure := transport.listener.Accept()
-		if failure != nil {
+		connection, err := transport.listener.Accept()
+		if err != nil {
 			if transport.context.Err() != nil {
 				return
 			}
-			// Why: out of descriptors, say; trying again at once would only burn a core.
+			// Out of descriptors, say; trying again at once would only burn a core.
 			transport.pause(pauseAfterFail)
 			continue
 		}
@@ -120,18 +120,18 @@
 	defer release()
 	if raw, fine := connection.(*net.TCPConn); fine {
 		_ = raw.SetKeepAliveConfig(alive)
-		if inner, failure := raw.SyscallConn(); failure == nil {
-			// Why: without it such a connection is only noticed later to be dead.
+		if inner, err := raw.SyscallConn(); err == nil {
+			// Without it such a connection is only noticed later to be dead.
 			_ = patience("", "", inner)
 		}
 	}
 	reader := bufio.NewReaderSize(connection, bufferLength)
 	for {
-		// Why: a sender is never silent for longer than its own idle bound unless it is gone.
+		// A sender is never silent for longer than its own idle bound unless it is gone.
 		_ = connection.SetReadDeadline(time.Now().Add(2 * idleBound))
-		envelope, size, failure := frame.Decode(reader)
-		if failure != nil {
-			if fault.Is(failure, fault.BadFrame) && transport.context.Err() == nil {
+		envelope, size, err := frame.Decode(reader)
+		if err != nil {
+			if fault.Is(err, fault.BadFrame) && transport.context.Err() == nil {
 				transport.Counters.BadFrames.Add(1)
 			}
 			return
@@ -176,14 +176,14 @@
 
 // patience bounds how long sent bytes may stay untaken.
 func patience(_, _ string, raw syscall.RawConn) error {
-	var failure error
+	var err error
 	outer := raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(untakenBound.Milliseconds()))
+		err = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(untakenBound.Milliseconds()))
 	})
 	if outer != nil {
 		return outer
 	}
-	return failure
+	return err
 }
 
 // sender is one address's own thread: its connection, and the messages that wait for it.
@@ -208,7 +208,7 @@
 			idle.Reset(idleBound)
 			sender.carry(envelope)
 		case <-sender.hung:
-			// Why: a peer that ends its connection may be dead, and whether anybody listens there now tells that for sure.
+			// A peer that ends its connection may be dead, and whether anybody listens there now tells that for sure.
 			sender.shut()
 			sender.dial()
 		case <-transport.context.Done():
@@ -233,9 +233,9 @@
 func (sender *sender) dial() bool {
 	transport, tried := sender.transport, time.Now()
 	dialer := net.Dialer{Timeout: dialBound, LocalAddr: transport.local(), Control: patience, KeepAliveConfig: alive}
-	connection, failure := dialer.DialContext(transport.context, "tcp", sender.address)
-	if failure != nil {
-		if errors.Is(failure, unix.ECONNREFUSED) && transport.refused != nil {
+	connection, err := dialer.DialContext(transport.context, "tcp", sender.address)
+	if err != nil {
+		if errors.Is(err, unix.ECONNREFUSED) && transport.refused != nil {
 			transport.refused(sender.address, tried)
 		}
 		return false
@@ -248,8 +248,8 @@
 
 func (sender *sender) carry(envelope *wire.Envelope) {
 	transport := sender.transport
-	content, failure := frame.Encode(envelope)
-	if failure != nil {
+	content, err := frame.Encode(envelope)
+	if err != nil {
 		transport.Counters.Dropped.Add(1)
 		return
 	}
@@ -261,11 +261,11 @@
 	if sender.writer.Buffered() == 0 {
 		_ = sender.connection.SetWriteDeadline(time.Now().Add(writeBound))
 	}
-	_, failure = sender.writer.Write(content)
-	if failure == nil && len(sender.waitlist) == 0 {
-		failure = sender.writer.Flush()
+	_, err = sender.writer.Write(content)
+	if err == nil && len(sender.waitlist) == 0 {
+		err = sender.writer.Flush()
 	}
-	if failure != nil {
+	if err != nil {
 		transport.Counters.Dropped.Add(1)
 		sender.shut()
 		return
@@ -291,8 +291,8 @@
 
 // local makes connections leave from the process's own address.
 func (transport *Transport) local() net.Addr {
-	host, _, failure := net.SplitHostPort(transport.address)
-	if failure != nil {
+	host, _, err := net.SplitHostPort(transport.address)
+	if err != nil {
 		return nil
 	}
 	return &net.TCPAddr{IP: net.ParseIP(host)}
--- a/connection/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"wardtray/connection/wire"
-	"wardtray/process/machine"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
 )
 
 const patient = 10 * time.Second
@@ -24,24 +24,24 @@
 	refused  chan refusal
 }
 
-func listen(test *testing.T, address string) *end {
-	test.Helper()
+func listen(t *testing.T, address string) *end {
+	t.Helper()
 	made := &end{received: make(chan *wire.Envelope, 4096), refused: make(chan refusal, 64)}
 	made.Transport = New(address, "a", func(envelope *wire.Envelope) { made.received <- envelope },
 		func(address string, tried time.Time) { made.refused <- refusal{address, tried} })
-	if failure := made.Listen(); failure != nil {
-		test.Fatal(failure)
+	if err := made.Listen(); err != nil {
+		t.Fatal(err)
 	}
-	test.Cleanup(made.Close)
+	t.Cleanup(made.Close)
 	return made
 }
 
 // free gives an address at which nobody listens.
-func free(test *testing.T) string {
-	test.Helper()
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer listener.Close()
 	return listener.Addr().String()
@@ -51,30 +51,30 @@
 	return []machine.Parcel{{To: to, Envelope: &wire.Envelope{Body: &wire.Envelope_ContactAsk{ContactAsk: &wire.ContactAsk{Nonce: 1}}}}}
 }
 
-func within[Value any](test *testing.T, channel <-chan Value, what string) Value {
-	test.Helper()
+func within[Value any](t *testing.T, channel <-chan Value, what string) Value {
+	t.Helper()
 	select {
 	case value := <-channel:
 		return value
 	case <-time.After(patient):
-		test.Fatalf("%s: not within %v", what, patient)
+		t.Fatalf("%s: not within %v", what, patient)
 		panic("unreachable")
 	}
 }
 
 // A peer that ends is known to be dead without anything being sent to it, and one that is there again at the same
 // address is reached again.
-func TestDeadPeersAreKnownAtOnce(test *testing.T) {
-	one, other := listen(test, free(test)), listen(test, free(test))
+func TestDeadPeersAreKnownAtOnce(t *testing.T) {
+	one, other := listen(t, free(t)), listen(t, free(t))
 	one.Send(parcel(other.address))
-	within(test, other.received, "the first message")
+	within(t, other.received, "the first message")
 	before := time.Now()
 	other.Close()
-	found := within(test, one.refused, "the refusal")
+	found := within(t, one.refused, "the refusal")
 	if found.address != other.address || found.tried.Before(before) {
-		test.Fatalf("%v", found)
+		t.Fatalf("%v", found)
 	}
-	again := listen(test, other.address)
+	again := listen(t, other.address)
 	for begun := time.Now(); time.Since(begun) < patient; {
 		one.Send(parcel(again.address))
 		select {
@@ -83,27 +83,27 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	test.Fatal("the new process at the address was not reached")
+	t.Fatal("the new process at the address was not reached")
 }
 
 // A peer that takes connections and reads nothing, and one that is not there, hold up nobody else.
-func TestSilentPeersHoldUpNobody(test *testing.T) {
-	deaf, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+func TestSilentPeersHoldUpNobody(t *testing.T) {
+	deaf, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer deaf.Close()
-	one, other := listen(test, free(test)), listen(test, free(test))
+	one, other := listen(t, free(t)), listen(t, free(t))
 	large := &wire.Envelope{Body: &wire.Envelope_ChainPass{ChainPass: &wire.ChainPass{Entry: &wire.Entry{Spec: make([]byte, 1<<20)}}}}
 	for range 40 {
 		one.Send([]machine.Parcel{{To: deaf.Addr().String(), Envelope: large}})
 	}
-	one.Send(parcel(free(test)))
+	one.Send(parcel(free(t)))
 	for number := range 100 {
 		one.Send(parcel(other.address))
-		within(test, other.received, fmt.Sprint("message ", number))
+		within(t, other.received, fmt.Sprint("message ", number))
 	}
 	if one.Counters.Dropped.Load() == 0 && len(one.senders[deaf.Addr().String()]) == 0 {
-		test.Fatal("the deaf peer took everything, so that nothing was put to the test")
+		t.Fatal("the deaf peer took everything, so that nothing was put to the test")
 	}
 }
