--- /dev/null
+++ b/control/core/acknowledgement.go
@@ -0,0 +1,127 @@
+package core
+
+import (
+	"time"
+
+	"wardtray/process/fault"
+	"wardtray/wire"
+)
+
+// waiter is an operator whose change is on its way.
+type waiter struct {
+	ask      *wire.OperatorAsk
+	sequence uint64
+	epoch    uint64
+	until    time.Time
+	view     uint64
+}
+
+func (node *Node) await(now time.Time, message *wire.OperatorAsk, sequence, epoch uint64) {
+	for _, waiter := range node.head.waiters {
+		if waiter.ask.Token == message.Token {
+			return
+		}
+	}
+	node.head.waiters = append(node.head.waiters, &waiter{ask: message, sequence: sequence, epoch: epoch,
+		until: now.Add(waitBound), view: node.agent.Current().Epoch})
+	node.answerWaiters(now)
+}
+
+// answerWaiters acknowledges every change that is committed and known where it must be.
+func (node *Node) answerWaiters(now time.Time) {
+	if len(node.head.waiters) == 0 {
+		return
+	}
+	leading := node.leading(now)
+	kept := node.head.waiters[:0]
+	for _, waiter := range node.head.waiters {
+		if leading && node.delivered(now, waiter.sequence) {
+			node.reply(waiter.ask, 200, Reply{Operation: waiter.ask.Operation, Outcome: "accepted", Epoch: waiter.epoch})
+			continue
+		}
+		if now.After(waiter.until) {
+			node.unknown(waiter)
+			continue
+		}
+		kept = append(kept, waiter)
+	}
+	node.head.waiters = kept
+}
+
+func (node *Node) unknown(waiter *waiter) {
+	node.counters.Unknown++
+	reply := refusal(fault.OutcomeUnknown, 0, waiter.ask.Operation, "on its way; ask with: wtctl operation "+waiter.ask.Operation)
+	reply.Outcome = "unknown"
+	node.reply(waiter.ask, 504, reply)
+}
+
+// failWaiters drops those who wait here once another machine is head. Why: where the question came in it is still
+// open and goes to the new head, which finds the change in its history or takes it anew.
+func (node *Node) failWaiters(now time.Time) {
+	if !node.chain.Head() {
+		node.head.waiters = nil
+	}
+}
+
+// delivered tells whether a committed change may be acknowledged: no group of daemons that could vouch for
+// each other lacks it, and nobody can rely on a tick without knowing it.
+func (node *Node) delivered(now time.Time, sequence uint64) bool {
+	document := node.chain.Committed()
+	if document.Sequence < sequence || node.head.begun.IsZero() {
+		return false
+	}
+	// A chain that shrank since the change came in has fewer copies than a change needs.
+	if current := node.agent.Current(); len(current.Chain) < int(current.Floor) || node.growing(now) {
+		return false
+	}
+	seen, found := node.head.commits[sequence]
+	if !found {
+		seen = node.head.begun
+	}
+	// Daemons that missed the last change of the directory still go by the one before it.
+	directories := [][]*wire.Member{document.Directory, document.FormerDirectory}
+	for _, directory := range directories {
+		if !node.mostKnow(directory, sequence, seen) {
+			return false
+		}
+	}
+	ticks := node.startup.Staleness + leaseMargin
+	// The head before this one may have granted ticks to anybody in the directory, until this reign began.
+	if now.Sub(node.head.begun) < ticks {
+		for _, directory := range directories {
+			for _, member := range directory {
+				if !node.harmless(member.Address, sequence, node.head.begun) {
+					return false
+				}
+			}
+		}
+	}
+	// Every tick granted since the commit obliges its daemon to know the change, so only older ticks can still mislead one.
+	if found && now.Sub(seen) >= ticks {
+		return true
+	}
+	for _, daemon := range node.head.daemons {
+		if daemon.sequence < sequence && now.Sub(daemon.granted) < ticks && !daemon.gone.After(daemon.granted) {
+			return false
+		}
+	}
+	return true
+}
+
+// mostKnow tells whether those of a directory that may not know a sequence are too few to vouch for it.
+func (node *Node) mostKnow(directory []*wire.Member, sequence uint64, since time.Time) bool {
+	harmless := 0
+	for _, member := range directory {
+		if node.harmless(member.Address, sequence, since) {
+			harmless++
+		}
+	}
+	return len(directory) == 0 || harmless*2 > len(directory)
+}
+
+// harmless tells whether a daemon knows a sequence, or whether its process ended after a moment: the next one
+// there knows nothing and vouches for nobody before it has learned all that is newer.
+func (node *Node) harmless(address string, sequence uint64, since time.Time) bool {
+	known := node.head.daemons[address]
+	return known != nil && (known.asks > 0 && known.sequence >= sequence || known.gone.After(since))
+}
--- /dev/null
+++ b/control/core/change.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"wardtray/config"
+	"wardtray/process/fault"
+	"wardtray/wire"
+)
+
+func (node *Node) serveChange(now time.Time, message *wire.OperatorAsk) {
+	if !node.leads(now, message) {
+		return
+	}
+	latest := node.chain.Latest()
+	if node.head.refused[message.Token] {
+		return
+	}
+	if outcome := find(latest.Outcomes, message.Operation); outcome != nil {
+		// The same operation again gets the first one's outcome, never a second effect.
+		node.await(now, message, outcome.Sequence, outcome.SpecEpoch)
+		return
+	}
+	refuse := func(status int, reply Reply) {
+		// A spec that is not committed yet may be lost with this head. What is refused because of it might
+		// then be accepted from a copy that came in elsewhere. Once it is committed, no copy can ever be.
+		if status != 503 && latest.SpecEpoch != node.chain.Committed().SpecEpoch {
+			node.park(now, message)
+			return
+		}
+		node.counters.Refused++
+		// The asker sends again what it thinks lost; a late copy must not be accepted after a refusal was told.
+		if len(node.head.refused) >= 4*maximumAsks {
+			node.head.refused = map[string]bool{}
+		}
+		node.head.refused[message.Token] = true
+		node.reply(message, status, reply)
+	}
+	if message.HasBase && message.Base != latest.SpecEpoch {
+		refuse(409, refusal(fault.StaleBase, latest.SpecEpoch, message.Operation,
+			fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)))
+		return
+	}
+	changed, flaws, err := node.changed(message, latest)
+	if err != nil {
+		found := fault.Of(err)
+		statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413, fault.InvalidSpec: 422}
+		refuse(statuses[found.Kind], refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
+		return
+	}
+	if message.HasEpoch && message.Epoch <= latest.SpecEpoch {
+		flaws = append(flaws, config.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
+	}
+	if len(flaws) > 0 {
+		reply := refusal(fault.InvalidSpec, latest.SpecEpoch, message.Operation, fmt.Sprintf("%d faults", len(flaws)))
+		reply.Flaws = flaws
+		refuse(422, reply)
+		return
+	}
+	epoch, content := latest.SpecEpoch+1, changed.Encode()
+	if message.HasEpoch {
+		epoch = message.Epoch
+	}
+	// Named changes may grow a spec beyond what could be read again.
+	if len(content) > config.MaximumBytes {
+		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), config.MaximumBytes)))
+		return
+	}
+	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
+	// A sick disk would hold this change up for as long as it takes the others to notice.
+	if node.sick(now) {
+		refuse(503, refusal(fault.DiskFailed, latest.SpecEpoch, message.Operation, "the head's disk does not keep up"))
+		return
+	}
+	if err := node.chain.Enter(now, entry); err != nil {
+		found := fault.Of(err)
+		refuse(503, refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
+		return
+	}
+	node.counters.Accepted++
+	node.await(now, message, entry.Sequence, entry.SpecEpoch)
+}
+
+// changed gives the spec that an order asks for, and its flaws.
+func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*config.Spec, []config.Flaw, error) {
+	if message.Verb == "apply" {
+		parsed, err := config.Parse(message.Spec)
+		if err != nil {
+			return nil, nil, err
+		}
+		return parsed, parsed.Check(), nil
+	}
+	present := &config.Spec{Zones: []config.Zone{}, Pools: []config.Pool{}, Lanes: config.Lanes{}}
+	if len(latest.Spec) > 0 {
+		read, err := config.Decode(latest.Spec)
+		if err != nil {
+			return nil, nil, err
+		}
+		present = read
+	}
+	if message.Verb == "change" {
+		change, err := config.ParseChange(message.Spec)
+		if err != nil {
+			return nil, nil, err
+		}
+		next, flaws := change.Apply(present)
+		return next, flaws, nil
+	}
+	if len(latest.Spec) == 0 {
+		return nil, nil, fault.New(fault.InvalidSpec, "there is no spec yet whose zones could be closed")
+	}
+	for place := range present.Zones {
+		if present.Zones[place].Name == message.Zone {
+			present.Zones[place].Closed = message.Verb == "close"
+			return present, present.Check(), nil
+		}
+	}
+	return nil, nil, fault.New(fault.InvalidSpec, "there is no zone %q", message.Zone)
+}
--- /dev/null
+++ b/control/core/disk.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"reflect"
+	"time"
+
+	"wardtray/wire"
+)
+
+// Replay folds one record of the log into a memory.
+func Replay(memory *wire.Memory, record *wire.Record) {
+	replays := map[reflect.Type]func(){
+		reflect.TypeFor[*wire.Record_Entry]():    func() { memory.Pending = append(memory.Pending, record.GetEntry()) },
+		reflect.TypeFor[*wire.Record_Document](): func() { memory.Document, memory.Pending = record.GetDocument(), nil },
+		reflect.TypeFor[*wire.Record_Vote]():     func() { memory.Vote = record.GetVote() },
+		reflect.TypeFor[*wire.Record_View]():     func() { memory.View = record.GetView() },
+		reflect.TypeFor[*wire.Record_Cleared]():  func() { memory.Cleared = record.GetCleared() },
+	}
+	if replay := replays[reflect.TypeOf(record.Body)]; replay != nil {
+		replay()
+	}
+}
+
+// Memory gives all that this machine must not forget.
+func (node *Node) Memory() *wire.Memory {
+	memory := &wire.Memory{Id: node.self.Id, View: node.agent.Current(), Vote: node.agent.Vote(), Founding: node.founding, Cleared: node.cleared}
+	node.chain.Memory(memory)
+	return memory
+}
+
+// DiskFailed takes the news that a write could not be carried out. The machine calls itself sick
+// until a whole memory has been written anew.
+func (node *Node) DiskFailed(now time.Time) {
+	node.counters.DiskFailures++
+	// Every record asked for meanwhile fails too; if each put the next try off, there would never be one.
+	if !node.diskFailed || node.replacing {
+		node.retryDisk = now.Add(time.Second)
+	}
+	node.diskFailed, node.replacing = true, false
+}
+
+func (node *Node) sick(now time.Time) bool {
+	return node.diskFailed || node.outbox.Oldest(now) > sickAfter
+}
+
+// tendDisk begins a new slot when the log is long, or when the disk must be tried again.
+func (node *Node) tendDisk(now time.Time) {
+	if node.swept.IsZero() {
+		node.swept = now
+	}
+	// Damage is found while this machine still knows what must be there, and not only when it starts.
+	if now.Sub(node.swept) >= sweepEvery && !node.diskFailed && !node.replacing {
+		node.swept = now
+		node.outbox.Sweep(now)
+	}
+	if node.replacing || node.diskFailed && now.Before(node.retryDisk) || !node.diskFailed && node.logged < logLimit {
+		return
+	}
+	node.replacing, node.logged, node.swept = true, 0, now
+	node.outbox.Replace(now, node.Memory(), func(time.Time) { node.replacing, node.diskFailed = false, false })
+}
--- /dev/null
+++ b/control/core/document.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"wardtray/config"
+	"wardtray/coordination/gossip"
+	"wardtray/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+func (node *Node) tendLearning(now time.Time) {
+	current := node.agent.Current()
+	if current.Epoch == 0 || node.chain.Inside() || node.leaving || len(current.Chain) == 0 || now.Sub(node.lastLearn) < learnEvery ||
+		node.chain.LearnedView() == current.Epoch && now.Sub(node.lastLearn) < learnedEvery {
+		return
+	}
+	node.lastLearn = now
+	node.chain.AskToLearn(node.addressOf(current.Chain[len(current.Chain)-1]))
+}
+
+func (node *Node) onCommit(now time.Time, sequence uint64) {
+	node.counters.Commits++
+	if len(node.head.commits) >= 1024 {
+		node.head.commits = map[uint64]time.Time{}
+	}
+	node.head.commits[sequence] = now
+	node.publish(now)
+}
+
+// publish puts the committed document among the rumors, without what only the chain needs.
+func (node *Node) publish(now time.Time) {
+	document := node.chain.Committed()
+	carried := &wire.Document{Sequence: document.Sequence, SpecEpoch: document.SpecEpoch, PackedSpec: node.packed(document), Directory: document.Directory}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(carried)
+	if err == nil {
+		node.rumors.Put(now, &wire.Register{Key: DocumentKey, Epoch: document.Sequence, Value: value}, gossip.Hops)
+	}
+}
+
+// packed gives the document's spec compressed; a change of the directory alone does not compress it anew.
+func (node *Node) packed(document *wire.Document) []byte {
+	if node.packedSpec == nil || node.packedEpoch != document.SpecEpoch {
+		node.packedEpoch, node.packedSpec = document.SpecEpoch, config.Pack(document.Spec)
+	}
+	return node.packedSpec
+}
+
+// partners gives whom rumors go to: the directory's daemons, the neighbours and the disk machines.
+func (node *Node) partners() []gossip.Partner {
+	zones := map[string]string{}
+	for _, line := range node.cohort.Lines() {
+		zones[line.Address] = line.Zone
+	}
+	for _, member := range node.chain.Committed().Directory {
+		zones[member.Address] = member.Zone
+	}
+	for _, member := range node.agent.Current().Chain {
+		zones[node.addressOf(member)] = member.Zone
+	}
+	delete(zones, node.self.Address)
+	partners := make([]gossip.Partner, 0, len(zones))
+	for address, zone := range zones {
+		partners = append(partners, gossip.Partner{Address: address, Zone: zone})
+	}
+	sort.Slice(partners, func(left, right int) bool { return partners[left].Address < partners[right].Address })
+	return partners
+}
--- /dev/null
+++ b/control/core/leadership.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"time"
+
+	"wardtray/wire"
+)
+
+// headState is what the head of the chain keeps for as long as it leads.
+type headState struct {
+	// When this machine first held the claim in its reign as head, the view in which that reign began, and up
+	// to where history must be committed before it may promise anything.
+	begun       time.Time
+	reign       uint64
+	mark        uint64
+	waiters     []*waiter
+	parked      []parked
+	daemons     map[string]*daemon
+	firstDaemon time.Time
+	refused     map[string]bool
+	// When recent sequences were first seen committed here.
+	commits map[uint64]time.Time
+}
+
+func (node *Node) tendClaim(now time.Time) {
+	current := node.agent.Current()
+	valid := node.holder.Valid(now, current.Epoch)
+	if !node.chain.Head() || now.Sub(node.lastClaim) < claimAgain || valid && now.Sub(node.lastClaim) < claimEvery {
+		return
+	}
+	node.lastClaim = now
+	nonce := node.holder.Ask(now, current.Epoch)
+	for _, keeper := range current.Keepers {
+		node.outbox.Send(node.addressOf(keeper), &wire.Envelope{Body: &wire.Envelope_ClaimAsk{ClaimAsk: &wire.ClaimAsk{
+			View: current.Epoch, Nonce: nonce}}})
+	}
+}
+
+func (node *Node) onClaimAsk(now time.Time, envelope *wire.Envelope, message *wire.ClaimAsk) {
+	current := node.agent.Current()
+	if message.View < current.Epoch {
+		node.agent.Tell(envelope.From)
+		return
+	}
+	if message.View != current.Epoch || !keeps(current, node.self.Id) || current.Chain[0].Id != envelope.Sender ||
+		!node.keeper.Allows(now, node.agent.Voted()) {
+		return
+	}
+	node.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_ClaimGrant{ClaimGrant: &wire.ClaimGrant{
+		View: message.View, Nonce: message.Nonce}}})
+}
+
+// tendKeeping seeks proof that the heads before this reign act no more, and notes on the disk that none does,
+// so that a keeper that restarts may grant at once.
+func (node *Node) tendKeeping(now time.Time) {
+	current := node.agent.Current()
+	if !keeps(current, node.self.Id) {
+		return
+	}
+	for _, address := range node.keeper.Rivals(now) {
+		node.agent.Tell(address)
+	}
+	if reign := node.keeper.Reign(); reign != node.cleared && node.keeper.Allows(now, false) {
+		node.cleared = reign
+		node.outbox.Persist(now, &wire.Record{Body: &wire.Record_Cleared{Cleared: reign}}, func(time.Time) {})
+	}
+}
+
+// leading tells whether this machine may act as head at this moment: in the chain's first place,
+// under a valid claim, with everything it found there committed.
+func (node *Node) leading(now time.Time) bool {
+	current := node.agent.Current()
+	// Others act by a newer view as soon as this machine says that it has heard of it.
+	if !node.chain.Head() || node.agent.Newest().Epoch > current.Epoch || !node.holder.Valid(now, current.Epoch) {
+		return false
+	}
+	// A claim that runs out for a while lets nobody else act; only a new reign does.
+	if node.head.begun.IsZero() {
+		node.head.begun, node.head.mark = now, node.chain.Latest().Sequence
+		node.head.daemons = map[string]*daemon{}
+		node.head.firstDaemon = time.Time{}
+		node.head.commits = map[uint64]time.Time{}
+	}
+	return node.chain.Committed().Sequence >= node.head.mark
+}
--- /dev/null
+++ b/control/core/leases.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"time"
+
+	"wardtray/wire"
+)
+
+// StalenessFor gives for how long a tick may be relied on where a change must be in force within a time after its
+// acknowledgement: well less than that, and not longer than the usual.
+func StalenessFor(apply time.Duration) time.Duration { return min(Staleness, apply/2) }
+
+type daemon struct {
+	zone     string
+	http     string
+	sequence uint64
+	granted  time.Time
+	asked    time.Time
+	asks     int
+	life     uint64
+	leaving  bool
+	// gone is when nobody listened at its address any more; its process, and all that it relied on, ended before.
+	gone time.Time
+}
+
+// daemonRefused takes in that a daemon's process is dead.
+func (node *Node) daemonRefused(now time.Time, address string, tried time.Time) {
+	if !node.leading(now) {
+		return
+	}
+	known, document := node.head.daemons[address], node.chain.Committed()
+	if known == nil && (holds(document.Directory, address) || holds(document.FormerDirectory, address)) {
+		known = &daemon{}
+		node.head.daemons[address] = known
+	}
+	// What it was granted or told since it was tried may be for a new process at its address.
+	if known != nil && known.granted.Before(tried) && known.asked.Before(tried) {
+		known.gone, known.sequence, known.asks = tried, 0, 0
+		node.answerWaiters(now)
+	}
+}
+
+// tendDelivery calls daemons that were not heard to know the last change. Where nobody listens any more, the
+// call itself shows it.
+func (node *Node) tendDelivery(now time.Time) {
+	if now.Sub(node.lastCall) < callEvery || !node.leading(now) {
+		return
+	}
+	document := node.chain.Committed()
+	if seen, found := node.head.commits[document.Sequence]; found && now.Sub(seen) < callAfter || node.delivered(now, document.Sequence) {
+		return
+	}
+	node.lastCall = now
+	for _, member := range document.Directory {
+		if known := node.head.daemons[member.Address]; known == nil || known.sequence < document.Sequence {
+			node.outbox.Send(member.Address, &wire.Envelope{Body: &wire.Envelope_TickCall{TickCall: &wire.TickCall{Sequence: document.Sequence}}})
+		}
+	}
+}
+
+// onTickAsk answers a data daemon: the head grants, everybody tells a newer view.
+func (node *Node) onTickAsk(now time.Time, envelope *wire.Envelope, message *wire.TickAsk) {
+	current := node.agent.Newest()
+	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum()}
+	if message.View < current.Epoch {
+		grant.View = current
+	}
+	if node.leading(now) {
+		known := node.head.daemons[envelope.From]
+		if known == nil && len(node.head.daemons) < MaximumDaemons {
+			known = &daemon{life: message.Life}
+			node.head.daemons[envelope.From] = known
+		}
+		if known != nil {
+			if node.head.firstDaemon.IsZero() {
+				node.head.firstDaemon = now
+			}
+			// A new life shows that the old one's process, with its tick, has ended.
+			if known.life != message.Life {
+				known.life, known.granted, known.asks = message.Life, time.Time{}, 0
+			}
+			// A daemon that began anew knows less than it once confirmed, so the last word counts, not the greatest.
+			known.zone, known.http, known.sequence, known.asked, known.leaving = message.Zone, message.Http, message.Sequence, now, message.Leaving
+			known.asks++
+			// The next head waits for all of the directory, and so for whoever may hold a tick of this one's.
+			if document := node.chain.Committed(); holds(document.Directory, envelope.From) {
+				known.granted = now
+				grant.Granted, grant.Sequence, grant.Milliseconds = true, document.Sequence, uint32(node.startup.Staleness.Milliseconds())
+			}
+		}
+	}
+	node.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_TickGrant{TickGrant: grant}})
+	node.answerWaiters(now)
+}
