--- /dev/null
+++ b/proof/model/act.go
@@ -0,0 +1,311 @@
+package model
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"wardtray/wire"
+)
+
+// recoverSteps bounds for how long a fleet may take to recover from a blackout.
+const recoverSteps = 150
+
+func sortedKeys[Value any](of map[string]Value) []string { return slices.Sorted(maps.Keys(of)) }
+
+// actions lists what may happen next, in a fixed order.
+func (world *world) actions() []Action {
+	if world.ended || world.judge.broken != "" {
+		return nil
+	}
+	var actions []Action
+	add := func(verb Verb, subject string) { actions = append(actions, Action{Verb: verb, Subject: subject}) }
+	actions = append(actions, world.messageActions()...)
+	for _, name := range world.names(func(host *host) bool { return host.up && !host.frozen && len(host.writes) > 0 }) {
+		add(Sync, name)
+	}
+	for place, question := range world.scenario.Sends {
+		via := world.byName[question.Via]
+		if !world.sent[place] && (question.After < 0 || world.sent[question.After]) && via.up && !via.frozen {
+			add(Send, fmt.Sprint(place))
+		}
+	}
+	actions = append(actions, world.harm()...)
+	// Nothing that could be done at this moment is put off, but by Hold and by a freeze.
+	if world.still() {
+		add(Tick, "")
+		if world.budget[Wait] > 0 {
+			add(Wait, "")
+		}
+	}
+	return actions
+}
+
+// messageActions lists what may happen to the messages on their way. Of several that are alike one stands for all.
+func (world *world) messageActions() []Action {
+	var actions []Action
+	listed := map[uint64]bool{}
+	for _, message := range world.flying {
+		if listed[message.digest] || world.byName[message.to].frozen {
+			continue
+		}
+		listed[message.digest] = true
+		about := func(verb Verb) {
+			actions = append(actions, Action{Verb: verb, Subject: message.kind + ":" + message.from + ">" + message.to, Message: message.digest})
+		}
+		about(Deliver)
+		if world.budget[Drop] > 0 {
+			about(Drop)
+		}
+		if world.budget[Hold] > 0 {
+			about(Hold)
+		}
+	}
+	for _, message := range world.held {
+		if !listed[message.digest] {
+			listed[message.digest] = true
+			actions = append(actions, Action{Verb: Release, Subject: message.kind + ":" + message.from + ">" + message.to, Message: message.digest})
+		}
+	}
+	return actions
+}
+
+// still tells that no message and no write waits for anything but a held message or the end of a freeze.
+func (world *world) still() bool {
+	for _, message := range world.flying {
+		if !world.byName[message.to].frozen {
+			return false
+		}
+	}
+	return len(world.names(func(host *host) bool { return host.up && !host.frozen && len(host.writes) > 0 })) == 0
+}
+
+// harm lists what may be done to machines and links.
+func (world *world) harm() []Action {
+	var actions []Action
+	add := func(verb Verb, subject string) { actions = append(actions, Action{Verb: verb, Subject: subject}) }
+	for _, name := range world.targets() {
+		host := world.byName[name]
+		for _, verb := range []Verb{Kill, Crash, Wipe, Freeze, Leave} {
+			if world.budget[verb] > 0 && host.up && !host.frozen && !(verb == Leave && host.leaving) && (host.core || verb != Wipe && verb != Leave) {
+				add(verb, name)
+			}
+		}
+	}
+	for _, host := range world.hosts {
+		if !host.up && !host.gone && (host.ran || world.budget[Start] > 0) {
+			add(Start, host.name)
+		}
+		if host.up && host.frozen {
+			add(Wake, host.name)
+		}
+		if host.up && host.leaving && !host.frozen && host.node.Left() {
+			add(Stop, host.name)
+		}
+	}
+	for _, group := range world.scenario.Cuts {
+		if world.budget[Cut] > 0 && len(world.cutOff) == 0 {
+			add(Cut, strings.Join(group, ","))
+		}
+	}
+	if len(world.cutOff) > 0 {
+		add(Heal, "")
+	}
+	return append(actions, world.blackouts()...)
+}
+
+// targets lists whom harm may come to.
+func (world *world) targets() []string {
+	targets := append([]string{}, world.scenario.Targets...)
+	if leader := world.leader(); world.scenario.Leaders && leader != nil && !slices.Contains(targets, leader.name) {
+		targets = append(targets, leader.name)
+	}
+	return targets
+}
+
+// blackouts lists the ways in which all machines may lose their power and one its disk, once something is acknowledged.
+func (world *world) blackouts() []Action {
+	if world.budget[Blackout] == 0 || len(world.judge.accepted) == 0 {
+		return nil
+	}
+	if !world.whole() {
+		return []Action{{Verb: Blackout}}
+	}
+	var actions []Action
+	for _, name := range world.names(func(host *host) bool { return host.core && host.ran && !host.gone }) {
+		actions = append(actions, Action{Verb: Blackout, Subject: name})
+	}
+	return actions
+}
+
+// whole tells that the fleet must bear the loss of another disk: none was wiped, or each wiped one has its successor
+// in a view that the leader acts by. A machine that left by order is no loss.
+func (world *world) whole() bool {
+	if world.budget[Wipe] == world.scenario.Budget[Wipe] {
+		return true
+	}
+	leader := world.leader()
+	if leader == nil || len(leader.node.View().Keepers) < 2*faults+1 {
+		return false
+	}
+	live := map[string]bool{}
+	for _, host := range world.hosts {
+		if host.core && host.disk.memory != nil && !host.gone {
+			live[host.disk.memory.Id] = true
+		}
+	}
+	for _, member := range append(slices.Clone(leader.node.View().Chain), leader.node.View().Keepers...) {
+		if !live[member.Id] {
+			return false
+		}
+	}
+	return len(leader.node.View().Chain) >= faults+1
+}
+
+// take takes one action; it fails where that is not possible.
+func (world *world) take(action Action) error {
+	if !slices.Contains(world.actions(), action) {
+		return fmt.Errorf("%q is not possible here", action)
+	}
+	// Whoever ran before may always come back.
+	if world.budget[action.Verb] > 0 && !(action.Verb == Start && world.byName[action.Subject].ran) {
+		world.budget[action.Verb]--
+	}
+	if messageVerbs[action.Verb] {
+		world.moveMessage(action)
+	} else {
+		world.act(action.Verb, action.Subject)
+	}
+	world.settle()
+	return nil
+}
+
+func (world *world) moveMessage(action Action) {
+	list := &world.flying
+	if action.Verb == Release {
+		list = &world.held
+	}
+	place := slices.IndexFunc(*list, func(message message) bool { return message.digest == action.Message })
+	message := (*list)[place]
+	*list = slices.Delete(slices.Clone(*list), place, place+1)
+	switch action.Verb {
+	case Deliver, Release:
+		world.hand(message)
+	case Hold:
+		world.held = append(world.held, message)
+	}
+}
+
+func (world *world) act(verb Verb, subject string) {
+	host := world.byName[subject]
+	switch verb {
+	case Sync:
+		world.sync(host)
+	case Tick:
+		world.tick()
+	case Wait:
+		world.wait(waitSteps)
+	case Send:
+		world.send(subject)
+	case Kill, Crash:
+		world.end(host, verb == Crash)
+	case Wipe:
+		world.end(host, true)
+		host.disk = newDisk()
+	case Start:
+		world.boot(host)
+		world.step(host, host.life, 0, func() { world.tickHost(host) })
+	case Freeze:
+		host.frozen = true
+	case Wake:
+		world.wake(host)
+	case Cut:
+		for _, name := range strings.Split(subject, ",") {
+			world.cutOff[name] = true
+		}
+		world.lose(func(message message) bool { return world.parted(message.from, message.to) })
+	case Heal:
+		world.cutOff = map[string]bool{}
+	case Leave:
+		host.leaving = true
+		world.step(host, host.life, 0, host.node.Leave)
+	case Stop:
+		world.end(host, false)
+		host.gone, host.disk = true, newDisk()
+	case Blackout:
+		world.blackout(host)
+	}
+}
+
+func (world *world) wake(host *host) {
+	host.frozen = false
+	backlog := host.backlog
+	host.backlog = nil
+	for _, delayed := range backlog {
+		delayed.do()
+	}
+}
+
+// send has an operator ask a question.
+func (world *world) send(subject string) {
+	place := 0
+	if _, err := fmt.Sscan(subject, &place); err != nil {
+		panic(err)
+	}
+	question := world.scenario.Sends[place]
+	world.sent[place] = true
+	world.judge.asked[place] = world.judge.acknowledged()
+	host := world.byName[question.Via]
+	world.step(host, host.life, 0, func() {
+		host.node.Ask(world.now, question.ask(), func(status int, body []byte) { world.judge.answer(place, status, body) })
+	})
+}
+
+// ask gives the message of a question.
+func (question Question) ask() *wire.OperatorAsk {
+	if question.Verb == "get" {
+		return &wire.OperatorAsk{Verb: "get"}
+	}
+	spec := fmt.Sprintf(`{"zones":[],"pools":[{"name":"p","services":["s"]}],"lanes":[{"name":%q,"pool":"p","patience":"1s","repeatable":false}]}`, question.Operation)
+	return &wire.OperatorAsk{Verb: question.Verb, Operation: question.Operation, Base: question.Base, HasBase: true, Spec: []byte(spec)}
+}
+
+// blackout takes the power from everything, the disk from one machine, and starts all again. Those who come back must
+// lead with all that was acknowledged.
+func (world *world) blackout(lost *host) {
+	world.ended = true
+	world.cutOff = map[string]bool{}
+	for _, host := range world.hosts {
+		world.end(host, true)
+	}
+	world.queue = nil
+	if lost != nil {
+		lost.disk = newDisk()
+	}
+	world.smooth = true
+	for _, host := range world.hosts {
+		if host.ran && !host.gone {
+			world.boot(host)
+		}
+	}
+	for range recoverSteps {
+		world.tick()
+		world.flush()
+		if leader := world.leader(); leader != nil && leader.node.Chain().Committed().SpecEpoch >= world.judge.acknowledged() || world.judge.broken != "" {
+			return
+		}
+	}
+	world.judge.fail("P3", "nobody leads with epoch %d again, %v after all lost their power and %s its disk", world.judge.acknowledged(), recoverSteps*step, lost.text())
+}
+
+func (host *host) text() string {
+	if host == nil {
+		return "nobody"
+	}
+	return host.name
+}
+
+// settled is for how long a prepared fleet runs before a search begins.
+const settled = 1500 * time.Millisecond
--- /dev/null
+++ b/proof/model/disk.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"wardtray/control/core"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
+)
+
+// disk is what a machine's data folder holds: a whole memory and the records after it. Torn and damaged files are the
+// business of the tests of package snapshot; here a write is either carried out or lost.
+type disk struct {
+	memory  *wire.Memory
+	records []*wire.Record
+	// operations are the changes that it holds, committed or not.
+	operations map[string]bool
+	// digest stands for all that was ever written.
+	digest digest
+}
+
+func newDisk() *disk { return &disk{operations: map[string]bool{}} }
+
+// carry carries out one write.
+func (disk *disk) carry(write machine.Write) {
+	disk.digest.add(write.Sequence)
+	disk.digest.add(messageDigest(write.Memory))
+	disk.digest.add(messageDigest(write.Record))
+	if write.Memory != nil {
+		disk.memory, disk.records = proto.Clone(write.Memory).(*wire.Memory), nil
+		disk.take(disk.memory.Document, disk.memory.Pending)
+	}
+	if write.Record == nil {
+		return
+	}
+	record := proto.Clone(write.Record).(*wire.Record)
+	disk.records = append(disk.records, record)
+	if entry := record.GetEntry(); entry != nil && entry.ChangesSpec {
+		disk.operations[entry.Operation] = true
+	}
+	if document := record.GetDocument(); document != nil {
+		disk.take(document, nil)
+	}
+}
+
+func (disk *disk) take(document *wire.Document, pending []*wire.Entry) {
+	disk.operations = map[string]bool{}
+	for _, outcome := range document.GetOutcomes() {
+		disk.operations[outcome.Operation] = true
+	}
+	for _, entry := range pending {
+		if entry.ChangesSpec {
+			disk.operations[entry.Operation] = true
+		}
+	}
+}
+
+// shorten folds all records into the memory.
+func (disk *disk) shorten() {
+	if disk.memory == nil {
+		return
+	}
+	for _, record := range disk.records {
+		core.Replay(disk.memory, record)
+	}
+	disk.records = nil
+	disk.take(disk.memory.Document, disk.memory.Pending)
+}
+
+// messageDigest gives the digest of a message that is kept or sent.
+func messageDigest(message proto.Message) uint64 {
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	return digestOf(string(content))
+}
--- /dev/null
+++ b/proof/model/explore.go
@@ -0,0 +1,268 @@
+package model
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+)
+
+// Options bound a search.
+type Options struct {
+	// States is how many different states are seen before the search ends, Depth how many actions one run takes.
+	States int
+	Depth  int
+	Seed   int64
+}
+
+// Result is what a search saw.
+type Result struct {
+	// States are the different states, Transitions the actions taken between them, Again those that led to a state
+	// seen before, Runs how often the search began anew.
+	States, Transitions, Again, Runs int
+	// Deepest is the greatest number of actions to a state, Complete up to how many actions every order was tried.
+	Deepest, Complete int
+	// Exhausted tells that there is no further state within the depth.
+	Exhausted bool
+	// Acknowledged counts the states in which a change was acknowledged, Ended those after a blackout.
+	Acknowledged, Ended int
+	// Broken is the property that did not hold, and Trace the actions that led there.
+	Broken string
+	Trace  []Action
+}
+
+// String gives the counts in one line.
+func (result Result) String() string {
+	return fmt.Sprintf("%d states, %d transitions, %d to states seen before, %d runs, deepest %d, every order up to %d actions, exhausted %v; %d states with a change acknowledged, %d recoveries",
+		result.States, result.Transitions, result.Again, result.Runs, result.Deepest, result.Complete, result.Exhausted, result.Acknowledged, result.Ended)
+}
+
+// node is one state that was seen: how to get there, and what was not tried from there yet.
+type node struct {
+	parent  int
+	action  Action
+	depth   int
+	untried []Action
+	edges   []edge
+}
+
+type edge struct {
+	action Action
+	to     int
+}
+
+// explorer searches the states of one scenario. The machines can't be copied, so a state is the actions that lead
+// there, and going back means to begin anew. It begins each run at the shallowest state from which something was not
+// tried, and goes on from there at random for as long as it finds what was not tried; so the search is complete up
+// to some depth, and reaches far beyond it elsewhere.
+type explorer struct {
+	prepared *prepared
+	options  Options
+	random   *rand.Rand
+	nodes    []node
+	seen     map[uint64]int
+	frontier frontier
+	result   Result
+}
+
+// Explore searches the states of a scenario up to the bounds.
+func Explore(scenario Scenario, options Options) (Result, error) {
+	prepared, err := prepare(&scenario)
+	if err != nil {
+		return Result{}, err
+	}
+	explorer := &explorer{prepared: prepared, options: options, random: rand.New(rand.NewSource(options.Seed)), seen: map[uint64]int{}}
+	if err := explorer.search(); err != nil {
+		return explorer.result, err
+	}
+	return explorer.result, nil
+}
+
+// Replay takes the actions of a trace and gives the property that they break, or "".
+func Replay(scenario Scenario, trace []Action) (broken string, err error) {
+	prepared, err := prepare(&scenario)
+	if err != nil {
+		return "", err
+	}
+	world := prepared.begin()
+	for _, action := range trace {
+		if err := world.take(action); err != nil {
+			return "", err
+		}
+	}
+	return world.judge.broken, nil
+}
+
+func (explorer *explorer) search() error {
+	world := explorer.prepared.begin()
+	explorer.result.Runs++
+	explorer.enter(world, -1, Action{})
+	for explorer.result.Broken == "" && len(explorer.nodes) < explorer.options.States {
+		from := explorer.next()
+		if from < 0 {
+			explorer.result.Exhausted = true
+			break
+		}
+		world, err := explorer.rerun(from)
+		if err != nil {
+			return err
+		}
+		if err := explorer.goOn(world, from); err != nil {
+			return err
+		}
+	}
+	explorer.count()
+	return nil
+}
+
+// next gives the shallowest state from which something was not tried yet, or -1.
+func (explorer *explorer) next() int {
+	for len(explorer.frontier) > 0 {
+		first := explorer.frontier[0]
+		state := &explorer.nodes[first.state]
+		if len(state.untried) > 0 && state.depth == first.depth && state.depth < explorer.options.Depth {
+			return first.state
+		}
+		heap.Pop(&explorer.frontier)
+	}
+	return -1
+}
+
+// rerun brings a new world to a state.
+func (explorer *explorer) rerun(state int) (*world, error) {
+	explorer.result.Runs++
+	world := explorer.prepared.begin()
+	for _, action := range explorer.trace(state) {
+		if err := world.take(action); err != nil {
+			return nil, fmt.Errorf("the fingerprint left something out, or a run does not repeat: %w", err)
+		}
+	}
+	if found, known := explorer.seen[world.fingerprint()]; !known || found != state {
+		return nil, fmt.Errorf("the fingerprint left something out, or a run does not repeat: state %d was not reached again", state)
+	}
+	return world, nil
+}
+
+// trace gives the actions that lead to a state.
+func (explorer *explorer) trace(state int) []Action {
+	var trace []Action
+	for ; explorer.nodes[state].parent >= 0; state = explorer.nodes[state].parent {
+		trace = append([]Action{explorer.nodes[state].action}, trace...)
+	}
+	return trace
+}
+
+// goOn takes actions that were not tried yet, for as long as there are some.
+func (explorer *explorer) goOn(world *world, state int) error {
+	for explorer.result.Broken == "" && len(explorer.nodes) < explorer.options.States {
+		untried := explorer.nodes[state].untried
+		if len(untried) == 0 || explorer.nodes[state].depth >= explorer.options.Depth {
+			return nil
+		}
+		place := explorer.random.Intn(len(untried))
+		action := untried[place]
+		untried[place] = untried[len(untried)-1]
+		explorer.nodes[state].untried = untried[:len(untried)-1]
+		if err := world.take(action); err != nil {
+			return err
+		}
+		explorer.result.Transitions++
+		state = explorer.enter(world, state, action)
+	}
+	return nil
+}
+
+// enter notes the state that an action led to.
+func (explorer *explorer) enter(world *world, from int, action Action) int {
+	depth := 0
+	if from >= 0 {
+		depth = explorer.nodes[from].depth + 1
+	}
+	sum := world.fingerprint()
+	state, known := explorer.seen[sum]
+	if known {
+		explorer.result.Again++
+	} else {
+		state = len(explorer.nodes)
+		explorer.seen[sum] = state
+		explorer.nodes = append(explorer.nodes, node{parent: from, action: action, depth: depth, untried: world.actions()})
+		heap.Push(&explorer.frontier, entry{depth: depth, state: state})
+		explorer.noteKind(world)
+	}
+	if from >= 0 {
+		explorer.nodes[from].edges = append(explorer.nodes[from].edges, edge{action: action, to: state})
+		explorer.shorten(from, edge{action: action, to: state})
+	}
+	if world.judge.broken != "" && explorer.result.Broken == "" {
+		explorer.result.Broken = world.judge.broken
+		explorer.result.Trace = append(explorer.trace(from), action)
+	}
+	return state
+}
+
+func (explorer *explorer) noteKind(world *world) {
+	if len(world.judge.accepted) > 0 {
+		explorer.result.Acknowledged++
+	}
+	if world.ended {
+		explorer.result.Ended++
+	}
+}
+
+// shorten takes over a shorter way to a state, and with it to all that were reached from there.
+func (explorer *explorer) shorten(from int, first edge) {
+	type way struct {
+		from int
+		edge edge
+	}
+	for open := []way{{from, first}}; len(open) > 0; {
+		last := open[len(open)-1]
+		open = open[:len(open)-1]
+		depth, state := explorer.nodes[last.from].depth+1, &explorer.nodes[last.edge.to]
+		if depth >= state.depth {
+			continue
+		}
+		state.depth, state.parent, state.action = depth, last.from, last.edge.action
+		heap.Push(&explorer.frontier, entry{depth: depth, state: last.edge.to})
+		for _, further := range state.edges {
+			open = append(open, way{last.edge.to, further})
+		}
+	}
+}
+
+// count fills in the figures that follow from the states seen.
+func (explorer *explorer) count() {
+	result := &explorer.result
+	result.States, result.Complete = len(explorer.nodes), explorer.options.Depth
+	for _, state := range explorer.nodes {
+		result.Deepest = max(result.Deepest, state.depth)
+		if len(state.untried) > 0 {
+			result.Complete = min(result.Complete, state.depth)
+		}
+	}
+}
+
+// frontier is a heap of states from which something was not tried, the shallowest first, the older first among those.
+type frontier []entry
+
+type entry struct{ depth, state int }
+
+func (frontier frontier) Len() int { return len(frontier) }
+func (frontier frontier) Less(left, right int) bool {
+	if frontier[left].depth != frontier[right].depth {
+		return frontier[left].depth < frontier[right].depth
+	}
+	return frontier[left].state < frontier[right].state
+}
+func (frontier frontier) Swap(left, right int) {
+	frontier[left], frontier[right] = frontier[right], frontier[left]
+}
+
+// Push and Pop serve container/heap.
+func (frontier *frontier) Push(added any) { *frontier = append(*frontier, added.(entry)) }
+
+// Pop takes out the last.
+func (frontier *frontier) Pop() any {
+	last := (*frontier)[len(*frontier)-1]
+	*frontier = (*frontier)[:len(*frontier)-1]
+	return last
+}
--- /dev/null
+++ b/proof/model/fingerprint.go
@@ -0,0 +1,238 @@
+package model
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"wardtray/config"
+)
+
+// digest is a running 64-bit hash. With a million states the chance that any two share one is below 1 in 30 million.
+type digest uint64
+
+const digestSeed digest = 0x9e3779b97f4a7c15
+
+// add folds in one number (the finishing steps of splitmix64).
+func (sum *digest) add(value uint64) {
+	mixed := uint64(*sum) ^ (value + 0x9e3779b97f4a7c15)
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	*sum = digest(mixed ^ mixed>>31)
+}
+
+func (sum *digest) addText(text string) {
+	sum.add(uint64(len(text)))
+	for len(text) >= 8 {
+		sum.add(uint64(text[0]) | uint64(text[1])<<8 | uint64(text[2])<<16 | uint64(text[3])<<24 |
+			uint64(text[4])<<32 | uint64(text[5])<<40 | uint64(text[6])<<48 | uint64(text[7])<<56)
+		text = text[8:]
+	}
+	last := uint64(0)
+	for place := range len(text) {
+		last = last<<8 | uint64(text[place])
+	}
+	sum.add(last)
+}
+
+// addTime folds in a time as a distance from now, so that the same situation later has the same digest.
+func (sum *digest) addTime(now, at time.Time) {
+	if at.IsZero() {
+		sum.add(0)
+		return
+	}
+	sum.add(1)
+	sum.add(uint64(at.Sub(now)))
+}
+
+func digestOf(content string) uint64 {
+	sum := digestSeed
+	sum.addText(content)
+	return uint64(sum)
+}
+
+// walker folds everything that a state machine holds into a digest, private fields included, by reflection. Why: the
+// machines' fields change often, and one that a hand-written method forgot would merge states that differ. It leaves
+// out functions, counters for display and what only caches a document.
+type walker struct {
+	now time.Time
+	// known are the digests of what pointers of this walk point to; open are those being walked.
+	known map[target]uint64
+	open  map[target]bool
+}
+
+// target is what a pointer points to. A struct and its first field share an address, so the type belongs to it.
+type target struct {
+	address uintptr
+	kind    reflect.Type
+}
+
+func newWalker(now time.Time) *walker {
+	return &walker{now: now, known: map[target]uint64{}, open: map[target]bool{}}
+}
+
+var (
+	timeType = reflect.TypeFor[time.Time]()
+	bookType = reflect.TypeFor[config.Book]()
+)
+
+// walk gives the digest of a value.
+func (walker *walker) walk(value reflect.Value) uint64 {
+	sum := digestSeed
+	switch value.Kind() {
+	case reflect.Bool:
+		if value.Bool() {
+			sum.add(1)
+		}
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		sum.add(uint64(value.Int()))
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr:
+		sum.add(value.Uint())
+	case reflect.Float32, reflect.Float64:
+		sum.addText(fmt.Sprint(value.Float()))
+	case reflect.String:
+		sum.addText(value.String())
+	case reflect.Func, reflect.Chan, reflect.UnsafePointer:
+	case reflect.Pointer:
+		sum.add(walker.walkPointer(value))
+	case reflect.Interface:
+		if !value.IsNil() {
+			sum.addText(value.Elem().Type().String())
+			sum.add(walker.walk(value.Elem()))
+		}
+	case reflect.Struct:
+		walker.walkStruct(&sum, value)
+	case reflect.Slice, reflect.Array:
+		walker.walkList(&sum, value)
+	case reflect.Map:
+		walker.walkMap(&sum, value)
+	default:
+		panic("a kind that the fingerprint does not know: " + value.Kind().String())
+	}
+	return uint64(sum)
+}
+
+func (walker *walker) walkPointer(value reflect.Value) uint64 {
+	if value.IsNil() || value.Type().Elem() == bookType {
+		return 0
+	}
+	pointed := target{address: value.Pointer(), kind: value.Type().Elem()}
+	if known, found := walker.known[pointed]; found {
+		return known
+	}
+	if walker.open[pointed] {
+		panic("the fingerprint can't walk a circle: " + value.Type().String())
+	}
+	walker.open[pointed] = true
+	sum := walker.walk(value.Elem())
+	delete(walker.open, pointed)
+	walker.known[pointed] = sum
+	return sum
+}
+
+func (walker *walker) walkStruct(sum *digest, value reflect.Value) {
+	if value.Type() == timeType {
+		sum.addTime(walker.now, timeOf(value))
+		return
+	}
+	for _, place := range walkedFields(value.Type()) {
+		sum.add(walker.walk(value.Field(place)))
+	}
+}
+
+// layouts remembers which fields of each struct type are walked, since asking for them takes longer than walking.
+var layouts sync.Map
+
+func walkedFields(kind reflect.Type) []int {
+	if known, found := layouts.Load(kind); found {
+		return known.([]int)
+	}
+	var walked []int
+	for place := range kind.NumField() {
+		if !skipped(kind.Field(place)) {
+			walked = append(walked, place)
+		}
+	}
+	layouts.Store(kind, walked)
+	return walked
+}
+
+// skipped tells whether a field says nothing about how its machine goes on.
+func skipped(field reflect.StructField) bool {
+	return field.Name == "sizeCache" || strings.Contains(field.Type.PkgPath(), "google.golang.org/protobuf") ||
+		field.Type.Name() == "Counters" || field.Type.Kind() == reflect.Map && field.Type.Elem().Kind() == reflect.Func
+}
+
+// timeOf reads a time from a field that may be private. The model's times hold no monotonic reading.
+func timeOf(value reflect.Value) time.Time {
+	const nanoseconds = 1<<30 - 1
+	// A time's seconds count from the year 1.
+	const unixToInternal = 62135596800
+	wall, seconds := value.Field(0).Uint(), value.Field(1).Int()
+	if wall == 0 && seconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(seconds-unixToInternal, int64(wall&nanoseconds))
+}
+
+func (walker *walker) walkList(sum *digest, value reflect.Value) {
+	sum.add(uint64(value.Len()))
+	if value.Type().Elem().Kind() == reflect.Uint8 && value.Kind() == reflect.Slice {
+		sum.addText(string(value.Bytes()))
+		return
+	}
+	for place := range value.Len() {
+		sum.add(walker.walk(value.Index(place)))
+	}
+}
+
+// walkMap folds in a map's entries in the order of their digests, since maps have none of their own.
+func (walker *walker) walkMap(sum *digest, value reflect.Value) {
+	entries := make([]uint64, 0, value.Len())
+	for iterator := value.MapRange(); iterator.Next(); {
+		entry := digestSeed
+		entry.add(walker.walk(iterator.Key()))
+		entry.add(walker.walk(iterator.Value()))
+		entries = append(entries, uint64(entry))
+	}
+	sum.addSorted(entries)
+}
+
+// addSorted folds in a set of digests.
+func (sum *digest) addSorted(digests []uint64) {
+	slices.Sort(digests)
+	sum.add(uint64(len(digests)))
+	for _, one := range digests {
+		sum.add(one)
+	}
+}
+
+// source is a random source of one number, which the fingerprint can read.
+type source struct{ state uint64 }
+
+// newRandom gives a random source for one life of a machine.
+func newRandom(name string, life int) *rand.Rand {
+	sum := digestSeed
+	sum.addText(name)
+	sum.add(uint64(life))
+	return rand.New(&source{state: uint64(sum)})
+}
+
+// Uint64 is splitmix64.
+func (source *source) Uint64() uint64 {
+	source.state += 0x9e3779b97f4a7c15
+	mixed := source.state
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	return mixed ^ mixed>>31
+}
+
+// Int63 gives the upper bits.
+func (source *source) Int63() int64 { return int64(source.Uint64() >> 1) }
+
+// Seed sets the state.
+func (source *source) Seed(seed int64) { source.state = uint64(seed) }
--- /dev/null
+++ b/proof/model/scenario.go
@@ -0,0 +1,56 @@
+package model
+
+import "time"
+
+// Scenario is one search: a fleet, what operators send, which messages are explored in every order, and how often each
+// kind of harm may come in one run.
+type Scenario struct {
+	Name string
+	Help string
+	// Cores are the machines with a disk. The first Founders of them found the fleet, those up to Members have joined
+	// it before the search, the others are blank and off.
+	Cores    int
+	Founders int
+	Members  int
+	Daemons  int
+	// Absent is a core that was off while Before further changes were committed, or "".
+	Absent string
+	Before int
+	// Sends are the operators' questions; each is sent at most once, at any moment.
+	Sends []Question
+	// Explored are the kinds of messages whose orders are explored. All others are delivered at once, in the order in
+	// which they were sent. Disks tells that the moments at which writes are synced are explored as well.
+	Explored []string
+	Disks    bool
+	// Budget is how often each verb may be taken in one run; 0 stands for never. Deliver, Release, Sync, Tick, Heal,
+	// Wake, Stop and Send need none. Starts need none either, but for cores that never ran.
+	Budget map[Verb]int
+	// Cuts are the groups that may be cut off from everybody else, Targets whom the other harm may come to.
+	Cuts    [][]string
+	Targets []string
+	// Leaders tells that Targets is not fixed but the machine that leads at the moment, besides those of Targets.
+	Leaders bool
+	// Depth is how many actions one run takes at most, States how many states CI looks at.
+	Depth  int
+	States int
+}
+
+// Question is what an operator sends.
+type Question struct {
+	Verb string
+	// Operation and Base are those of a change. The prepared fleet is at epoch 1 plus Before.
+	Operation string
+	Base      uint64
+	// Via is the core that is asked.
+	Via string
+	// After names a question, by its place, that must have been sent before; -1 for none.
+	After int
+}
+
+const (
+	// step is how long one tick takes, waitSteps how many of them one Wait is.
+	step      = 100 * time.Millisecond
+	waitSteps = 8
+	// faults is how many disks may be lost at once.
+	faults = 1
+)
