--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -18,6 +18,7 @@
 	"wardtray/proof/fleet"
 	"wardtray/proof/history"
 	"wardtray/proof/hollow"
+	"wardtray/proof/model"
 	"wardtray/proof/place"
 	"wardtray/proof/sim"
 )
@@ -83,6 +84,7 @@
 	lanes := spreading.Flag("lanes", "Lanes of the spec that is sent.").Default("10").Int()
 	list := application.Command("scenarios", "List the scenarios.")
 	hollows := hollow.Register(application)
+	searching := model.Register(application)
 	commands := map[string]func(){
 		list.FullCommand(): func() {
 			for _, name := range names {
@@ -173,6 +175,12 @@
 		run()
 		return
 	}
+	if called == searching.Command {
+		if err := searching.Run(os.Stdout); err != nil {
+			end(err)
+		}
+		return
+	}
 	if run := hollows[called]; run != nil {
 		if err := run(); err != nil {
 			end(err)
--- /dev/null
+++ b/proof/model/command.go
@@ -0,0 +1,78 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// errBroken tells that a property does not hold; what breaks it was printed.
+var errBroken = errors.New("a property does not hold")
+
+// Searching is the command line of a search.
+type Searching struct {
+	// Command is the name under which the command was registered.
+	Command  string
+	options  Options
+	scenario string
+	trace    string
+}
+
+// Register adds the command "model".
+func Register(application *kingpin.Application) *Searching {
+	searching := &Searching{}
+	command := application.Command("model", "Search the states of the control plane of a small fleet and check the properties after each action.")
+	command.Flag("states", "How many states are looked at; 0 for the scenario's own bound.").IntVar(&searching.options.States)
+	command.Flag("depth", "How many actions one run takes at most; 0 for the scenario's own bound.").IntVar(&searching.options.Depth)
+	command.Flag("seed", "Seed of the search.").Default("1").Int64Var(&searching.options.Seed)
+	command.Flag("scenario", "Only this scenario, or all.").Default("all").EnumVar(&searching.scenario, append(Names(), "all")...)
+	command.Flag("trace", "Instead of a search, take the actions of this file, one a line, and print which property they break.").StringVar(&searching.trace)
+	searching.Command = command.FullCommand()
+	return searching
+}
+
+// Run carries the command out.
+func (searching *Searching) Run(output io.Writer) error {
+	chosen := Scenarios
+	if scenario, found := Find(searching.scenario); found {
+		chosen = []Scenario{scenario}
+	}
+	if searching.trace != "" {
+		return searching.replay(output, chosen)
+	}
+	if searching.options.States < 0 || searching.options.Depth < 0 {
+		return errors.New("--states and --depth must not be negative")
+	}
+	held, err := Print(output, chosen, searching.options)
+	if err == nil && !held {
+		err = errBroken
+	}
+	return err
+}
+
+func (searching *Searching) replay(output io.Writer, chosen []Scenario) error {
+	if len(chosen) != 1 {
+		return errors.New("--trace needs --scenario")
+	}
+	content, err := os.ReadFile(searching.trace)
+	if err != nil {
+		return err
+	}
+	trace, err := ReadTrace(string(content))
+	if err != nil {
+		return err
+	}
+	broken, err := Replay(chosen[0], trace)
+	if err != nil {
+		return err
+	}
+	if broken != "" {
+		fmt.Fprintf(output, "BROKEN %s\n", broken)
+		return errBroken
+	}
+	fmt.Fprintf(output, "%d actions break no property\n", len(trace))
+	return nil
+}
--- a/proof/model/explore.go
+++ b/proof/model/explore.go
@@ -77,21 +77,6 @@
 	return explorer.result, nil
 }
 
-// Replay takes the actions of a trace and gives the property that they break, or "".
-func Replay(scenario Scenario, trace []Action) (broken string, err error) {
-	prepared, err := prepare(&scenario)
-	if err != nil {
-		return "", err
-	}
-	world := prepared.begin()
-	for _, action := range trace {
-		if err := world.take(action); err != nil {
-			return "", err
-		}
-	}
-	return world.judge.broken, nil
-}
-
 func (explorer *explorer) search() error {
 	world := explorer.prepared.begin()
 	explorer.result.Runs++
@@ -111,6 +96,9 @@
 		}
 	}
 	explorer.count()
+	if explorer.result.Broken != "" {
+		explorer.result.Trace, explorer.result.Broken = minimize(explorer.prepared, explorer.result.Trace, explorer.result.Broken)
+	}
 	return nil
 }
 
@@ -158,7 +146,7 @@
 		if len(untried) == 0 || explorer.nodes[state].depth >= explorer.options.Depth {
 			return nil
 		}
-		place := explorer.random.Intn(len(untried))
+		place := explorer.choose(untried)
 		action := untried[place]
 		untried[place] = untried[len(untried)-1]
 		explorer.nodes[state].untried = untried[:len(untried)-1]
@@ -171,6 +159,19 @@
 	return nil
 }
 
+// rarely is how many more times than once a run that could go on draws again where it would end by a blackout.
+const rarely = 3
+
+func (explorer *explorer) choose(untried []Action) int {
+	place := explorer.random.Intn(len(untried))
+	for range rarely {
+		if untried[place].Verb == Blackout {
+			place = explorer.random.Intn(len(untried))
+		}
+	}
+	return place
+}
+
 // enter notes the state that an action led to.
 func (explorer *explorer) enter(world *world, from int, action Action) int {
 	depth := 0
--- /dev/null
+++ b/proof/model/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package model
+
+const raceShare = 1
--- a/proof/model/prepare.go
+++ b/proof/model/prepare.go
@@ -94,7 +94,7 @@
 func (prepared *prepared) begin() *world {
 	scenario := prepared.scenario
 	world := newWorld(scenario)
-	world.identity = prepared.identity
+	world.identity, world.judge.before = prepared.identity, uint64(scenario.Before)+1
 	for _, host := range world.hosts {
 		memory := prepared.memories[host.name]
 		if memory != nil {
--- /dev/null
+++ b/proof/model/trace.go
@@ -0,0 +1,97 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Replay takes the actions of a trace and gives the property that they break, or "".
+func Replay(scenario Scenario, trace []Action) (broken string, err error) {
+	prepared, err := prepare(&scenario)
+	if err != nil {
+		return "", err
+	}
+	world := prepared.begin()
+	for _, action := range trace {
+		if err := world.take(action); err != nil {
+			return "", err
+		}
+	}
+	return world.judge.broken, nil
+}
+
+// minimize leaves out actions of a trace for as long as what is left breaks the same property. Where an action is not
+// possible any more without another one, it is left out as well.
+func minimize(prepared *prepared, trace []Action, broken string) ([]Action, string) {
+	property, _, _ := strings.Cut(broken, ":")
+	for place := 0; place < len(trace); {
+		shorter := append(append([]Action{}, trace[:place]...), trace[place+1:]...)
+		taken, found := tryTrace(prepared, shorter)
+		if strings.HasPrefix(found, property+":") {
+			trace, broken = taken, found
+			continue
+		}
+		place++
+	}
+	return trace, broken
+}
+
+// tryTrace takes those actions of a trace that are possible; it gives them and the property that they break, or "".
+func tryTrace(prepared *prepared, trace []Action) (taken []Action, broken string) {
+	world := prepared.begin()
+	for _, action := range trace {
+		if world.take(action) != nil {
+			continue
+		}
+		taken = append(taken, action)
+		if world.judge.broken != "" {
+			return taken, world.judge.broken
+		}
+	}
+	return taken, ""
+}
+
+// ReadTrace reads actions, one a line; empty lines are passed over.
+func ReadTrace(text string) ([]Action, error) {
+	var trace []Action
+	for _, line := range strings.Split(text, "\n") {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		action, err := ParseAction(line)
+		if err != nil {
+			return nil, err
+		}
+		trace = append(trace, action)
+	}
+	return trace, nil
+}
+
+// Print searches scenarios one after the other and prints what was seen. It tells whether all properties held.
+func Print(output io.Writer, scenarios []Scenario, options Options) (bool, error) {
+	held := true
+	for _, scenario := range scenarios {
+		bounds := options
+		if bounds.States == 0 {
+			bounds.States = scenario.States
+		}
+		if bounds.Depth == 0 {
+			bounds.Depth = scenario.Depth
+		}
+		result, err := Explore(scenario, bounds)
+		if err != nil {
+			return false, fmt.Errorf("%s: %w", scenario.Name, err)
+		}
+		fmt.Fprintf(output, "%s: %v\n", scenario.Name, result)
+		if result.Broken == "" {
+			continue
+		}
+		held = false
+		fmt.Fprintf(output, "BROKEN %s\n", result.Broken)
+		for _, action := range result.Trace {
+			fmt.Fprintf(output, "  %v\n", action)
+		}
+	}
+	return held, nil
+}
