Daemons' leases rest on the head or a majority of the keepers, not on each other

Cause: an acknowledgement needed most of the data daemons. With 70 % of them without power no change was acknowledged while the core was whole, though any number of machines without a disk may go; and the vote of the directory was the one thing that went from all to all while the head is silent. Now a daemon serves on the head's lease; or where a majority of the keepers of its view confirm, on questions less than a lease old, that they know of nothing newer; or, where no core machine answers several rounds of questions (one that has just begun counts as no answer) and none told of anything newer, for WithoutCore after its last lease. A change is acknowledged once it is committed, a majority of the keepers (and of those of views that ended within a lease) know it and their words on older ones are over, and no lease granted before the commit runs at a daemon that lacks it. So it takes a lease's time at most however many daemons are dark. coordination/lease has the keeper's part (Witness) and the head's (Ledger); a keeper that has voted for the next view confirms nothing, one that has begun anew only after a head told it. Heartbeats of the head name the daemons without a lease, which acknowledgements of leaving runners no longer wait for. Questions of daemons to each other (ContactAsk) are gone from the wire, their numbers reserved. Tests: coordination/lease, edge/director (majority, views, going on alone, frozen, restarted).

--- a/control/core/acknowledgement.go
+++ b/control/core/acknowledgement.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// delivered tells whether a committed change may be acknowledged: no group of daemons that could vouch for
-// each other lacks it, and nobody can rely on a tick without knowing it.
+// delivered tells whether a committed change may be acknowledged: no majority of keepers can have a daemon rely on
+// less, and no lease that the head, or the head before it, granted before the commit can still run at a daemon that
+// does not know the change.
 func (node *Node) delivered(now time.Time, sequence uint64) bool {
 	document := node.chain.Committed()
 	if document.Sequence < sequence || node.head.begun.IsZero() {
@@ -74,53 +75,41 @@
 	if current := node.agent.Current(); len(current.Chain) < int(current.Floor) || node.growing(now) {
 		return false
 	}
-	seen, found := node.head.commits[sequence]
-	if !found {
-		seen = node.head.begun
-	}
-	// Daemons that missed the last change of the directory still go by the one before it.
-	directories := [][]*wire.Member{document.Directory, document.FormerDirectory}
-	for _, directory := range directories {
-		if !node.mostKnow(directory, sequence, seen) {
-			return false
-		}
+	return node.keepersKnow(now, sequence) && node.formerLeasesOver(now, document, sequence) && node.leasesOver(now, sequence)
+}
+
+// formerLeasesOver tells whether no lease of the head before this one can run at a daemon that does not know a
+// sequence. It may have granted one to anybody in the directory, or in the one before, until this reign began.
+func (node *Node) formerLeasesOver(now time.Time, document *wire.Document, sequence uint64) bool {
+	if now.Sub(node.head.begun) >= node.leaseLength() {
+		return true
 	}
-	ticks := node.startup.Staleness + leaseMargin
-	// The head before this one may have granted ticks to anybody in the directory, until this reign began.
-	if now.Sub(node.head.begun) < ticks {
-		for _, directory := range directories {
-			for _, member := range directory {
-				if !node.harmless(member.Address, sequence, node.head.begun) {
-					return false
-				}
+	for _, directory := range [][]*wire.Member{document.Directory, document.FormerDirectory} {
+		for _, member := range directory {
+			if !node.harmless(member.Address, sequence, node.head.begun) {
+				return false
 			}
 		}
 	}
-	// Every tick granted since the commit obliges its daemon to know the change, so only older ticks can still mislead one.
-	if found && now.Sub(seen) >= ticks {
+	return true
+}
+
+// leasesOver tells whether no lease of this head's can run at a daemon that does not know a sequence. Every lease
+// granted since the commit obliges its daemon to know the change, so only older ones count.
+func (node *Node) leasesOver(now time.Time, sequence uint64) bool {
+	if committed, found := node.head.commits[sequence]; found && now.Sub(committed) >= node.leaseLength() {
 		return true
 	}
 	for _, daemon := range node.head.daemons {
-		if daemon.sequence < sequence && now.Sub(daemon.granted) < ticks && !daemon.gone.After(daemon.granted) {
+		if daemon.sequence < sequence && now.Sub(daemon.granted) < node.leaseLength() && !daemon.gone.After(daemon.granted) {
 			return false
 		}
 	}
 	return true
 }
 
-// mostKnow tells whether those of a directory that may not know a sequence are too few to vouch for it.
-func (node *Node) mostKnow(directory []*wire.Member, sequence uint64, since time.Time) bool {
-	harmless := 0
-	for _, member := range directory {
-		if node.harmless(member.Address, sequence, since) {
-			harmless++
-		}
-	}
-	return len(directory) == 0 || harmless*2 > len(directory)
-}
-
 // harmless tells whether a daemon knows a sequence, or whether its process ended after a moment: the next one
-// there knows nothing and vouches for nobody before it has learned all that is newer.
+// there knows nothing and serves nobody before it has learned all that is newer.
 func (node *Node) harmless(address string, sequence uint64, since time.Time) bool {
 	known := node.head.daemons[address]
 	return known != nil && (known.asks > 0 && known.sequence >= sequence || known.gone.After(since))
--- a/control/core/bounds.go
+++ b/control/core/bounds.go
@@ -36,6 +36,8 @@
 	// leaseMargin is what the head waits beyond that, for clocks that drift.
 	leaseMargin   = 100 * time.Millisecond
 	directoryWait = 300 * time.Millisecond
+	// startingBound is for how long after its start a machine can't tell daemons yet whether there is a head.
+	startingBound = 2 * time.Second
 	// callAfter is how long rumors have to bring a change to everybody before the head calls those who lack it.
 	callAfter   = 40 * time.Millisecond
 	callEvery   = 100 * time.Millisecond
--- a/control/core/dispatch.go
+++ b/control/core/dispatch.go
@@ -4,7 +4,6 @@
 	"reflect"
 	"time"
 
-	"wardtray/coordination/view"
 	"wardtray/wire"
 )
 
@@ -54,10 +53,7 @@
 		node.onClaimAsk(now, envelope, body.ClaimAsk)
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_ClaimGrant) {
-		current := node.agent.Current()
-		if keeps(current, envelope.Sender) {
-			node.holder.Grant(now, envelope.Sender, body.ClaimGrant.View, body.ClaimGrant.Nonce, view.Majority(len(current.Keepers)))
-		}
+		node.onClaimGrant(now, envelope.Sender, body.ClaimGrant)
 	})
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_Beat) { node.onBeat(now, body.Beat) })
 	on(node, func(now time.Time, envelope *wire.Envelope, body *wire.Envelope_OperatorAsk) {
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -27,7 +27,11 @@
 		node.head.commits = map[uint64]time.Time{}
 	}
 	node.head.commits[sequence] = now
+	node.witness.Knows(sequence)
 	node.publish(now)
+	// The keepers must know before the change may be acknowledged; they should not wait for the next round.
+	node.lastClaim = time.Time{}
+	node.tendClaim(now)
 }
 
 // publish puts the committed document among the rumors, without what only the chain needs.
--- a/control/core/election.go
+++ b/control/core/election.go
@@ -128,6 +128,8 @@
 	node.wantSince, node.votedSince = time.Time{}, time.Time{}
 	node.brokenFrom = map[string]time.Time{}
 	node.keeper.Learn(now, current)
+	node.rememberKeepers(now, node.lastView, current)
+	node.lastView = current
 	node.chain.Adopt(now, current)
 	if current.HeadSince != node.head.reign {
 		node.head.begun, node.head.reign = time.Time{}, current.HeadSince
--- a/control/core/leadership.go
+++ b/control/core/leadership.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"wardtray/coordination/lease"
+	"wardtray/coordination/view"
 	"wardtray/wire"
 )
 
@@ -18,6 +20,8 @@
 	daemons     map[string]*daemon
 	firstDaemon time.Time
 	refused     map[string]bool
+	// ledger is what the keepers told of the sequences that they know.
+	ledger *lease.Ledger
 	// When recent sequences were first seen committed here.
 	commits map[uint64]time.Time
 }
@@ -29,10 +33,13 @@
 		return
 	}
 	node.lastClaim = now
-	nonce := node.holder.Ask(now, current.Epoch)
+	ask := &wire.ClaimAsk{View: current.Epoch, Nonce: node.holder.Ask(now, current.Epoch)}
+	// A head whose own history is not settled does not know yet what was acknowledged before it.
+	if node.leading(now) {
+		ask.Committed = node.chain.Committed().Sequence
+	}
 	for _, keeper := range current.Keepers {
-		node.outbox.Send(node.addressOf(keeper), &wire.Envelope{Body: &wire.Envelope_ClaimAsk{ClaimAsk: &wire.ClaimAsk{
-			View: current.Epoch, Nonce: nonce}}})
+		node.outbox.Send(node.addressOf(keeper), &wire.Envelope{Body: &wire.Envelope_ClaimAsk{ClaimAsk: ask}})
 	}
 }
 
@@ -42,12 +49,19 @@
 		node.agent.Tell(envelope.From)
 		return
 	}
-	if message.View != current.Epoch || !keeps(current, node.self.Id) || current.Chain[0].Id != envelope.Sender ||
-		!node.keeper.Allows(now, node.agent.Voted()) {
+	if message.View != current.Epoch || !keeps(current, node.self.Id) || current.Chain[0].Id != envelope.Sender {
+		return
+	}
+	if message.Committed > 0 {
+		node.witness.Told(message.Committed)
+	}
+	if !node.keeper.Allows(now, node.agent.Voted()) {
 		return
 	}
+	known := node.witness.Known()
+	outstanding := node.witness.Outstanding(now, known)
 	node.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_ClaimGrant{ClaimGrant: &wire.ClaimGrant{
-		View: message.View, Nonce: message.Nonce}}})
+		View: message.View, Nonce: message.Nonce, Known: known, ConfirmedMilliseconds: roundedUp(outstanding)}}})
 }
 
 // tendKeeping seeks proof that the heads before this reign act no more, and notes on the disk that none does,
@@ -83,3 +97,19 @@
 	}
 	return node.chain.Committed().Sequence >= node.head.mark
 }
+
+// roundedUp gives a length of time in whole milliseconds, never less than it is.
+func roundedUp(length time.Duration) uint32 {
+	return uint32((length + time.Millisecond - 1) / time.Millisecond)
+}
+
+// onClaimGrant takes in a keeper's grant and its word on what it knows to be committed.
+func (node *Node) onClaimGrant(now time.Time, keeper string, message *wire.ClaimGrant) {
+	current := node.agent.Current()
+	if !keeps(current, keeper) {
+		return
+	}
+	node.holder.Grant(now, keeper, message.View, message.Nonce, view.Majority(len(current.Keepers)))
+	node.head.ledger.Note(keeper, message.Known, now.Add(time.Duration(message.ConfirmedMilliseconds)*time.Millisecond))
+	node.answerWaiters(now)
+}
--- a/control/core/leases.go
+++ b/control/core/leases.go
@@ -58,37 +58,48 @@
 	}
 }
 
-// onTickAsk answers a data daemon: the head grants, everybody tells a newer view.
+// onTickAsk answers a data daemon: the head grants a lease, a keeper confirms what the daemon has, and everybody
+// tells a newer view.
 func (node *Node) onTickAsk(now time.Time, envelope *wire.Envelope, message *wire.TickAsk) {
 	current := node.agent.Newest()
-	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum()}
+	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum(), Starting: now.Sub(node.begun) < startingBound}
 	if message.View < current.Epoch {
 		grant.View = current
 	}
 	if node.leading(now) {
-		known := node.head.daemons[envelope.From]
-		if known == nil && len(node.head.daemons) < MaximumDaemons {
-			known = &daemon{life: message.Life}
-			node.head.daemons[envelope.From] = known
-		}
-		if known != nil {
-			if node.head.firstDaemon.IsZero() {
-				node.head.firstDaemon = now
-			}
-			// A new life shows that the old one's process, with its tick, has ended.
-			if known.life != message.Life {
-				known.life, known.granted, known.asks = message.Life, time.Time{}, 0
-			}
-			// A daemon that began anew knows less than it once confirmed, so the last word counts, not the greatest.
-			known.zone, known.http, known.sequence, known.asked, known.leaving = message.Zone, message.Http, message.Sequence, now, message.Leaving
-			known.asks++
-			// The next head waits for all of the directory, and so for whoever may hold a tick of this one's.
-			if document := node.chain.Committed(); holds(document.Directory, envelope.From) {
-				known.granted = now
-				grant.Granted, grant.Sequence, grant.Milliseconds = true, document.Sequence, uint32(node.startup.Staleness.Milliseconds())
-			}
-		}
+		node.grantLease(now, envelope.From, message, grant)
+	}
+	if !grant.Granted {
+		grant.Confirmed = node.confirms(now, envelope.From, message)
+		grant.Sequence = node.witness.Known()
 	}
 	node.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_TickGrant{TickGrant: grant}})
 	node.answerWaiters(now)
 }
+
+// grantLease notes what a daemon knows, and grants it a lease if it stands in the directory. The next head waits for
+// all of the directory, and so for whoever may hold a lease of this one's.
+func (node *Node) grantLease(now time.Time, address string, message *wire.TickAsk, grant *wire.TickGrant) {
+	known := node.head.daemons[address]
+	if known == nil {
+		if len(node.head.daemons) >= MaximumDaemons {
+			return
+		}
+		known = &daemon{life: message.Life}
+		node.head.daemons[address] = known
+	}
+	if node.head.firstDaemon.IsZero() {
+		node.head.firstDaemon = now
+	}
+	// A new life shows that the old one's process, with its lease, has ended.
+	if known.life != message.Life {
+		known.life, known.granted, known.asks = message.Life, time.Time{}, 0
+	}
+	// A daemon that began anew knows less than it once confirmed, so the last word counts, not the greatest.
+	known.zone, known.http, known.sequence, known.asked, known.leaving = message.Zone, message.Http, message.Sequence, now, message.Leaving
+	known.asks++
+	if document := node.chain.Committed(); holds(document.Directory, address) {
+		known.granted = now
+		grant.Granted, grant.Sequence, grant.Milliseconds = true, document.Sequence, uint32(node.startup.Staleness.Milliseconds())
+	}
+}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -56,7 +56,14 @@
 	holder *lease.Holder
 	keeper *lease.Keeper
 	rumors *gossip.Store
-	cohort *peersampling.Cohort
+	// witness is what this machine, as a keeper, has told daemons.
+	witness *lease.Witness
+	// heldAtStart is the newest sequence that the disk held when this process began.
+	heldAtStart uint64
+	// formerKeepers are those of the views that ended within the last lease.
+	formerKeepers []formerKeepers
+	lastView      *wire.View
+	cohort        *peersampling.Cohort
 
 	peers      map[string]*peer
 	begun      time.Time
@@ -108,6 +115,9 @@
 		self:  &wire.Member{Id: memory.Id, Address: startup.Address, Zone: startup.Zone, Http: startup.HTTP},
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
 	node.head.daemons, node.head.refused, node.head.commits = map[string]*daemon{}, map[string]bool{}, map[uint64]time.Time{}
+	node.head.ledger = lease.NewLedger()
+	node.witness = lease.NewWitness(node.leaseLength())
+	node.heldAtStart = newestOf(memory.Document, memory.Pending)
 	node.chain = chain.New(memory.Id, memory.Document, memory.Pending, node.outbox, node.addressOf, node.onCommit)
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
 	node.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
@@ -124,7 +134,10 @@
 		node.founding, node.replacing = true, true
 		node.outbox.Replace(now, node.Memory(), func(time.Time) { node.replacing, node.diskFailed = false, false })
 	}
+	node.lastView = node.agent.Current()
 	if current := node.agent.Current(); current.Epoch > 0 {
+		// Which views ended a moment before this process began is not known.
+		node.formerKeepers = []formerKeepers{{until: now.Add(node.leaseLength())}}
 		node.chain.Adopt(now, current)
 	}
 	return node
--- a/control/core/registry.go
+++ b/control/core/registry.go
@@ -35,7 +35,8 @@
 // Registry gives what was counted of the runners' calls.
 func (node *Node) Registry() registry.Counters { return node.registrar.Counters() }
 
-// daemonAddresses gives the data daemons that may award work: those of the directory, and those that hold a tick.
+// daemonAddresses gives the data daemons that may award work: those of the directory but for the ones that hold no
+// lease by the word of the head, and those that asked this machine for one.
 func (node *Node) daemonAddresses(now time.Time) []string {
 	found := map[string]bool{}
 	for _, member := range node.directory() {
@@ -46,6 +47,10 @@
 			found[address] = true
 		}
 	}
+	// A daemon without a lease awards nothing, and learns of the runners before it gets one again.
+	for _, address := range node.absentByHead(now) {
+		delete(found, address)
+	}
 	addresses := make([]string, 0, len(found))
 	for address := range found {
 		addresses = append(addresses, address)
--- a/edge/director/director_test.go
+++ b/edge/director/director_test.go
@@ -31,59 +31,162 @@
 	return &wire.Envelope{From: "x", Body: &wire.Envelope_Rumor{Rumor: &wire.Rumor{Registers: []*wire.Register{{Key: core.DocumentKey, Epoch: sequence, Value: value}}}}}
 }
 
-// answer has a daemon answer the last contact question that was sent to it.
-func answer(director *Director, now time.Time, questions map[string]uint64, from string, ready bool, sequence uint64) {
-	director.Receive(now, &wire.Envelope{From: from, Body: &wire.Envelope_ContactAnswer{ContactAnswer: &wire.ContactAnswer{
-		Nonce: questions[from], Ready: ready, Sequence: sequence}}})
+// keepers are the members of the views of these tests.
+var keepers = []*wire.Member{{Id: "k0", Address: "c0"}, {Id: "k1", Address: "c1"}, {Id: "k2", Address: "c2"}}
+
+// viewOf gives a view whose head is the first keeper.
+func viewOf(epoch uint64) *wire.View {
+	return &wire.View{Epoch: epoch, Chain: keepers, Keepers: keepers}
 }
 
-// ask lets the director tick with a silent head and gives the nonces of its contact questions.
+// ask lets the director tick and gives the nonces of its questions to core machines, by address.
 func ask(director *Director, now time.Time) map[string]uint64 {
 	director.Tick(now)
 	questions := map[string]uint64{}
 	for _, parcel := range director.Drain() {
-		if question := parcel.Envelope.GetContactAsk(); question != nil {
+		if question := parcel.Envelope.GetTickAsk(); question != nil {
 			questions[parcel.To] = question.Nonce
 		}
 	}
 	return questions
 }
 
-// A daemon that begins without a control plane forgot what it had confirmed, so that its own word may
-// not make up the majority; nor may that of others that have just begun, or of those who know more.
-func TestReadyOnlyByMostOfTheOthers(t *testing.T) {
-	director := New(begun, Startup{Address: "d0", Zone: "a"}, rand.New(rand.NewSource(1)))
+// answer has a keeper answer the question that was sent to it.
+func answer(director *Director, now time.Time, questions map[string]uint64, keeper int, grant *wire.TickGrant) {
+	grant.Nonce = questions[keepers[keeper].Address]
+	director.Receive(now, &wire.Envelope{From: keepers[keeper].Address, Sender: keepers[keeper].Id, Body: &wire.Envelope_TickGrant{TickGrant: grant}})
+}
+
+func confirms(sequence, epoch uint64) *wire.TickGrant {
+	return &wire.TickGrant{ViewEpoch: epoch, Sequence: sequence, Confirmed: true}
+}
+
+// withDocument makes a director that has a document and knows a view, but holds no lease.
+func withDocument(t *testing.T, startup Startup) *Director {
+	startup.Address, startup.Zone = "d0", "a"
+	director := New(begun, startup, rand.New(rand.NewSource(1)))
 	director.Receive(begun, document(t, 7))
+	director.Receive(begun, &wire.Envelope{From: "c0", Sender: "k0", Body: &wire.Envelope_ViewNews{ViewNews: &wire.ViewNews{View: viewOf(3)}}})
+	director.Drain()
+	return director
+}
+
+// A daemon that begins without a head forgot what it knew. A majority of the keepers lets it serve; one keeper does
+// not, nor do those that know more, that go by another view, that refuse, or that say the same twice.
+func TestServesByAMajorityOfTheKeepers(t *testing.T) {
+	director := withDocument(t, Startup{})
 	now := begun.Add(2 * time.Second)
 	questions := ask(director, now)
-	if len(questions) != 4 {
+	if len(questions) != len(keepers) {
 		t.Fatalf("asked %v", questions)
 	}
 	serves := func() bool { return now.Before(director.Until(now)) }
-	answer(director, now, questions, "d1", true, 7)
-	answer(director, now, questions, "d2", true, 7)
+	answer(director, now, questions, 0, confirms(7, 3))
+	answer(director, now, questions, 0, confirms(7, 3))
 	if serves() {
-		t.Fatal("serves by two of five and its own word")
+		t.Fatal("serves by one of three keepers")
 	}
-	answer(director, now, questions, "d3", false, 0)
-	answer(director, now, questions, "d4", true, 8)
+	answer(director, now, questions, 1, confirms(8, 3))
+	answer(director, now, questions, 2, &wire.TickGrant{ViewEpoch: 3, Sequence: 7})
 	if serves() {
-		t.Fatal("serves by one that is not ready and one that knows more")
+		t.Fatal("serves by a keeper that knows more and one that confirms nothing")
 	}
 	director.Receive(now, document(t, 8))
+	director.Drain()
 	now = now.Add(time.Second)
 	questions = ask(director, now)
-	for _, name := range []string{"d1", "d2", "d3"} {
-		answer(director, now, questions, name, true, 8)
+	answer(director, now, questions, 1, confirms(8, 2))
+	answer(director, now, questions, 0, confirms(8, 3))
+	if serves() {
+		t.Fatal("serves by a keeper of an older view")
 	}
+	answer(director, now, questions, 2, confirms(8, 3))
 	if !serves() {
-		t.Fatal("does not serve with most of the others behind it")
+		t.Fatal("does not serve with a majority of the keepers behind it")
 	}
 	if now = now.Add(Staleness); serves() {
 		t.Fatal("serves beyond what was asked for")
 	}
 }
 
+// The keepers of one view make up no majority of the next one's.
+func TestANewViewEndsItsKeepersWords(t *testing.T) {
+	director := withDocument(t, Startup{})
+	now := begun.Add(2 * time.Second)
+	questions := ask(director, now)
+	answer(director, now, questions, 0, confirms(7, 3))
+	director.Receive(now, &wire.Envelope{From: "c0", Sender: "k0", Body: &wire.Envelope_ViewNews{ViewNews: &wire.ViewNews{View: viewOf(4)}}})
+	answer(director, now, questions, 1, confirms(7, 4))
+	if now.Before(director.Until(now)) {
+		t.Fatal("serves by one keeper of each of two views")
+	}
+}
+
+// lead gives the director a lease of the head's, asked for at a moment.
+func lead(director *Director, now time.Time) {
+	questions := ask(director, now)
+	answer(director, now, questions, 0, &wire.TickGrant{ViewEpoch: 3, Sequence: 7, Granted: true})
+}
+
+// A daemon that reaches no core machine goes on for as long as it was told, and not a moment longer; one that reaches
+// a machine that neither grants nor confirms, or hears of something newer, stops with its lease.
+func TestGoesOnWithoutAnyCore(t *testing.T) {
+	const without = 10 * time.Second
+	cases := map[string]struct {
+		without  time.Duration
+		answer   *wire.TickGrant
+		from, to time.Duration
+	}{
+		"no core answers":                   {without: without, from: 0, to: Staleness + without},
+		"not allowed":                       {from: 0, to: Staleness},
+		"a minority answers":                {without: without, answer: &wire.TickGrant{ViewEpoch: 3, Sequence: 7}, from: 0, to: Staleness},
+		"a machine that begins answers":     {without: without, answer: &wire.TickGrant{ViewEpoch: 3, Starting: true}, from: 0, to: Staleness + without},
+		"a machine that begins knows newer": {without: without, answer: &wire.TickGrant{ViewEpoch: 3, Sequence: 8, Starting: true}, from: 0, to: Staleness},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			director := withDocument(t, Startup{WithoutCore: test.without})
+			start := begun.Add(time.Second)
+			lead(director, start)
+			for now := start; now.Before(start.Add(2*Staleness + without)); now = now.Add(50 * time.Millisecond) {
+				questions := ask(director, now)
+				if _, asked := questions["c1"]; asked && test.answer != nil {
+					answer(director, now, questions, 1, proto.Clone(test.answer).(*wire.TickGrant))
+				}
+				since := now.Sub(start)
+				if serves := now.Before(director.Until(now)); serves != (since >= test.from && since < test.to) {
+					t.Fatalf("%v after the question: serves %v", since, serves)
+				}
+			}
+		})
+	}
+}
+
+// Whoever was frozen has asked nobody meanwhile, so that silence says nothing.
+func TestAFrozenDaemonIsNotAlone(t *testing.T) {
+	director := withDocument(t, Startup{WithoutCore: time.Minute})
+	lead(director, begun.Add(time.Second))
+	now := begun.Add(8 * time.Second)
+	if now.Before(director.Until(now)) {
+		t.Fatal("serves when it wakes")
+	}
+	ask(director, now)
+	if now.Before(director.Until(now)) {
+		t.Fatal("serves after one question")
+	}
+}
+
+// A daemon that has begun anew has no document of its own life to go on with.
+func TestARestartedDaemonIsNotAlone(t *testing.T) {
+	director := withDocument(t, Startup{WithoutCore: time.Minute})
+	for now := begun; now.Before(begun.Add(5 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		ask(director, now)
+		if now.Before(director.Until(now)) {
+			t.Fatal("serves without ever having held a lease")
+		}
+	}
+}
+
 // A tick counts from its question, only with the document it speaks of, and not from an older view.
 func TestTicksCountFromTheQuestion(t *testing.T) {
 	director := New(begun, Startup{Address: "d0", Zone: "a", Seeds: []string{"c0"}}, rand.New(rand.NewSource(1)))
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -25,6 +25,8 @@
 const (
 	tickEvery = 50 * time.Millisecond
 	heldMost  = 2000
+	// withoutCore is for how long daemons go on while they reach no core machine.
+	withoutCore = 5 * time.Minute
 )
 
 type event struct {
@@ -516,7 +518,7 @@
 		Go:   func(work func()) { world.spawn(host, work) },
 		Wait: world.sleep,
 		Dial: func(address string, terms seam.Terms) (seam.Conn, error) { return world.dial(host, address, terms) },
-	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds, Registered: world.Callers != nil}, Random: random, Await: world.await,
+	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds, Registered: world.Callers != nil, WithoutCore: withoutCore}, Random: random, Await: world.await,
 		Send: func(parcels []machine.Parcel) { world.send(host, parcels) }, Poll: func() { world.Platform.poll(host, life) }, Log: silent})
 	if err != nil {
 		panic(err)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -48,7 +48,7 @@
 }
 
 func parcel(to string) []machine.Parcel {
-	return []machine.Parcel{{To: to, Envelope: &wire.Envelope{Body: &wire.Envelope_ContactAsk{ContactAsk: &wire.ContactAsk{Nonce: 1}}}}}
+	return []machine.Parcel{{To: to, Envelope: &wire.Envelope{Body: &wire.Envelope_TickCall{TickCall: &wire.TickCall{Sequence: 1}}}}}
 }
 
 func within[Value any](t *testing.T, channel <-chan Value, what string) Value {
