--- a/edge/director/lease.go
+++ b/edge/director/lease.go
@@ -59,13 +59,18 @@
 	if !director.ready {
 		return time.Time{}
 	}
-	until := later(director.tickUntil, director.confirmedUntil())
+	until := director.leasedUntil()
 	if now.Before(until) || !director.alone(now) {
 		return until
 	}
 	return earlier(now.Add(aloneStep), director.aloneUntil())
 }
 
+// leasedUntil gives up to when this daemon holds a lease, by the head or by the keepers.
+func (director *Director) leasedUntil() time.Time {
+	return later(director.tickUntil, director.confirmedUntil())
+}
+
 func later(left, right time.Time) time.Time {
 	if left.After(right) {
 		return left
@@ -111,7 +116,7 @@
 // tendTicks asks the head for a lease and, where it does not answer, the keepers and everybody who may know who is
 // head now.
 func (director *Director) tendTicks(now time.Time) {
-	director.leaseEnd = later(director.leaseEnd, later(director.tickUntil, director.confirmedUntil()))
+	director.leaseEnd = later(director.leaseEnd, director.leasedUntil())
 	if now.Sub(director.lastAsk) < director.askPace(now) {
 		return
 	}
--- a/edge/director/runners.go
+++ b/edge/director/runners.go
@@ -90,7 +90,7 @@
 // A daemon that has just begun, or was cut off, knows neither who came nor who left meanwhile, and must
 // learn it before it awards again; one that awards already learns it beside that.
 func (director *Director) agrees(now time.Time, from string, sum uint64, dispute *dispute) bool {
-	if !director.startup.Registered || sum == director.registry.Sum() || now.Before(director.Until(now)) {
+	if !director.startup.Registered || sum == director.registry.Sum() || now.Before(director.leasedUntil()) {
 		return true
 	}
 	// While many runners come at once two sums are seldom alike; that all of the other's were learned a
