coordination/chain: a change costs the same however many went before

Cause: each change copied up to 4,096 outcomes at every fold, Latest() folded all that was pending anew at every call, and every sync sent the successor all that it had not confirmed (20 pending entries of 100 KB: 21.5 MB to a silent successor). A member outside the chain took each answer of the tail in place of the one before; where changes go on and a disk is slower than the questions (300 ms), its document never came to its end and it never came in. A log that was kept over a restart counted from 0 again.

Ruled out: packing the configuration in entries and log (an older member would read none).

The change: every document is made once, when its entry comes in; outcomes live in one array that documents share, with an index by operation. Entries pass once, within a window of 1 MB, and again only when the successor stands still. What is pending is bounded to 4 MB together. A learned document is brought to the disk before the next one is taken. The log of an earlier life counts.

--- a/control/core/change.go
+++ b/control/core/change.go
@@ -17,7 +17,7 @@
 	if node.head.refused[message.Token] {
 		return
 	}
-	if outcome := find(latest.Outcomes, message.Operation); outcome != nil {
+	if outcome := node.chain.Outcome(message.Operation); outcome != nil {
 		// The same operation again gets the first one's outcome, never a second effect.
 		node.await(now, message, outcome.Sequence, outcome.SpecEpoch)
 		return
--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wardtray/wire"
 )
 
@@ -21,6 +23,15 @@
 	}
 }
 
+// recordBytes tells how much of the log records take. A log that is kept over a restart counts from there on:
+// otherwise one that is restarted often would grow without a bound.
+func recordBytes(records []*wire.Record) (bytes int64) {
+	for _, record := range records {
+		bytes += int64(proto.Size(record))
+	}
+	return bytes
+}
+
 // Memory gives all that this machine must not forget.
 func (node *Node) Memory() *wire.Memory {
 	memory := &wire.Memory{Id: node.self.Id, View: node.agent.Current(), Vote: node.agent.Vote(), Founding: node.founding, Cleared: node.cleared}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -117,7 +117,7 @@
 	if memory.Document != nil && memory.Document.Sequence > 0 {
 		node.publish(now)
 	}
-	node.founding, node.cleared = memory.Founding, memory.Cleared
+	node.founding, node.cleared, node.logged = memory.Founding, memory.Cleared, recordBytes(records)
 	node.keeper = lease.Restore(now, node.agent.Current(), memory.Cleared)
 	if startup.Founding && !memory.Founding && node.agent.Current().Epoch == 0 {
 		// A founder that is killed before there is a view must still be one when it starts again.
--- a/control/core/operator.go
+++ b/control/core/operator.go
@@ -221,7 +221,7 @@
 	if !node.leads(now, message) {
 		return
 	}
-	outcome := find(node.chain.Latest().Outcomes, message.Operation)
+	outcome := node.chain.Outcome(message.Operation)
 	if outcome == nil {
 		node.reply(message, 404, refusal(fault.NotFound, 0, message.Operation, "no accepted change has this id so far"))
 		return
@@ -233,15 +233,6 @@
 	node.reply(message, 200, Reply{Operation: message.Operation, Outcome: "pending", Epoch: outcome.SpecEpoch})
 }
 
-func find(outcomes []*wire.Outcome, operation string) *wire.Outcome {
-	for place := len(outcomes) - 1; place >= 0; place-- {
-		if outcomes[place].Operation == operation {
-			return outcomes[place]
-		}
-	}
-	return nil
-}
-
 // leads tells whether this machine may answer a question as head; a head that may not yet parks it.
 func (node *Node) leads(now time.Time, message *wire.OperatorAsk) bool {
 	leading := node.leading(now)
--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -10,8 +10,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"wardtray/coordination/machine"
 	"wardtray/process/fault"
 	"wardtray/wire"
@@ -20,10 +18,15 @@
 const (
 	// MaximumPending bounds the changes under way at once.
 	MaximumPending = 64
+	// MaximumPendingBytes bounds what they hold together, beyond a single one: a snapshot and the log hold all of
+	// it, and a disk has 64 MB.
+	MaximumPendingBytes = 4 << 20
 	// MaximumOutcomes bounds the operations whose outcome is remembered.
 	MaximumOutcomes = 4096
-	resend          = 200 * time.Millisecond
-	resendQuiet     = time.Second
+	// sendWindow bounds the bytes under way to the successor, beyond a single entry.
+	sendWindow  = 1 << 20
+	resend      = 200 * time.Millisecond
+	resendQuiet = time.Second
 )
 
 // Chain is one member's part.
@@ -35,19 +38,24 @@
 
 	view     *wire.View
 	place    int
-	base     *wire.Document
-	pending  []*wire.Entry
+	history  history
 	received uint64
 	synced   uint64
 	// What the successor is known to have synced in this view, and whether it has said so yet.
 	successorSynced uint64
 	successorHeard  bool
+	// passed is up to where the successor was sent the history in this view, and successorBefore is where it was
+	// when something was last sent again.
+	passed          uint64
+	successorBefore uint64
 	// Whether the predecessor has spoken in this view; a tail answers nothing before.
 	aligned     bool
 	lastSend    time.Time
 	learnedView uint64
-	// Counts the times the whole history was replaced, so that late completions of the old one are known.
-	history uint64
+	// learning is the view of a document that was learned and is on its way to the disk.
+	learning uint64
+	// replacements counts the times the whole history was replaced, so that late completions of the old one are known.
+	replacements uint64
 }
 
 // New restores a member from what its disk held.
@@ -56,33 +64,12 @@
 	if base == nil {
 		base = &wire.Document{}
 	}
-	chain := &Chain{self: self, outbox: outbox, address: address, committed: committed, view: &wire.View{}, place: -1, base: base, pending: pending}
-	chain.received = base.Sequence
-	if len(pending) > 0 {
-		chain.received = pending[len(pending)-1].Sequence
-	}
+	chain := &Chain{self: self, outbox: outbox, address: address, committed: committed, view: &wire.View{}, place: -1, history: newHistory(base, pending)}
+	chain.received = chain.history.latest().Sequence
 	chain.synced = chain.received
 	return chain
 }
 
-// Fold gives the document that follows from another by one entry; it changes neither.
-func Fold(document *wire.Document, entry *wire.Entry) *wire.Document {
-	folded := &wire.Document{Sequence: entry.Sequence, SpecEpoch: document.SpecEpoch, Spec: document.Spec,
-		Directory: document.Directory, FormerDirectory: document.FormerDirectory, Outcomes: document.Outcomes}
-	if !entry.ChangesSpec {
-		folded.Directory, folded.FormerDirectory = entry.Directory, document.Directory
-		return folded
-	}
-	folded.SpecEpoch, folded.Spec = entry.SpecEpoch, entry.Spec
-	outcomes := append(append([]*wire.Outcome{}, document.Outcomes...), &wire.Outcome{
-		Operation: entry.Operation, SpecEpoch: entry.SpecEpoch, Sequence: entry.Sequence})
-	if len(outcomes) > MaximumOutcomes {
-		outcomes = outcomes[len(outcomes)-MaximumOutcomes:]
-	}
-	folded.Outcomes = outcomes
-	return folded
-}
-
 // Adopt begins a new view.
 func (chain *Chain) Adopt(now time.Time, view *wire.View) {
 	if view.Epoch <= chain.view.Epoch {
@@ -95,6 +82,7 @@
 		}
 	}
 	chain.successorHeard, chain.successorSynced, chain.aligned = false, 0, chain.place == 0
+	chain.passed, chain.successorBefore, chain.learning = 0, 0, 0
 	chain.lastSend = time.Time{}
 	chain.settle(now)
 	chain.Tick(now)
@@ -112,10 +100,10 @@
 func (chain *Chain) Inside() bool { return chain.place >= 0 }
 
 // Committed gives the document that is committed as far as this member knows.
-func (chain *Chain) Committed() *wire.Document { return chain.base }
+func (chain *Chain) Committed() *wire.Document { return chain.history.committed }
 
 // Pending gives the entries after the committed document.
-func (chain *Chain) Pending() []*wire.Entry { return chain.pending }
+func (chain *Chain) Pending() []*wire.Entry { return chain.history.pending }
 
 // Synced tells up to where this member's disk holds the history.
 func (chain *Chain) Synced() uint64 { return chain.synced }
@@ -124,12 +112,11 @@
 func (chain *Chain) LearnedView() uint64 { return chain.learnedView }
 
 // Latest gives the document with everything pending folded in.
-func (chain *Chain) Latest() *wire.Document {
-	document := chain.base
-	for _, entry := range chain.pending {
-		document = Fold(document, entry)
-	}
-	return document
+func (chain *Chain) Latest() *wire.Document { return chain.history.latest() }
+
+// Outcome gives how an operation of the newest document ended; nil if it is none or was forgotten.
+func (chain *Chain) Outcome(operation string) *wire.Outcome {
+	return chain.history.outcomes.byOperation[operation]
 }
 
 // Enter takes a change at the head. The caller has validated it and holds the claim.
@@ -140,8 +127,8 @@
 	if len(chain.view.Chain) < int(chain.view.Floor) {
 		return fault.New(fault.NoMajority, "the chain is shorter than %d members", chain.view.Floor)
 	}
-	if len(chain.pending) >= MaximumPending {
-		return fault.New(fault.Busy, "%d changes wait already", len(chain.pending))
+	if waiting := len(chain.history.pending); waiting >= MaximumPending || waiting > 0 && chain.history.pendingBytes+entryBytes(entry) > MaximumPendingBytes {
+		return fault.New(fault.Busy, "%d changes wait already", waiting)
 	}
 	entry.Sequence, entry.View = chain.received+1, chain.view.Epoch
 	chain.append(now, entry)
@@ -150,11 +137,11 @@
 
 func (chain *Chain) append(now time.Time, entry *wire.Entry) {
 	chain.received = entry.Sequence
-	chain.pending = append(chain.pending, entry)
-	history := chain.history
+	chain.history.append(entry)
+	replacements := chain.replacements
 	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Entry{Entry: entry}}, func(done time.Time) {
 		// An entry of a history that was replaced meanwhile says nothing about the present one.
-		if history == chain.history {
+		if replacements == chain.replacements {
 			chain.syncedTo(done, entry.Sequence)
 		}
 	})
@@ -163,7 +150,7 @@
 func (chain *Chain) syncedTo(now time.Time, sequence uint64) {
 	chain.synced = sequence
 	chain.settle(now)
-	chain.passOn(now)
+	chain.passOn()
 	chain.hold()
 }
 
@@ -176,13 +163,12 @@
 
 func (chain *Chain) commit(now time.Time, sequence uint64) {
 	moved := false
-	for len(chain.pending) > 0 && chain.pending[0].Sequence <= min(sequence, chain.synced) {
-		chain.base = Fold(chain.base, chain.pending[0])
-		chain.pending = chain.pending[1:]
+	for len(chain.history.pending) > 0 && chain.history.pending[0].Sequence <= min(sequence, chain.synced) {
+		chain.history.commitFirst()
 		moved = true
 	}
 	if moved {
-		chain.committed(now, chain.base.Sequence)
+		chain.committed(now, chain.history.committed.Sequence)
 	}
 }
 
@@ -200,20 +186,31 @@
 	return chain.view.Chain[chain.place-1]
 }
 
-// passOn sends the successor the next entries that it lacks.
-func (chain *Chain) passOn(now time.Time) {
+// passOn sends the successor what it lacks and was not sent yet, as far as the window reaches: the whole
+// document if the entries that it lacks are no longer kept one by one.
+func (chain *Chain) passOn() {
 	successor := chain.successor()
 	if successor == nil || !chain.successorHeard {
 		return
 	}
-	chain.lastSend = now
-	address := chain.address(successor)
-	if chain.successorSynced < chain.base.Sequence {
+	address, committed := chain.address(successor), chain.history.committed
+	chain.passed = max(chain.passed, chain.successorSynced)
+	if chain.passed < committed.Sequence {
+		chain.passed = committed.Sequence
 		chain.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_ChainPass{ChainPass: &wire.ChainPass{
-			View: chain.view.Epoch, Document: chain.base}}})
+			View: chain.view.Epoch, Document: committed}}})
 	}
-	for _, entry := range chain.pending {
-		if entry.Sequence > chain.successorSynced && entry.Sequence <= chain.synced {
+	underWay := 0
+	for _, entry := range chain.history.pending {
+		if entry.Sequence <= chain.successorSynced {
+			continue
+		}
+		if entry.Sequence > chain.synced || underWay > 0 && underWay+entryBytes(entry) > sendWindow {
+			return
+		}
+		underWay += entryBytes(entry)
+		if entry.Sequence > chain.passed {
+			chain.passed = entry.Sequence
 			chain.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_ChainPass{ChainPass: &wire.ChainPass{
 				View: chain.view.Epoch, Entry: entry}}})
 		}
@@ -224,7 +221,7 @@
 func (chain *Chain) hold() {
 	if predecessor := chain.predecessor(); predecessor != nil {
 		chain.outbox.Send(chain.address(predecessor), &wire.Envelope{Body: &wire.Envelope_ChainHold{ChainHold: &wire.ChainHold{
-			View: chain.view.Epoch, Synced: chain.synced, Committed: chain.base.Sequence}}})
+			View: chain.view.Epoch, Synced: chain.synced, Committed: chain.history.committed.Sequence}}})
 	}
 }
 
@@ -254,17 +251,14 @@
 	if message.View != chain.view.Epoch || successor == nil || successor.Id != sender {
 		return
 	}
-	first := !chain.successorHeard
 	chain.successorHeard = true
 	chain.successorSynced = max(chain.successorSynced, message.Synced)
-	before := chain.base.Sequence
+	before := chain.history.committed.Sequence
 	chain.commit(now, message.Committed)
-	if chain.base.Sequence > before {
+	if chain.history.committed.Sequence > before {
 		chain.hold()
 	}
-	if first {
-		chain.passOn(now)
-	}
+	chain.passOn()
 	// The successor may only answer as a tail once it has all that its predecessor had when the view began.
 	chain.align()
 }
@@ -273,7 +267,7 @@
 	successor := chain.successor()
 	if successor != nil && chain.aligned && chain.successorSynced >= chain.synced {
 		chain.outbox.Send(chain.address(successor), &wire.Envelope{Body: &wire.Envelope_ChainHold{ChainHold: &wire.ChainHold{
-			View: chain.view.Epoch, Synced: chain.synced, Committed: chain.base.Sequence}}})
+			View: chain.view.Epoch, Synced: chain.synced, Committed: chain.history.committed.Sequence}}})
 	}
 }
 
@@ -291,13 +285,13 @@
 }
 
 func (chain *Chain) replace(now time.Time, document *wire.Document, then func(now time.Time)) {
-	chain.base, chain.pending, chain.received = document, nil, document.Sequence
+	chain.history, chain.received = newHistory(document, nil), document.Sequence
 	// Nothing of the old history may count as synced before the new one is.
 	chain.synced = 0
-	chain.history++
-	history := chain.history
+	chain.replacements++
+	replacements := chain.replacements
 	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Document{Document: document}}, func(done time.Time) {
-		if history != chain.history {
+		if replacements != chain.replacements {
 			return
 		}
 		chain.synced = document.Sequence
@@ -318,9 +312,9 @@
 
 // Teach answers a member outside the chain; only a tail with a valid claim may call it.
 func (chain *Chain) Teach(reply string, message *wire.LearnAsk) {
-	if message.View == chain.view.Epoch && chain.Tail() && (message.Sequence == 0 || message.Sequence < chain.base.Sequence) {
+	if message.View == chain.view.Epoch && chain.Tail() && (message.Sequence == 0 || message.Sequence < chain.history.committed.Sequence) {
 		chain.outbox.Send(reply, &wire.Envelope{Body: &wire.Envelope_LearnAnswer{LearnAnswer: &wire.LearnAnswer{
-			View: chain.view.Epoch, Document: chain.base}}})
+			View: chain.view.Epoch, Document: chain.history.committed}}})
 	}
 }
 
@@ -333,7 +327,19 @@
 	if chain.learnedView == view && message.Document.Sequence <= chain.received {
 		return
 	}
-	chain.replace(now, message.Document, func(time.Time) { chain.learnedView = view })
+	// While one document is on its way to the disk no other takes its place. Why: where changes go on, each answer
+	// is newer, and a disk slower than the questions would never bring one to its end.
+	if chain.learning == view {
+		return
+	}
+	chain.learning = view
+	chain.replace(now, message.Document, func(done time.Time) {
+		chain.learnedView, chain.learning = view, 0
+		if chain.Inside() {
+			chain.settle(done)
+			chain.hold()
+		}
+	})
 }
 
 // Tick sends again what may have been lost.
@@ -343,17 +349,23 @@
 	}
 	chain.lastSend = now
 	chain.hold()
-	chain.passOn(now)
+	// A successor that moves on has lost nothing, at most it is slow.
+	if chain.successorSynced == chain.successorBefore {
+		chain.passed = chain.successorSynced
+	}
+	chain.successorBefore = chain.successorSynced
+	chain.passOn()
 	chain.align()
 }
 
 // quiet tells that this member knows of nothing that its neighbours lack.
 func (chain *Chain) quiet() bool {
-	return len(chain.pending) == 0 && chain.aligned && (chain.successor() == nil || chain.successorHeard && chain.successorSynced >= chain.synced)
+	return len(chain.history.pending) == 0 && chain.aligned && (chain.successor() == nil || chain.successorHeard && chain.successorSynced >= chain.synced)
 }
 
-// Memory fills in this member's part of a whole memory.
+// Memory fills in this member's part of a whole memory. Documents and entries are never changed, so that the
+// disk's thread may read them while this member goes on.
 func (chain *Chain) Memory(memory *wire.Memory) {
-	memory.Document = proto.Clone(chain.base).(*wire.Document)
-	memory.Pending = append([]*wire.Entry{}, chain.pending...)
+	memory.Document = chain.history.committed
+	memory.Pending = append([]*wire.Entry{}, chain.history.pending...)
 }
