--- a/control/core/fleet_test.go
+++ b/control/core/fleet_test.go
@@ -134,12 +134,27 @@
 	if err != nil {
 		fleet.t.Fatalf("%s does not start: %v", member.address, err)
 	}
+	fleet.wantContiguous(member, restored)
 	member.lives++
 	member.store, member.writes = restored.Store, nil
 	member.node = New(fleet.now, Startup{Address: member.address, Zone: member.address, Seeds: fleet.seeds, Founders: fleet.seeds, Founding: member.founding},
 		restored.Memory, restored.Records, rand.New(rand.NewSource(fleet.random.Int63())))
 }
 
+// wantContiguous wants what a disk gives back to be one history without a gap.
+func (fleet *testFleet) wantContiguous(member *testMember, restored drive.Restored) {
+	memory := proto.Clone(restored.Memory).(*wire.Memory)
+	for _, record := range restored.Records {
+		Replay(memory, record)
+	}
+	last := memory.Document.GetSequence()
+	for _, entry := range memory.Pending {
+		if last++; entry.Sequence != last {
+			fleet.t.Fatalf("%s holds entry %d in place of %d", member.address, entry.Sequence, last)
+		}
+	}
+}
+
 // kill ends a process; what it had not written is gone.
 func (fleet *testFleet) kill(member *testMember) { member.node, member.writes = nil, nil }
 
--- a/control/corehost/host.go
+++ b/control/corehost/host.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand"
-	"os"
 	"sync"
 	"time"
 
@@ -30,6 +29,8 @@
 	tickEvery  = 50 * time.Millisecond
 	leaveBound = 3 * time.Second
 	diskLength = 4096
+	// diskPatience is how long a start waits for a disk that refuses to keep what was read back from it.
+	diskPatience = 5 * time.Second
 )
 
 // Host is the process.
@@ -62,10 +63,12 @@
 	if startup.Idle {
 		return &Host{startup: startup, log: log}, nil
 	}
-	if err := os.MkdirAll(startup.Folder, 0o750); err != nil {
+	if err := snapshot.MakeDirectory(startup.Folder, 0o750); err != nil {
 		return nil, fault.Wrap(err, fault.DiskFailed, "making the data folder")
 	}
-	restored, err := drive.Restore(snapshot.Directory(startup.Folder), identity, time.Now().UTC().Format("20060102T150405"))
+	restored, err := drive.RestoreWithin(diskPatience, func() (drive.Restored, error) {
+		return drive.Restore(snapshot.Directory(startup.Folder), identity, time.Now().UTC().Format("20060102T150405"))
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/control/drive/restore.go
+++ b/control/drive/restore.go
@@ -1,6 +1,8 @@
 package drive
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"wardtray/coordination/snapshot"
@@ -54,6 +56,20 @@
 	return restored, store.Replace(content)
 }
 
+// restoreEvery is how often a failing disk is tried again.
+const restoreEvery = 100 * time.Millisecond
+
+// RestoreWithin restores again and again while the disk fails, say because it is full, up to a bound. Why: a
+// process that ends over it is started again all the same, and costs its machine the other roles' time.
+func RestoreWithin(bound time.Duration, restore func() (Restored, error)) (Restored, error) {
+	for begun := time.Now(); ; time.Sleep(restoreEvery) {
+		restored, err := restore()
+		if !fault.Is(err, fault.DiskFailed) || time.Since(begun) >= bound {
+			return restored, err
+		}
+	}
+}
+
 func decode(recovered snapshot.Recovered) (*wire.Memory, []*wire.Record, error) {
 	memory := &wire.Memory{}
 	if err := proto.Unmarshal(recovered.Memory, memory); err != nil {
@@ -67,5 +83,18 @@
 		}
 		records = append(records, record)
 	}
+	if memory.Id == "" || !viewWhole(memory.View) {
+		return nil, nil, fault.New(fault.NoMemory, "the slot holds no identity, or a view of nobody")
+	}
+	for _, record := range records {
+		if !viewWhole(record.GetView()) {
+			return nil, nil, fault.New(fault.NoMemory, "the log holds a view of nobody")
+		}
+	}
 	return memory, records, nil
 }
+
+// viewWhole tells whether a view, if there is one, has somebody in it.
+func viewWhole(view *wire.View) bool {
+	return view.GetEpoch() == 0 || len(view.GetChain()) > 0 && len(view.GetKeepers()) > 0
+}
--- a/coordination/snapshot/slots.go
+++ b/coordination/snapshot/slots.go
@@ -1,4 +1,4 @@
-// Package slots keeps a memory on disk in two slots that are written in turn, with a short log
+// Package snapshot keeps a memory on disk in two slots that are written in turn, with a short log
 // between. A slot holds a whole memory under a generation; the log holds the records since. Every
 // part carries a checksum. Reading back gives exactly what was synced, or says that there is no
 // memory; it never guesses.
@@ -6,35 +6,41 @@
 // The layout of a folder: slot.0 and slot.1, of which the even generations use the first, and
 // log, which names the generation that it continues. A new slot is synced before the log that
 // continues it takes the old log's place, so that one of the two pairs is whole at every moment.
+//
+// What is read back after a start may never have been synced: a process that was killed between a write and its
+// sync leaves it in the machine's memory only, and the next loss of power takes it away. So Open syncs
+// whatever it goes by before it gives it out, names included.
 package snapshot
 
 import (
 	"encoding/binary"
-	"fmt"
 	"hash/crc32"
-	"os"
-	"path/filepath"
 
 	"wardtray/process/fault"
 )
 
-// Folder is the little of a file system that slots needs; the simulator brings its own.
+// Folder is the little of a file system that a Store needs; the simulator brings its own. Each call syncs all
+// that it changed before it ends without an error, the folder with its names included.
 type Folder interface {
 	// Read gives a whole file; found is false where there is none.
 	Read(name string) (content []byte, found bool, err error)
-	// Put replaces a file whole and syncs it; a crash may leave it torn.
+	// Put replaces a file whole; a crash may leave it torn.
 	Put(name string, content []byte) error
-	// Append adds to a file and syncs it; a crash may leave a torn end.
+	// Append adds to a file that is there; a crash may leave a torn end.
 	Append(name string, content []byte) error
-	// Rename puts a file in another's place, and syncs the folder.
+	// Rename puts a file in another's place.
 	Rename(from, to string) error
-	// Truncate cuts a file to a length and syncs it.
+	// Truncate cuts a file to a length. Cut to the length that it has, it is only synced, and so is the folder.
 	Truncate(name string, length int64) error
 }
 
 const (
 	slotMagic = "WTS1"
 	logMagic  = "WTL1"
+	// slotHeader, logHeader and recordHeader are the lengths of what stands before a memory, all records and a record.
+	slotHeader   = 20
+	logHeader    = 16
+	recordHeader = 8
 	// MaximumRecord bounds one record, so that a torn length is never believed.
 	MaximumRecord = 64 << 20
 )
@@ -61,29 +67,30 @@
 	Torn int
 }
 
-// Open reads a folder back. A NoMemory fault means that files are there which can't be trusted.
+// slot is what one of the two slot files held.
+type slot struct {
+	name       string
+	generation uint64
+	memory     []byte
+	whole      bool
+	length     int64
+}
+
+// Open reads a folder back. A NoMemory fault means that files are there which can't be trusted. A
+// DiskFailed fault means that the disk can't be brought to keep what was read; it may do so later.
 func Open(folder Folder) (*Store, Recovered, error) {
 	store := &Store{folder: folder}
 	log, logFound, err := folder.Read("log")
 	if err != nil {
 		return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "reading the log")
 	}
-	var memories [2][]byte
-	var generations [2]uint64
-	var slotFound, slotWhole [2]bool
-	for place, name := range slotNames {
-		content, found, err := folder.Read(name)
-		if err != nil {
-			return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "reading %s", name)
-		}
-		slotFound[place] = found
-		if found {
-			generations[place], memories[place], slotWhole[place] = DecodeSlot(content)
-		}
+	slots, err := readSlots(folder)
+	if err != nil {
+		return nil, Recovered{}, err
 	}
 	if !logFound {
 		// A slot alone may be a first start cut short or a lost log; both are answered by a new identity.
-		if slotWhole[0] || slotWhole[1] {
+		if slots[0].whole || slots[1].whole {
 			return nil, Recovered{}, fault.New(fault.NoMemory, "a slot without its log")
 		}
 		return store, Recovered{Blank: true}, nil
@@ -92,30 +99,48 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
-	newest := -1
-	for place := range slotNames {
-		// A slot newer than the log holds all that the log says and was synced before its own log was made.
-		if slotWhole[place] && generations[place] >= generation && (newest < 0 || generations[place] > generations[newest]) {
-			newest = place
+	newest := newestSlot(slots, generation)
+	if newest == nil {
+		return nil, Recovered{}, fault.New(fault.NoMemory, "the slot of generation %d is damaged", generation)
+	}
+	store.generation = newest.generation
+	recovered := Recovered{Memory: newest.memory}
+	if newest.generation > generation {
+		// Its own log was not begun, so nobody knows whether it was synced.
+		if err := folder.Truncate(newest.name, newest.length); err != nil {
+			return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "syncing %s", newest.name)
 		}
+		return store, recovered, store.beginLog()
 	}
-	if newest < 0 {
-		return nil, Recovered{}, fault.New(fault.NoMemory, "the slot of generation %d is damaged", generation)
+	recovered.Records, recovered.Torn, store.logged = records, len(log)-whole, int64(whole)
+	if err := folder.Truncate("log", store.logged); err != nil {
+		return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "syncing the log without its torn end")
 	}
-	store.generation = generations[newest]
-	recovered := Recovered{Memory: memories[newest]}
-	if generations[newest] == generation {
-		recovered.Records = records
-		recovered.Torn = len(log) - whole
-		if recovered.Torn > 0 {
-			if err := folder.Truncate("log", int64(whole)); err != nil {
-				return nil, Recovered{}, fault.Wrap(err, fault.DiskFailed, "cutting the torn end of the log")
-			}
+	return store, recovered, nil
+}
+
+func readSlots(folder Folder) (slots [2]slot, err error) {
+	for place, name := range slotNames {
+		content, _, err := folder.Read(name)
+		if err != nil {
+			return slots, fault.Wrap(err, fault.DiskFailed, "reading %s", name)
+		}
+		slots[place] = slot{name: name, length: int64(len(content))}
+		slots[place].generation, slots[place].memory, slots[place].whole = DecodeSlot(content)
+	}
+	return slots, nil
+}
+
+// newestSlot gives the whole slot that counts beside the log of a generation. A slot newer than the log holds all
+// that the log says.
+func newestSlot(slots [2]slot, generation uint64) (newest *slot) {
+	for place := range slots {
+		slot := &slots[place]
+		if slot.whole && slot.generation >= generation && (newest == nil || slot.generation > newest.generation) {
+			newest = slot
 		}
-		store.logged = int64(whole)
-		return store, recovered, nil
 	}
-	return store, recovered, store.beginLog()
+	return newest
 }
 
 // Replace writes a whole memory to the other slot and begins a new log.
@@ -152,9 +177,13 @@
 	if store.broken {
 		return fault.New(fault.DiskFailed, "an earlier write failed")
 	}
-	var content []byte
+	size := 0
 	for _, record := range records {
-		content = append(content, EncodeRecord(record)...)
+		size += recordHeader + len(record)
+	}
+	content := make([]byte, 0, size)
+	for _, record := range records {
+		content = appendRecord(content, record)
 	}
 	if err := store.folder.Append("log", content); err != nil {
 		store.broken = true
@@ -201,7 +230,8 @@
 
 // EncodeSlot gives the bytes of a slot.
 func EncodeSlot(generation uint64, memory []byte) []byte {
-	content := append([]byte(slotMagic), make([]byte, 16)...)
+	content := append(make([]byte, 0, slotHeader+len(memory)), slotMagic...)
+	content = content[:slotHeader]
 	binary.BigEndian.PutUint64(content[4:], generation)
 	binary.BigEndian.PutUint32(content[12:], uint32(len(memory)))
 	content = append(content, memory...)
@@ -213,19 +243,19 @@
 
 // DecodeSlot reads a slot; whole is false for anything torn, damaged or foreign.
 func DecodeSlot(content []byte) (generation uint64, memory []byte, whole bool) {
-	if len(content) < 20 || string(content[:4]) != slotMagic {
+	if len(content) < slotHeader || string(content[:4]) != slotMagic {
 		return 0, nil, false
 	}
 	length := int(binary.BigEndian.Uint32(content[12:]))
-	if length > MaximumRecord || len(content) != 20+length {
+	if length > MaximumRecord || len(content) != slotHeader+length {
 		return 0, nil, false
 	}
 	sum := crc32.Checksum(content[:16], table)
-	sum = crc32.Update(sum, table, content[20:])
+	sum = crc32.Update(sum, table, content[slotHeader:])
 	if sum != binary.BigEndian.Uint32(content[16:]) {
 		return 0, nil, false
 	}
-	return binary.BigEndian.Uint64(content[4:]), content[20:], true
+	return binary.BigEndian.Uint64(content[4:]), content[slotHeader:], true
 }
 
 // EncodeLogHeader gives the first bytes of a log.
@@ -238,22 +268,23 @@
 
 // EncodeRecord frames one record of a log.
 func EncodeRecord(record []byte) []byte {
-	content := make([]byte, 8, 8+len(record))
-	binary.BigEndian.PutUint32(content, uint32(len(record)))
-	content = append(content, record...)
-	sum := crc32.Checksum(content[:4], table)
-	binary.BigEndian.PutUint32(content[4:], crc32.Update(sum, table, record))
-	return content
+	return appendRecord(make([]byte, 0, recordHeader+len(record)), record)
+}
+
+func appendRecord(content, record []byte) []byte {
+	length := binary.BigEndian.AppendUint32(nil, uint32(len(record)))
+	sum := crc32.Update(crc32.Checksum(length, table), table, record)
+	return append(binary.BigEndian.AppendUint32(append(content, length...), sum), record...)
 }
 
 // DecodeLog reads a log. whole is the length up to which it can be believed: what follows was
 // never synced. Damage before the end is a NoMemory fault.
 func DecodeLog(content []byte) (generation uint64, records [][]byte, whole int, err error) {
-	if len(content) < 16 || string(content[:4]) != logMagic || crc32.Checksum(content[:12], table) != binary.BigEndian.Uint32(content[12:]) {
+	if len(content) < logHeader || string(content[:4]) != logMagic || crc32.Checksum(content[:12], table) != binary.BigEndian.Uint32(content[12:]) {
 		return 0, nil, 0, fault.New(fault.NoMemory, "the log's header is damaged")
 	}
 	generation = binary.BigEndian.Uint64(content[4:])
-	whole = 16
+	whole = logHeader
 	for whole < len(content) {
 		record, size := decodeRecord(content[whole:])
 		if size == 0 {
@@ -270,20 +301,20 @@
 }
 
 func decodeRecord(content []byte) (record []byte, size int) {
-	if len(content) < 8 {
+	if len(content) < recordHeader {
 		return nil, 0
 	}
 	length := int(binary.BigEndian.Uint32(content))
 	// Nothing writes an empty record, while a run of zeros left by a torn write would read as many.
-	if length == 0 || length > MaximumRecord || len(content) < 8+length {
+	if length == 0 || length > MaximumRecord || len(content) < recordHeader+length {
 		return nil, 0
 	}
-	record = content[8 : 8+length]
+	record = content[recordHeader : recordHeader+length]
 	sum := crc32.Checksum(content[:4], table)
 	if crc32.Update(sum, table, record) != binary.BigEndian.Uint32(content[4:]) {
 		return nil, 0
 	}
-	return record, 8 + length
+	return record, recordHeader + length
 }
 
 func wholeRecordIn(content []byte) bool {
@@ -294,90 +325,3 @@
 	}
 	return false
 }
-
-// Directory is a folder of the machine's own disk.
-type Directory string
-
-// Read gives a whole file.
-func (directory Directory) Read(name string) ([]byte, bool, error) {
-	content, err := os.ReadFile(filepath.Join(string(directory), name))
-	if os.IsNotExist(err) {
-		return nil, false, nil
-	}
-	return content, err == nil, err
-}
-
-// Put replaces a file and syncs it.
-func (directory Directory) Put(name string, content []byte) error {
-	return directory.write(name, os.O_TRUNC, content)
-}
-
-// Append adds to a file and syncs it.
-func (directory Directory) Append(name string, content []byte) error {
-	return directory.write(name, os.O_APPEND, content)
-}
-
-func (directory Directory) write(name string, mode int, content []byte) error {
-	file, err := os.OpenFile(filepath.Join(string(directory), name), os.O_CREATE|os.O_WRONLY|mode, 0o640)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(content)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closing := file.Close(); err == nil {
-		err = closing
-	}
-	if err == nil && mode == os.O_TRUNC {
-		return directory.sync()
-	}
-	return err
-}
-
-// Rename puts a file in another's place and syncs the folder.
-func (directory Directory) Rename(from, to string) error {
-	if err := os.Rename(filepath.Join(string(directory), from), filepath.Join(string(directory), to)); err != nil {
-		return err
-	}
-	return directory.sync()
-}
-
-// Truncate cuts a file.
-func (directory Directory) Truncate(name string, length int64) error {
-	file, err := os.OpenFile(filepath.Join(string(directory), name), os.O_WRONLY, 0o640)
-	if err != nil {
-		return err
-	}
-	err = file.Truncate(length)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closing := file.Close(); err == nil {
-		err = closing
-	}
-	return err
-}
-
-// SetAside moves a memory that can't be trusted out of the way, keeping it for whoever wants to look.
-func (directory Directory) SetAside(mark string) error {
-	for _, name := range []string{"slot.0", "slot.1", "log", "log.new"} {
-		err := os.Rename(filepath.Join(string(directory), name), filepath.Join(string(directory), fmt.Sprintf("%s.lost-%s", name, mark)))
-		if err != nil && !os.IsNotExist(err) {
-			return err
-		}
-	}
-	return directory.sync()
-}
-
-func (directory Directory) sync() error {
-	file, err := os.Open(string(directory))
-	if err != nil {
-		return err
-	}
-	err = file.Sync()
-	if closing := file.Close(); err == nil {
-		err = closing
-	}
-	return err
-}
--- a/coordination/snapshot/slots_test.go
+++ b/coordination/snapshot/slots_test.go
@@ -204,3 +204,31 @@
 		}
 	})
 }
+
+// Whatever the files hold, a folder opens or says that it holds no memory; what it gave it gives again, and more can
+// be written to it.
+func FuzzOpen(fuzz *testing.F) {
+	log := append(EncodeLogHeader(3), EncodeRecord([]byte("record"))...)
+	fuzz.Add(EncodeSlot(2, []byte("memory")), EncodeSlot(3, []byte("newer")), log)
+	fuzz.Add(EncodeSlot(4, []byte("newest")), EncodeSlot(3, []byte("newer")), log)
+	fuzz.Add(EncodeSlot(2, []byte("memory")), []byte("WTS1"), append(EncodeLogHeader(2), 0, 0, 0, 1, 2))
+	fuzz.Add([]byte{}, []byte{}, []byte{})
+	fuzz.Fuzz(func(t *testing.T, first, second, log []byte) {
+		folder := &memoryFolder{files: map[string][]byte{"slot.0": first, "slot.1": second, "log": log}, crash: 1 << 30}
+		store, recovered, err := Open(folder)
+		if err != nil {
+			if !fault.Is(err, fault.NoMemory) {
+				t.Fatal(err)
+			}
+			return
+		}
+		if err := store.Append([]byte("more")); err != nil {
+			t.Fatal(err)
+		}
+		_, again, err := Open(folder)
+		if err != nil || !bytes.Equal(again.Memory, recovered.Memory) || len(again.Records) != len(recovered.Records)+1 ||
+			!bytes.Equal(bytes.Join(again.Records, nil), append(bytes.Join(recovered.Records, nil), "more"...)) {
+			t.Fatalf("%v: %v then %v", err, recovered, again)
+		}
+	})
+}
