control/core: a late copy of a refused order is never taken; packing is cheap

Cause: the map of refused copies was emptied when it held 1,024, after which a late copy of an order without a base could be taken though its refusal had been told; and a refusal whose answer was lost was never told again. Each Pack made a fresh writer of 0.8 MB, at each commit on each core.

Ruled out: refusals as entries of the chain (a sync of every disk for each stale order).

The change: questions are numbered by life; of each life a window of 1,024 numbers is told apart and older copies are dropped; of lives, the last 256. A repeated copy is judged again: refused, the refusal is told again; else it is dropped. Writers of Pack are used again.

Seen red on the old code: TestLateCopyOfARefusedOrder (taken after 1,100 other refusals), TestRefusalIsToldAgain.

--- a/config/pack.go
+++ b/config/pack.go
@@ -4,22 +4,32 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"wardtray/process/fault"
 )
 
+// packers are writers of Pack that were used before. Why: a fresh one takes 0.8 MB, more than any specs it packs.
+var packers = sync.Pool{New: func() any {
+	writer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // A level of the library's own is never refused.
+	}
+	return writer
+}}
+
 // Pack compresses a spec for its way to many daemons; a spec repeats itself a lot.
 func Pack(content []byte) []byte {
 	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err == nil {
-		_, err = writer.Write(content)
-	}
+	writer := packers.Get().(*flate.Writer)
+	defer packers.Put(writer)
+	writer.Reset(&packed)
+	_, err := writer.Write(content)
 	if err == nil {
 		err = writer.Close()
 	}
 	if err != nil {
-		panic(err) // Writing to memory at a level of the library's own can't fail.
+		panic(err) // Writing to memory can't fail.
 	}
 	return packed.Bytes()
 }
--- /dev/null
+++ b/control/core/calls_test.go
@@ -0,0 +1,307 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"wardtray/coordination/chain"
+	"wardtray/coordination/machine"
+	"wardtray/wire"
+)
+
+// A caller that hears nothing sends the same order through another machine, while others change what it was built
+// on, heads die, and messages are lost. Of all copies of an order either none is refused, or the order is never in
+// effect; and of orders built on one epoch one at most is confirmed.
+func TestOneNumberOneChange(t *testing.T) {
+	seeds := int64(40)
+	if testing.Short() {
+		seeds = 8
+	}
+	confirmed, refused, repeated := 0, 0, 0
+	for seed := int64(1); seed <= seeds; seed++ {
+		fleet := newTestFleet(t, seed, 3)
+		loss := fleet.random.Float64() * 0.2
+		fleet.lost = func(machine.Parcel) bool { return fleet.random.Float64() < loss }
+		var calls []*repeatedCall
+		epoch := uint64(0)
+		for round := range 12 {
+			// Two to four orders are built on the same epoch and name the same next one.
+			for number := range 2 + fleet.random.Intn(3) {
+				name := fmt.Sprintf("o%d.%d", round, number)
+				calls = append(calls, &repeatedCall{order: apply(name, epoch, epoch+1, "lane"+name)})
+			}
+			dead := (*testMember)(nil)
+			for range 400 {
+				if fleet.random.Intn(150) == 0 && dead == nil {
+					if dead = fleet.leader(); dead != nil {
+						fleet.kill(dead)
+					}
+				}
+				if dead != nil && fleet.random.Intn(100) == 0 {
+					fleet.start(dead)
+					dead = nil
+				}
+				// Orders of earlier rounds come again too, though their callers have their answers.
+				if fleet.random.Intn(8) == 0 {
+					call := calls[max(0, len(calls)-1-fleet.random.Intn(8))]
+					call.copies = append(call.copies, fleet.send(fleet.members[fleet.random.Intn(3)], call.order))
+				}
+				fleet.step()
+				fleet.wantOneOutcome(calls)
+			}
+			if dead != nil {
+				fleet.start(dead)
+			}
+			fleet.until("a leader", 20*time.Second, func() bool { return fleet.leader() != nil })
+			epoch = fleet.leader().node.Chain().Committed().SpecEpoch
+		}
+		for _, call := range calls {
+			accepted, turnedAway := call.answers()
+			confirmed += min(1, accepted)
+			refused += min(1, turnedAway)
+			repeated += accepted - min(1, accepted)
+		}
+	}
+	t.Logf("%d orders confirmed, %d refused, %d confirmed again", confirmed, refused, repeated)
+	if confirmed < 20 || refused < 20 || repeated < 20 {
+		t.Error("too little was put to the test")
+	}
+}
+
+// repeatedCall is an order with the answers to its copies.
+type repeatedCall struct {
+	order  *wire.OperatorAsk
+	copies []*given
+}
+
+func (call *repeatedCall) answers() (accepted, refused int) {
+	for _, copy := range call.copies {
+		switch {
+		case copy.status == 200:
+			accepted++
+		case copy.status >= 400 && copy.status < 500:
+			refused++
+		}
+	}
+	return accepted, refused
+}
+
+// wantOneOutcome wants no order both confirmed or in effect and refused, and none confirmed beside another on its base.
+func (fleet *testFleet) wantOneOutcome(calls []*repeatedCall) {
+	byBase := map[uint64]string{}
+	for _, call := range calls {
+		accepted, refused := call.answers()
+		inEffect := false
+		for _, member := range fleet.members {
+			if member.up() {
+				outcome := member.node.Chain().Outcome(call.order.Operation)
+				inEffect = inEffect || outcome != nil && outcome.Sequence <= member.node.Chain().Committed().Sequence
+			}
+		}
+		if refused > 0 && (accepted > 0 || inEffect) {
+			fleet.describe()
+			fleet.t.Fatalf("%s: of %d copies %d were confirmed and %d refused, in effect %v", call.order.Operation, len(call.copies), accepted, refused, inEffect)
+		}
+		if accepted == 0 {
+			continue
+		}
+		if other := byBase[call.order.Base]; other != "" {
+			fleet.t.Fatalf("%s and %s were both confirmed on epoch %d", other, call.order.Operation, call.order.Base)
+		}
+		byBase[call.order.Base] = call.order.Operation
+	}
+}
+
+// An order that was acknowledged is acknowledged again after every machine of the core was replaced by another, with
+// an empty disk at another address, and after other changes.
+func TestOutcomesOutliveTheWholeCore(t *testing.T) {
+	fleet := newTestFleet(t, 7, 3)
+	first := apply("first", 0, 7, "a")
+	fleet.wantAccepted(fleet.members[0], first, 7)
+	for number := range 3 {
+		fresh := fleet.add(fmt.Sprintf("127.0.1.%d:1", number), 10+number, false)
+		fleet.until("the new machine to be in the chain", 10*time.Second, func() bool { return fresh.node.Chain().Inside() })
+		old := fleet.members[0]
+		old.node.Leave()
+		fleet.until("the old machine to be out of the chain", 10*time.Second, func() bool { return old.node.Left() })
+		fleet.kill(old)
+		fleet.members = fleet.members[1:]
+		fleet.seeds = append(fleet.seeds[1:], fresh.address)
+		fleet.until("a leader", 10*time.Second, func() bool { return fleet.leader() != nil && len(fleet.leader().node.View().Chain) == 3 })
+		fleet.run(4 * time.Second)
+		fleet.wantAccepted(fleet.members[number%3], apply(fmt.Sprint("then", number), 7+uint64(number), 8+uint64(number), "b"), 8+uint64(number))
+	}
+	for _, member := range fleet.members {
+		fleet.wantAccepted(member, first, 7)
+	}
+}
+
+// wantAccepted sends an order until it is acknowledged; no copy may be refused.
+func (fleet *testFleet) wantAccepted(member *testMember, order *wire.OperatorAsk, epoch uint64) {
+	fleet.t.Helper()
+	copy := fleet.send(member, order)
+	fleet.until("an acknowledgement", 20*time.Second, func() bool {
+		if copy.status >= 500 {
+			copy = fleet.send(member, order)
+		}
+		return copy.status != 0 && copy.status < 500
+	})
+	if copy.status != 200 || copy.reply.Epoch != epoch {
+		fleet.t.Fatalf("%s: %d %+v", order.Operation, copy.status, copy.reply)
+	}
+}
+
+// A copy that comes in elsewhere while the first is on its way is acknowledged with the first one's outcome, also
+// where only a later head commits it.
+func TestCopyMeetsTheFirstOnItsWay(t *testing.T) {
+	fleet := newTestFleet(t, 8, 3)
+	head := fleet.leader()
+	others := []*testMember{}
+	for _, member := range fleet.members {
+		if member != head {
+			others = append(others, member)
+		}
+	}
+	// The last of the chain is silent to those before it, so that nothing is committed.
+	tail := fleet.at(head.node.View().Chain[2].Address)
+	fleet.lost = func(parcel machine.Parcel) bool {
+		return parcel.Envelope.GetChainHold() != nil && parcel.Envelope.From == tail.address
+	}
+	order := apply("first", 0, 5, "a")
+	first := fleet.send(others[0], order)
+	fleet.run(300 * time.Millisecond)
+	second := fleet.send(others[1], order)
+	fleet.run(300 * time.Millisecond)
+	if head.node.Chain().Committed().SpecEpoch != 0 || len(head.node.Chain().Pending()) != 1 || first.status != 0 || second.status != 0 {
+		t.Fatalf("committed %d, pending %d, told %d and %d", head.node.Chain().Committed().SpecEpoch, len(head.node.Chain().Pending()), first.status, second.status)
+	}
+	fleet.kill(head)
+	fleet.lost = nil
+	third := fleet.send(others[0], order)
+	fleet.until("the acknowledgement by a later head", 10*time.Second, func() bool { return third.status == 200 })
+	fleet.wantAccepted(others[1], order, 5)
+	fleet.wantAccepted(others[0], apply("on top", 5, 6, "b"), 6)
+	fleet.wantAccepted(others[1], order, 5)
+	for name, copy := range map[string]*given{"first": first, "second": second} {
+		if copy.status != 0 && copy.status != 200 && copy.status < 500 {
+			t.Errorf("the %s copy: %d %+v", name, copy.status, copy.reply)
+		}
+	}
+}
+
+// What is forgotten is refused, and never taken a second time: its base is gone for good.
+func TestForgottenIsNotTakenTwice(t *testing.T) {
+	lone := newLone()
+	first := apply("first", 0, 1, "a")
+	if got := lone.send(first); got.status != 200 {
+		t.Fatalf("%d %+v", got.status, got.reply)
+	}
+	for number := range uint64(chain.MaximumOutcomes + 3) {
+		if got := lone.send(apply(fmt.Sprint("o", number), number+1, number+2, "b")); got.status != 200 {
+			t.Fatalf("%d: %d %+v", number, got.status, got.reply)
+		}
+		// The claim has to be renewed now and then.
+		if number%4 == 0 {
+			lone.run(50 * time.Millisecond)
+		}
+	}
+	document := lone.node.Chain().Committed()
+	if len(document.Outcomes) != chain.MaximumOutcomes || lone.node.Chain().Outcome("first") != nil {
+		t.Fatalf("%d outcomes are remembered", len(document.Outcomes))
+	}
+	if got := lone.send(apply("o3", 4, 5, "b")); got.status != 200 || got.reply.Epoch != 5 {
+		t.Errorf("one that is remembered: %d %+v", got.status, got.reply)
+	}
+	if got := lone.send(first); got.status != 409 || lone.node.Chain().Latest() != document {
+		t.Errorf("the forgotten one: %d %+v", got.status, got.reply)
+	}
+}
+
+// A late copy of an order that was refused is never taken, however many were refused meanwhile, also where what made
+// it wrong is mended by then. The order names no base, so that nothing else holds it back.
+func TestLateCopyOfARefusedOrder(t *testing.T) {
+	lone := newLone()
+	lone.send(apply("first", 0, 1, "a"))
+	refused := &wire.OperatorAsk{Verb: "change", Operation: "refused", Spec: []byte(`{"upsert":{"lanes":[{"name":"b","pool":"q","patience":"1s"}]}}`)}
+	if got := lone.send(refused); got.status != 422 {
+		t.Fatalf("%d %+v", got.status, got.reply)
+	}
+	late := &wire.OperatorAsk{}
+	*late = wire.OperatorAsk{Verb: refused.Verb, Operation: refused.Operation, Spec: refused.Spec, Token: refused.Token, Origin: refused.Origin}
+	for number := range 3 * refusalWindow {
+		if got := lone.send(apply(fmt.Sprint("stale", number), 0, 9, "c")); got.status != 409 {
+			t.Fatalf("%d %+v", got.status, got.reply)
+		}
+		if number%4 == 0 {
+			lone.run(50 * time.Millisecond)
+		}
+		if number == refusalWindow/2 {
+			if got := lone.send(change("mended", 1, 2, `{"upsert":{"pools":[{"name":"q","services":["t"]}]}}`)); got.status != 200 {
+				t.Fatalf("%d %+v", got.status, got.reply)
+			}
+		}
+		if number%100 != 0 {
+			continue
+		}
+		lone.node.serve(lone.now, late)
+		lone.settle()
+		if lone.node.Chain().Outcome("refused") != nil {
+			t.Fatalf("taken late, after %d other refusals", number)
+		}
+	}
+	// The same order as a question of its own is another matter.
+	if got := lone.send(&wire.OperatorAsk{Verb: refused.Verb, Operation: "again", Spec: refused.Spec}); got.status != 200 {
+		t.Fatalf("%d %+v", got.status, got.reply)
+	}
+}
+
+// A refusal whose answer was lost is told again.
+func TestRefusalIsToldAgain(t *testing.T) {
+	lone := newLone()
+	lone.send(apply("first", 0, 1, "a"))
+	stale := apply("stale", 0, 2, "b")
+	if got := lone.send(stale); got.status != 409 {
+		t.Fatalf("%d %+v", got.status, got.reply)
+	}
+	again := 0
+	lone.node.asks[stale.Token] = &ask{message: stale, until: lone.now.Add(askBound), passed: map[string]bool{}, answer: func(status int, _ []byte) { again = status }}
+	lone.node.serve(lone.now, stale)
+	if again != 409 || lone.node.Counters().Refused != 1 {
+		t.Fatalf("told %d, counted %d", again, lone.node.Counters().Refused)
+	}
+}
+
+// The window of each life of a machine is its own, and what is remembered stays bounded.
+func TestRefusalWindows(t *testing.T) {
+	refusals := &refusals{}
+	for number := 1; number <= 3*refusalWindow; number++ {
+		token := fmt.Sprintf("a/1/%d", number)
+		if late, refused := refusals.see(token); late || refused {
+			t.Fatalf("%s: late %v, refused %v", token, late, refused)
+		}
+		refusals.tell(token)
+		if _, refused := refusals.see(token); !refused || len(refusals.origins["a/1/"].told) > refusalWindow {
+			t.Fatalf("%s: refused %v of %d", token, refused, len(refusals.origins["a/1/"].told))
+		}
+	}
+	for number, wants := range map[int][2]bool{1: {true, false}, 2 * refusalWindow: {true, false}, 2*refusalWindow + 1: {false, true}, 3*refusalWindow + 1: {false, false}} {
+		late, refused := refusals.see(fmt.Sprintf("a/1/%d", number))
+		if late != wants[0] || refused != wants[1] {
+			t.Errorf("%d: late %v, refused %v", number, late, refused)
+		}
+	}
+	if late, refused := refusals.see("a/2/1"); late || refused {
+		t.Error("another life goes by the window of the one before")
+	}
+	for life := range 2 * maximumOrigins {
+		refusals.see(fmt.Sprintf("b/%d/1", life))
+	}
+	if len(refusals.origins) > maximumOrigins {
+		t.Errorf("%d lives are remembered", len(refusals.origins))
+	}
+	if origin, number := splitToken(strings.Repeat("x", 3)); origin != "xxx" || number != 0 {
+		t.Error("a token of another shape")
+	}
+}
--- a/control/core/change.go
+++ b/control/core/change.go
@@ -14,10 +14,15 @@
 		return
 	}
 	latest := node.chain.Latest()
-	if node.head.refused[message.Token] {
+	// The asker sends again what it thinks lost; a late copy must not be taken after a refusal was told.
+	late, refused := node.head.refused.see(message.Token)
+	if late {
 		return
 	}
 	if outcome := node.chain.Outcome(message.Operation); outcome != nil {
+		if refused {
+			return
+		}
 		// The same operation again gets the first one's outcome, never a second effect.
 		node.await(now, message, outcome.Sequence, outcome.SpecEpoch)
 		return
@@ -29,12 +34,10 @@
 			node.park(now, message)
 			return
 		}
-		node.counters.Refused++
-		// The asker sends again what it thinks lost; a late copy must not be accepted after a refusal was told.
-		if len(node.head.refused) >= 4*maximumAsks {
-			node.head.refused = map[string]bool{}
+		if !refused {
+			node.counters.Refused++
 		}
-		node.head.refused[message.Token] = true
+		node.head.refused.tell(message.Token)
 		node.reply(message, status, reply)
 	}
 	if message.HasBase && message.Base != latest.SpecEpoch {
@@ -67,6 +70,9 @@
 		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), config.MaximumBytes)))
 		return
 	}
+	if refused {
+		return
+	}
 	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
 	// A sick disk would hold this change up for as long as it takes the others to notice.
 	if node.sick(now) {
--- a/control/core/leadership.go
+++ b/control/core/leadership.go
@@ -17,7 +17,7 @@
 	parked      []parked
 	daemons     map[string]*daemon
 	firstDaemon time.Time
-	refused     map[string]bool
+	refused     refusals
 	// When recent sequences were first seen committed here.
 	commits map[uint64]time.Time
 }
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -89,9 +89,10 @@
 	// received is when the last message of another process came.
 	received time.Time
 
-	head  headState
-	asks  map[string]*ask
-	nonce uint64
+	head headState
+	asks map[string]*ask
+	// life is drawn anew by each process, and nonce numbers its questions.
+	life, nonce uint64
 }
 
 // New restores a machine from its memory; memory.Id must be set.
@@ -104,10 +105,10 @@
 	for _, record := range records {
 		Replay(memory, record)
 	}
-	node := &Node{nonce: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
+	node := &Node{life: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
 		self:  &wire.Member{Id: memory.Id, Address: startup.Address, Zone: startup.Zone, Http: startup.HTTP},
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
-	node.head.daemons, node.head.refused, node.head.commits = map[string]*daemon{}, map[string]bool{}, map[uint64]time.Time{}
+	node.head.daemons, node.head.commits = map[string]*daemon{}, map[uint64]time.Time{}
 	node.chain = chain.New(memory.Id, memory.Document, memory.Pending, node.outbox, node.addressOf, node.onCommit)
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
 	node.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
--- a/control/core/operator.go
+++ b/control/core/operator.go
@@ -61,7 +61,7 @@
 		return
 	}
 	node.nonce++
-	message.Token = fmt.Sprintf("%s/%d", node.self.Id, node.nonce)
+	message.Token = fmt.Sprintf("%s/%x/%d", node.self.Id, node.life, node.nonce)
 	message.Origin = node.self.Address
 	node.asks[message.Token] = &ask{message: message, answer: answer, until: now.Add(askBound), passed: map[string]bool{}}
 	node.tendAsks(now)
