A member that has just joined the chain is not left alone with an older state

Cause: a member outside the chain learns the document of one view and joins in the next. Until its predecessor has sent what was committed meanwhile it holds an older state, and after a restart nobody knew: when all lost their power in that moment, and it came back first with a keeper outside the chain, the two agreed a view of it alone, and it led with the old state and taught it to the others.

Ruled out: no view below the floor (a lost member is then waited for for ever); marks in the view (a further view for each join).

The change: a learned document is marked incomplete on the disk until the predecessor in the chain has seen the member to have all; beats tell it; keepers propose no chain without a member that is complete, unless all who would go have lost their disks.

--- a/control/core/catchup_test.go
+++ b/control/core/catchup_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -8,6 +10,8 @@
 
 	"wardtray/control/drive"
 	"wardtray/coordination/machine"
+	"wardtray/coordination/snapshot"
+	"wardtray/wire"
 )
 
 // Changes go on, one each 100 ms, while members are away for hundreds of them, restart, and have disks that are
@@ -130,3 +134,51 @@
 		}
 	}
 }
+
+// All lose their power just after a member has joined the chain, before it was sent what was committed since it
+// learned the document; it comes back first, with a keeper outside the chain. It must not lead with its old state.
+func TestJoinerDoesNotLeadAlone(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		fleet := &testFleet{t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(9))}
+		var lines []*wire.Member
+		for number, name := range []string{"head", "joiner", "keeper"} {
+			address := fmt.Sprintf("127.0.0.%d:1", number+1)
+			fleet.seeds = append(fleet.seeds, address)
+			lines = append(lines, &wire.Member{Id: name, Address: address, Zone: address})
+		}
+		view := &wire.View{Epoch: 5, Fleet: "f", Floor: 1, HeadSince: 1, Chain: lines[:2], Keepers: lines}
+		document := func(epoch uint64) *wire.Document {
+			return &wire.Document{Sequence: epoch, SpecEpoch: epoch, Spec: whole("a")}
+		}
+		for _, memory := range []*wire.Memory{{Document: document(10)}, {Document: document(4), Incomplete: true}, {Document: document(3)}} {
+			line := lines[len(fleet.members)]
+			memory.Id, memory.View = line.Id, view
+			member := &testMember{address: line.Address, identity: line.Id, disk: newTestDisk()}
+			content, err := proto.Marshal(memory)
+			if err != nil {
+				t.Fatal(err)
+			}
+			store, _, err := snapshot.Open(member.disk)
+			if err != nil || store.Replace(content) != nil {
+				t.Fatal(err)
+			}
+			fleet.members = append(fleet.members, member)
+		}
+		fleet.acknowledged = 10
+		fleet.start(fleet.members[1])
+		fleet.start(fleet.members[2])
+		fleet.run(5 * time.Second)
+		if fleet.leader() != nil {
+			t.Fatal("somebody leads without the head")
+		}
+		if wiped {
+			// Nothing brings back what only a lost disk held; the fleet goes on with what there is.
+			fleet.acknowledged = 4
+			fleet.members[0].disk, fleet.members[0].identity = newTestDisk(), "another"
+		}
+		fleet.start(fleet.members[0])
+		fleet.until("a leader", 10*time.Second, func() bool { return fleet.leader() != nil })
+		fleet.run(5 * time.Second)
+		fleet.wantAlike(fleet.acknowledged)
+	}
+}
--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -12,8 +12,11 @@
 // Replay folds one record of the log into a memory.
 func Replay(memory *wire.Memory, record *wire.Record) {
 	replays := map[reflect.Type]func(){
-		reflect.TypeFor[*wire.Record_Entry]():    func() { memory.Pending = append(memory.Pending, record.GetEntry()) },
-		reflect.TypeFor[*wire.Record_Document](): func() { memory.Document, memory.Pending = record.GetDocument(), nil },
+		reflect.TypeFor[*wire.Record_Entry](): func() { memory.Pending = append(memory.Pending, record.GetEntry()) },
+		reflect.TypeFor[*wire.Record_Document](): func() {
+			memory.Document, memory.Pending, memory.Incomplete = record.GetDocument(), nil, record.Incomplete
+		},
+		reflect.TypeFor[*wire.Record_Complete](): func() { memory.Incomplete = false },
 		reflect.TypeFor[*wire.Record_Vote]():     func() { memory.Vote = record.GetVote() },
 		reflect.TypeFor[*wire.Record_View]():     func() { memory.View = record.GetView() },
 		reflect.TypeFor[*wire.Record_Cleared]():  func() { memory.Cleared = record.GetCleared() },
--- a/control/core/heartbeat.go
+++ b/control/core/heartbeat.go
@@ -48,7 +48,7 @@
 	node.lastBeat = now
 	current := node.agent.Current()
 	beat := &wire.Beat{Member: node.self, View: current.Epoch, Fleet: current.Fleet, Blank: current.Epoch == 0,
-		Sick: node.sick(now), Synced: node.chain.Synced(), LearnedView: node.chain.LearnedView(), Leaving: node.leaving, Heard: node.heard(now)}
+		Sick: node.sick(now), Synced: node.chain.Synced(), LearnedView: node.chain.LearnedView(), Leaving: node.leaving, Heard: node.heard(now), Incomplete: node.chain.Incomplete()}
 	for _, address := range node.coreAddresses() {
 		node.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
 	}
--- a/control/core/membership.go
+++ b/control/core/membership.go
@@ -66,7 +66,7 @@
 	next.Floor = node.floor(current.Floor, len(next.Chain))
 	// Whoever is left holds all that was acknowledged. A chain below its floor takes no changes, but
 	// it teaches those who come back; waiting for a lost member instead would stop it for good.
-	if len(next.Chain) == 0 {
+	if len(next.Chain) == 0 || !node.holdsAll(current.Chain, next.Chain) {
 		next.Chain, changed = current.Chain, false
 	}
 	keepers, replaced := node.mendedKeepers(now, next.Chain)
@@ -81,6 +81,32 @@
 	return next
 }
 
+// holdsAll tells whether those who would stay have all that was committed. A member that joined a moment ago may
+// lack what was committed since it learned the document. So it is not left alone while one who has all may come back,
+// as after a loss of power from which the machines return one by one.
+func (node *Node) holdsAll(present, staying []*wire.Member) bool {
+	lost := true
+	for _, member := range present {
+		if holds(staying, member.Id) {
+			if node.complete(member.Id) {
+				return true
+			}
+		} else if !node.replacedAt(member) {
+			lost = false
+		}
+	}
+	return lost
+}
+
+// complete tells whether a member of the chain is known to have all that was committed.
+func (node *Node) complete(id string) bool {
+	if id == node.self.Id {
+		return !node.chain.Incomplete()
+	}
+	peer := node.peers[id]
+	return peer != nil && !peer.beat.Incomplete
+}
+
 // withoutBroken takes out the later end of a link over which one side no longer hears the other.
 func (node *Node) withoutBroken(now time.Time, members []*wire.Member) []*wire.Member {
 	for place := 0; place+1 < len(members); place++ {
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -110,6 +110,7 @@
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
 	node.head.daemons, node.head.commits = map[string]*daemon{}, map[uint64]time.Time{}
 	node.chain = chain.New(memory.Id, memory.Document, memory.Pending, node.outbox, node.addressOf, node.onCommit)
+	node.chain.RestoreIncomplete(memory.Incomplete)
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
 	node.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
 	node.rumors = gossip.New(startup.Zone, node.outbox, random, node.partners, func(time.Time, *wire.Register) {})
--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -54,6 +54,9 @@
 	learnedView uint64
 	// learning is the view of a document that was learned and is on its way to the disk.
 	learning uint64
+	// incomplete tells that the history may lack what was committed between its being learned outside the chain and
+	// this member's first view inside, until its predecessor there has seen it to have all.
+	incomplete bool
 	// replacements counts the times the whole history was replaced, so that late completions of the old one are known.
 	replacements uint64
 }
@@ -84,6 +87,10 @@
 	chain.successorHeard, chain.successorSynced, chain.aligned = false, 0, chain.place == 0
 	chain.passed, chain.successorBefore, chain.learning = 0, 0, 0
 	chain.lastSend = time.Time{}
+	// Nobody is left who has more than the head of an agreed view.
+	if chain.place == 0 {
+		chain.complete(now)
+	}
 	chain.settle(now)
 	chain.Tick(now)
 }
@@ -119,6 +126,13 @@
 	return chain.history.outcomes.byOperation[operation]
 }
 
+// Incomplete tells whether this member's history may lack what was committed before it joined the chain. Such a
+// member must not be the only one left of a chain.
+func (chain *Chain) Incomplete() bool { return chain.incomplete }
+
+// RestoreIncomplete takes over what the disk says of it.
+func (chain *Chain) RestoreIncomplete(incomplete bool) { chain.incomplete = incomplete }
+
 // Enter takes a change at the head. The caller has validated it and holds the claim.
 func (chain *Chain) Enter(now time.Time, entry *wire.Entry) error {
 	if !chain.Head() {
@@ -281,16 +295,30 @@
 		chain.aligned = true
 		chain.settle(now)
 		chain.hold()
+		chain.complete(now)
 	}
 }
 
+// complete notes on the disk, before it is told, that this member has all of the chain's history.
+func (chain *Chain) complete(now time.Time) {
+	if !chain.incomplete {
+		return
+	}
+	replacements := chain.replacements
+	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Complete{Complete: chain.view.Epoch}}, func(time.Time) {
+		if replacements == chain.replacements {
+			chain.incomplete = false
+		}
+	})
+}
+
 func (chain *Chain) replace(now time.Time, document *wire.Document, then func(now time.Time)) {
 	chain.history, chain.received = newHistory(document, nil), document.Sequence
 	// Nothing of the old history may count as synced before the new one is.
 	chain.synced = 0
 	chain.replacements++
 	replacements := chain.replacements
-	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Document{Document: document}}, func(done time.Time) {
+	chain.outbox.Persist(now, &wire.Record{Body: &wire.Record_Document{Document: document}, Incomplete: chain.incomplete}, func(done time.Time) {
 		if replacements != chain.replacements {
 			return
 		}
@@ -332,7 +360,7 @@
 	if chain.learning == view {
 		return
 	}
-	chain.learning = view
+	chain.learning, chain.incomplete = view, true
 	chain.replace(now, message.Document, func(done time.Time) {
 		chain.learnedView, chain.learning = view, 0
 		if chain.Inside() {
@@ -368,4 +396,5 @@
 func (chain *Chain) Memory(memory *wire.Memory) {
 	memory.Document = chain.history.committed
 	memory.Pending = append([]*wire.Entry{}, chain.history.pending...)
+	memory.Incomplete = chain.incomplete
 }
--- a/coordination/chain/history_test.go
+++ b/coordination/chain/history_test.go
@@ -248,3 +248,40 @@
 	}
 	row.sync(name)
 }
+
+// A member that learned the document outside the chain says, also on its disk, that it may lack something, until its
+// predecessor in the chain has seen it to have all and the disk holds that.
+func TestJoinerIsIncompleteUntilItHasAll(t *testing.T) {
+	row := newRow("a")
+	row.add("b")
+	row.adopt(2, "a")
+	row.deliver()
+	enterAt(t, row, "a", 1)
+	joiner := row.chains["b"]
+	joiner.AskToLearn("a")
+	row.deliver()
+	if write := row.writes["b"][0]; write.Record.GetDocument() == nil || !write.Record.Incomplete {
+		t.Fatalf("the disk is told %v", write.Record)
+	}
+	row.sync("b")
+	enterAt(t, row, "a", 2)
+	row.adopt(3, "a", "b")
+	row.deliver()
+	if memory := new(wire.Memory); joiner.Incomplete() {
+		joiner.Memory(memory)
+		if !memory.Incomplete {
+			t.Fatal("a whole memory says nothing of it")
+		}
+	} else {
+		t.Fatal("complete before it was sent what came meanwhile")
+	}
+	row.sync("b")
+	row.deliver()
+	if !joiner.Incomplete() || joiner.Committed().SpecEpoch != 2 {
+		t.Fatalf("incomplete %v with %d committed, before the disk holds that it is not", joiner.Incomplete(), joiner.Committed().SpecEpoch)
+	}
+	row.sync("b")
+	if joiner.Incomplete() {
+		t.Fatal("still incomplete")
+	}
+}
