--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -4,14 +4,19 @@
 	"reflect"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wardtray/wire"
 )
 
 // Replay folds one record of the log into a memory.
 func Replay(memory *wire.Memory, record *wire.Record) {
 	replays := map[reflect.Type]func(){
-		reflect.TypeFor[*wire.Record_Entry]():    func() { memory.Pending = append(memory.Pending, record.GetEntry()) },
-		reflect.TypeFor[*wire.Record_Document](): func() { memory.Document, memory.Pending = record.GetDocument(), nil },
+		reflect.TypeFor[*wire.Record_Entry](): func() { memory.Pending = append(memory.Pending, record.GetEntry()) },
+		reflect.TypeFor[*wire.Record_Document](): func() {
+			memory.Document, memory.Pending, memory.Incomplete = record.GetDocument(), nil, record.Incomplete
+		},
+		reflect.TypeFor[*wire.Record_Complete](): func() { memory.Incomplete = false },
 		reflect.TypeFor[*wire.Record_Vote]():     func() { memory.Vote = record.GetVote() },
 		reflect.TypeFor[*wire.Record_View]():     func() { memory.View = record.GetView() },
 		reflect.TypeFor[*wire.Record_Cleared]():  func() { memory.Cleared = record.GetCleared() },
@@ -21,6 +26,15 @@
 	}
 }
 
+// recordBytes tells how much of the log records take. A log that is kept over a restart counts from there on:
+// otherwise one that is restarted often would grow without a bound.
+func recordBytes(records []*wire.Record) (bytes int64) {
+	for _, record := range records {
+		bytes += int64(proto.Size(record))
+	}
+	return bytes
+}
+
 // Memory gives all that this machine must not forget.
 func (node *Node) Memory() *wire.Memory {
 	memory := &wire.Memory{Id: node.self.Id, View: node.agent.Current(), Vote: node.agent.Vote(), Founding: node.founding, Cleared: node.cleared}
