--- /dev/null
+++ b/proof/broken/check.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// testName matches the test function at the head of a pattern for go test -run.
+var testName = regexp.MustCompile(`^\^?(Test\w+)`)
+
+// checkAll tells whether every patch still fits the tree; it prints those that don't.
+func checkAll(patches []patch, jobs int) bool {
+	var printing sync.Mutex
+	fitting := forEach(patches, jobs, func(patch patch) bool {
+		err := check(patch)
+		if err != nil {
+			printing.Lock()
+			fmt.Printf("STALE   %-24s %v\n", patch.name, err)
+			printing.Unlock()
+		}
+		return err == nil
+	})
+	fmt.Printf("%d of %d pieces of broken code apply, build and name their test\n", fitting, len(patches))
+	return fitting == len(patches)
+}
+
+// check sees that a patch applies, that the packages it touches build with it, and that its test exists. The tree stays
+// as it is: the patched files replace it by the build's overlay.
+func check(patch patch) error {
+	if err := checkTest(patch); err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "broken-check-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	for _, file := range patch.touched {
+		// A file that the tree doesn't have may be one that the patch makes; applying it tells.
+		if err := copyFile(file, filepath.Join(folder, file)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+	}
+	if err := apply(patch, folder); err != nil {
+		return err
+	}
+	return buildOverlaid(patch, folder)
+}
+
+// checkTest sees that a test file of the patch's folder has a test function whose name begins as the patch says: without
+// an end of line, a pattern of go test -run matches every name that holds it.
+func checkTest(patch patch) error {
+	match := testName.FindStringSubmatch(patch.test)
+	if match == nil {
+		return fmt.Errorf("%q names no test function", patch.test)
+	}
+	files, err := filepath.Glob(filepath.Join(patch.folder, "*_test.go"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if strings.Contains(string(content), "\nfunc "+match[1]) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s has no test function %s", patch.folder, match[1])
+}
+
+// buildOverlaid builds the packages that a patch touches, with the patched files from a folder in place of the tree's.
+func buildOverlaid(patch patch, folder string) error {
+	replacements := map[string]string{}
+	var packages []string
+	for _, file := range patch.touched {
+		absolute, err := filepath.Abs(file)
+		if err != nil {
+			return err
+		}
+		replacements[absolute] = filepath.Join(folder, file)
+		packages = append(packages, "./"+filepath.Dir(file))
+	}
+	slices.Sort(packages)
+	overlay, err := json.Marshal(map[string]map[string]string{"Replace": replacements})
+	if err != nil {
+		return err
+	}
+	overlayFile := filepath.Join(folder, "overlay.json")
+	if err := os.WriteFile(overlayFile, overlay, 0o644); err != nil {
+		return err
+	}
+	arguments := append([]string{"build", "-overlay", overlayFile}, slices.Compact(packages)...)
+	if output, err := run(".", nil, "go", arguments...); err != nil {
+		return errors.New("the patched packages do not build: " + strings.TrimSpace(output))
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/broken/trial.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+)
+
+// tryAll runs each patch's test on a patched copy of the tree and tells whether every one was noticed.
+func tryAll(patches []patch, jobs int) bool {
+	var printing sync.Mutex
+	noticed := forEach(patches, jobs, func(patch patch) bool {
+		line, err := try(patch)
+		printing.Lock()
+		defer printing.Unlock()
+		if err != nil {
+			fmt.Printf("MISSED  %-24s %v\n", patch.name, err)
+			return false
+		}
+		fmt.Printf("noticed %-24s %s\n", patch.name, line)
+		return true
+	})
+	fmt.Printf("%d of %d pieces of broken code noticed\n", noticed, len(patches))
+	return noticed == len(patches)
+}
+
+// try gives the line by which the test noticed a patch.
+func try(patch patch) (string, error) {
+	folder, err := os.MkdirTemp("", "broken-")
+	if err != nil {
+		return "", err
+	}
+	defer os.RemoveAll(folder)
+	if err := copyTree(folder); err != nil {
+		return "", err
+	}
+	if err := apply(patch, folder); err != nil {
+		return "", err
+	}
+	if output, err := run(folder, nil, "go", "build", "./..."); err != nil {
+		return "", fmt.Errorf("the patched tree does not build: %s", strings.TrimSpace(output))
+	}
+	output, err := run(folder, []string{"WARDTRAY_SEEDS=" + patch.seeds}, "go", "test", patch.folder, "-run", patch.test, "-count=1", "-timeout", "20m")
+	if err == nil {
+		return "", fmt.Errorf("%s stays green", patch.test)
+	}
+	for _, line := range strings.Split(output, "\n") {
+		if patch.red.MatchString(line) {
+			return strings.TrimSpace(line[:min(len(line), 200)]), nil
+		}
+	}
+	return "", fmt.Errorf("red, but not for %q: %s", patch.red, strings.TrimSpace(output[:min(len(output), 600)]))
+}
+
+// apply applies a patch to the files in a folder, which holds at least those that the patch changes.
+func apply(patch patch, folder string) error {
+	absolute, err := filepath.Abs(patch.file)
+	if err != nil {
+		return err
+	}
+	// Outside a repository git applies to the folder it runs in; a repository around the folder must not change that.
+	environment := []string{"GIT_CEILING_DIRECTORIES=" + filepath.Dir(folder)}
+	if output, err := run(folder, environment, "git", "apply", "--whitespace=nowarn", absolute); err != nil {
+		return fmt.Errorf("the patch no longer applies: %s", strings.TrimSpace(output))
+	}
+	return nil
+}
+
+// copyTree copies what git tracks, or would, into a folder.
+func copyTree(folder string) error {
+	listed, err := run(".", nil, "git", "ls-files", "--cached", "--others", "--exclude-standard")
+	if err != nil {
+		return fmt.Errorf("asking git for the tree: %s", listed)
+	}
+	for _, file := range strings.Split(strings.TrimSpace(listed), "\n") {
+		if err := copyFile(file, filepath.Join(folder, file)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// copyFile copies a file's content; it makes the folders above the target.
+func copyFile(source, target string) error {
+	content, err := os.ReadFile(source)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(target, content, 0o644)
+}
