--- a/proof/place/batch.go
+++ b/proof/place/batch.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -106,78 +108,109 @@
 	return left.arrival < right.arrival
 }
 
+// plan is one step in the making.
+type plan struct {
+	batch *batch
+	// budget is how many tokens the step may still take.
+	budget int
+	length time.Duration
+	// decoding are the sequences that write a token, reading those whose prompt is not read yet.
+	decoding, reading []*sequence
+	// parts are how many prompt tokens of each sequence the step reads.
+	parts map[*sequence]int
+}
+
 // step plans one step and does it.
 func (batch *batch) step() {
-	figures := batch.figures
-	budget := figures.Chunk
-	length := figures.Step
-	scale := func(part time.Duration, count float64) time.Duration { return time.Duration(float64(part) * count) }
-	var decoding, reading []*sequence
-	for _, running := range batch.running {
-		if running.began {
-			decoding = append(decoding, running)
-			budget--
-			length += figures.PerSlot + scale(figures.PerContext, float64(running.prompt+running.written)/1000)
-		} else {
-			reading = append(reading, running)
-		}
-	}
+	plan := batch.newPlan()
 	sort.SliceStable(batch.waiting, func(left, right int) bool { return before(batch.waiting[left], batch.waiting[right]) })
-	if figures.Overtaking {
-		sort.SliceStable(reading, func(left, right int) bool { return before(reading[left], reading[right]) })
+	if batch.figures.Overtaking {
+		sort.SliceStable(plan.reading, func(left, right int) bool { return before(plan.reading[left], plan.reading[right]) })
+		plan.overtake()
 	}
-	parts := map[*sequence]int{}
-	read := func(one *sequence) {
-		part := min(budget, one.prompt-one.read)
-		if part <= 0 {
-			return
-		}
-		parts[one] = part
-		budget -= part
-		pairs := float64(part)*float64(one.read) + float64(part)*float64(part)/2
-		length += scale(figures.PerToken, float64(part)) + scale(figures.PerPairs, pairs/1e6)
+	plan.fill()
+	if len(plan.decoding) == 0 && len(plan.parts) == 0 {
+		batch.stepping = false
+		return
 	}
-	admit := func() bool {
-		if len(batch.waiting) == 0 || len(batch.running) >= figures.Slots {
-			return false
-		}
-		next := batch.waiting[0]
-		if len(batch.running) > 0 && batch.used()+next.prompt > figures.MemoryTokens {
-			return false
-		}
-		batch.waiting = batch.waiting[1:]
-		batch.running = append(batch.running, next)
-		if !next.began {
-			held := batch.cache.Use(next.job.ticket.Keys, next.job.ticket.PartTokens)
-			next.read = min(held, next.prompt-1)
-			next.job.held = next.read
+	length := time.Duration(float64(plan.length) * batch.slow)
+	batch.busy += length
+	batch.world.After(length, func() { batch.stepped(plan.decoding, plan.parts) })
+}
+
+// newPlan makes a plan in which every sequence that has been read writes a token.
+func (batch *batch) newPlan() *plan {
+	plan := &plan{batch: batch, budget: batch.figures.Chunk, length: batch.figures.Step, parts: map[*sequence]int{}}
+	for _, running := range batch.running {
+		if !running.began {
+			plan.reading = append(plan.reading, running)
+			continue
 		}
-		reading = append(reading, next)
-		return true
+		plan.decoding = append(plan.decoding, running)
+		plan.budget--
+		plan.length += batch.figures.PerSlot + scale(batch.figures.PerContext, float64(running.prompt+running.written)/1000)
 	}
-	if figures.Overtaking {
-		for len(batch.waiting) > 0 && (len(reading) == 0 || before(batch.waiting[0], reading[0])) && admit() {
-			read(reading[len(reading)-1])
-			if budget <= 0 {
-				break
-			}
+	return plan
+}
+
+// overtake admits and reads prompts that are more urgent than those that are half read.
+func (plan *plan) overtake() {
+	batch := plan.batch
+	for len(batch.waiting) > 0 && (len(plan.reading) == 0 || before(batch.waiting[0], plan.reading[0])) && plan.admit() {
+		plan.read(plan.reading[len(plan.reading)-1])
+		if plan.budget <= 0 {
+			break
 		}
 	}
-	for _, one := range reading {
-		if budget > 0 && parts[one] == 0 {
-			read(one)
+}
+
+// fill spends the rest of the budget: on prompts that are half read, then on those that wait.
+func (plan *plan) fill() {
+	for _, one := range plan.reading {
+		if plan.budget > 0 && plan.parts[one] == 0 {
+			plan.read(one)
 		}
 	}
-	for budget > 0 && admit() {
-		read(reading[len(reading)-1])
+	for plan.budget > 0 && plan.admit() {
+		plan.read(plan.reading[len(plan.reading)-1])
 	}
-	if len(decoding) == 0 && len(parts) == 0 {
-		batch.stepping = false
+}
+
+// read lets the step read as much of a prompt as the budget allows.
+func (plan *plan) read(one *sequence) {
+	part := min(plan.budget, one.prompt-one.read)
+	if part <= 0 {
 		return
 	}
-	length = time.Duration(float64(length) * batch.slow)
-	batch.busy += length
-	batch.world.After(length, func() { batch.stepped(decoding, parts) })
+	plan.parts[one] = part
+	plan.budget -= part
+	pairs := float64(part)*float64(one.read) + float64(part)*float64(part)/2
+	plan.length += scale(plan.batch.figures.PerToken, float64(part)) + scale(plan.batch.figures.PerPairs, pairs/1e6)
+}
+
+// admit moves the first waiting request to those being read; it tells whether one waited and had room.
+func (plan *plan) admit() bool {
+	batch := plan.batch
+	if len(batch.waiting) == 0 || len(batch.running) >= batch.figures.Slots {
+		return false
+	}
+	next := batch.waiting[0]
+	if len(batch.running) > 0 && batch.used()+next.prompt > batch.figures.MemoryTokens {
+		return false
+	}
+	batch.waiting = batch.waiting[1:]
+	batch.running = append(batch.running, next)
+	if !next.began {
+		held := batch.cache.Use(next.job.ticket.Keys, next.job.ticket.PartTokens)
+		next.read = min(held, next.prompt-1)
+		next.job.held = next.read
+	}
+	plan.reading = append(plan.reading, next)
+	return true
+}
+
+func scale(part time.Duration, count float64) time.Duration {
+	return time.Duration(float64(part) * count)
 }
 
 // stepped gives out what a step made.
@@ -187,11 +220,24 @@
 		batch.stepping = false
 		return
 	}
-	var reading []*sequence
-	for one := range parts {
-		reading = append(reading, one)
+	batch.write(now, decoding)
+	begun := batch.advance(now, parts)
+	ended := batch.removeEnded(now)
+	batch.evict()
+	for _, one := range ended {
+		one.gone = true
+		one.finished(one.began && one.written >= one.job.answer)
+	}
+	batch.dropExpired(now)
+	batch.step()
+	// The first events are given out once the next step is planned, the latest arrival first.
+	for place := len(begun) - 1; place >= 0; place-- {
+		begun[place].first()
 	}
-	sort.Slice(reading, func(left, right int) bool { return reading[left].arrival < reading[right].arrival })
+}
+
+// write adds a token to every sequence that decodes; an event goes out with each Stride of them, and with the last.
+func (batch *batch) write(now time.Time, decoding []*sequence) {
 	for _, one := range decoding {
 		if one.gone {
 			continue
@@ -202,29 +248,44 @@
 			one.lastEvent = now
 		}
 	}
+}
+
+// advance counts what was read of each prompt; it gives the sequences that have now written their first token, by arrival.
+func (batch *batch) advance(now time.Time, parts map[*sequence]int) (begun []*sequence) {
+	reading := slices.SortedFunc(maps.Keys(parts), func(left, right *sequence) int { return left.arrival - right.arrival })
 	for _, one := range reading {
-		if one.read += parts[one]; one.read >= one.prompt && !one.gone {
-			if !one.began && one.written == 0 {
-				one.lastEvent = now
-				one.written = 1
-				defer one.first()
-			}
-			one.began = true
+		if one.read += parts[one]; one.read < one.prompt || one.gone {
+			continue
 		}
+		if !one.began && one.written == 0 {
+			one.lastEvent = now
+			one.written = 1
+			begun = append(begun, one)
+		}
+		one.began = true
 	}
+	return begun
+}
+
+// removeEnded takes those out of the running that are whole or past their deadline, and gives them.
+func (batch *batch) removeEnded(now time.Time) (ended []*sequence) {
 	kept := batch.running[:0]
-	var ended []*sequence
 	for _, one := range batch.running {
 		if one.gone {
 			continue
 		}
-		if one.began && one.written >= one.job.answer || now.Sub(one.job.begun) > one.job.lane.Deadline {
+		if one.began && one.written >= one.job.answer || one.expired(now) {
 			ended = append(ended, one)
 			continue
 		}
 		kept = append(kept, one)
 	}
 	batch.running = kept
+	return ended
+}
+
+// evict sends the least urgent back to the waiting until the rest fits in memory.
+func (batch *batch) evict() {
 	for batch.used() > batch.figures.MemoryTokens && len(batch.running) > 1 {
 		least := 0
 		for place, one := range batch.running {
@@ -238,13 +299,13 @@
 		back.prompt, back.read, back.began = back.prompt+back.written, 0, false
 		batch.waiting = append(batch.waiting, back)
 	}
-	for _, one := range ended {
-		one.gone = true
-		one.finished(one.began && one.written >= one.job.answer)
-	}
+}
+
+// dropExpired ends those that waited past their deadline.
+func (batch *batch) dropExpired(now time.Time) {
 	still := batch.waiting[:0]
 	for _, one := range batch.waiting {
-		if now.Sub(one.job.begun) > one.job.lane.Deadline {
+		if one.expired(now) {
 			one.gone = true
 			one.finished(false)
 			continue
@@ -252,7 +313,10 @@
 		still = append(still, one)
 	}
 	batch.waiting = still
-	batch.step()
+}
+
+func (one *sequence) expired(now time.Time) bool {
+	return now.Sub(one.job.begun) > one.job.lane.Deadline
 }
 
 // die loses everything that runs or waits.
--- a/proof/place/play.go
+++ b/proof/place/play.go
@@ -275,38 +275,49 @@
 func (fleet *fleet) trouble() {
 	play := fleet.play
 	from, length := play.Length/3, play.Length/3
-	chosen := func(share float64) []*batch {
-		count := int(math.Round(share * float64(len(fleet.list))))
-		var list []*batch
-		for _, place := range fleet.random.Perm(len(fleet.list))[:count] {
-			list = append(list, fleet.list[place])
-		}
-		return list
-	}
 	fleet.world.After(from, func() {
-		for _, batch := range chosen(play.Slow) {
+		for _, batch := range fleet.draw(play.Slow) {
 			batch.slow = 3
 			fleet.world.After(length, func() { batch.slow = 1 })
 		}
-		for _, batch := range chosen(play.Crash) {
-			batch.die()
-			// One that says nothing any more is taken off the list only after some calls have not come.
-			fleet.world.After(3600*time.Millisecond, func() { fleet.remove(batch) })
-			fleet.world.After(length, func() { fleet.add(batch.zone); fleet.relist() })
+		for _, batch := range fleet.draw(play.Crash) {
+			fleet.crash(batch, length)
 		}
 	})
-	for place, batch := range chosen(play.Release) {
-		fleet.world.After(time.Duration(place+1)*play.Length/time.Duration(1+int(play.Release*float64(len(fleet.list)))), func() {
-			for _, line := range fleet.lines {
-				if line.RunnerId == batch.id {
-					line.State = "draining"
-				}
-			}
-			fleet.add(batch.zone)
-			fleet.relist()
-			fleet.world.After(3*time.Second, func() { fleet.remove(batch) })
-		})
+	parts := time.Duration(1 + int(play.Release*float64(len(fleet.list))))
+	for place, batch := range fleet.draw(play.Release) {
+		fleet.world.After(time.Duration(place+1)*play.Length/parts, func() { fleet.replace(batch) })
+	}
+}
+
+// draw gives a share of the runners at random.
+func (fleet *fleet) draw(share float64) []*batch {
+	count := int(math.Round(share * float64(len(fleet.list))))
+	var list []*batch
+	for _, place := range fleet.random.Perm(len(fleet.list))[:count] {
+		list = append(list, fleet.list[place])
+	}
+	return list
+}
+
+// crash ends a runner without a word; another takes its place after a while.
+func (fleet *fleet) crash(batch *batch, length time.Duration) {
+	batch.die()
+	// One that says nothing any more is taken off the list only after some calls have not come.
+	fleet.world.After(3600*time.Millisecond, func() { fleet.remove(batch) })
+	fleet.world.After(length, func() { fleet.add(batch.zone); fleet.relist() })
+}
+
+// replace drains a runner beside one that takes its place.
+func (fleet *fleet) replace(batch *batch) {
+	for _, line := range fleet.lines {
+		if line.RunnerId == batch.id {
+			line.State = "draining"
+		}
 	}
+	fleet.add(batch.zone)
+	fleet.relist()
+	fleet.world.After(3*time.Second, func() { fleet.remove(batch) })
 }
 
 func (fleet *fleet) remove(gone *batch) {
@@ -404,7 +415,7 @@
 		if made.large {
 			earned.Large++
 		}
-		window := int(made.begun.Sub(fleet.begun) / (3 * time.Second))
+		window := int(made.begun.Sub(fleet.begun) / windowLength)
 		cell := earned.Window[window]
 		cell[0] += made.worth
 		earned.Window[window] = cell
@@ -453,6 +464,19 @@
 	fleet.enter(daemon, made)
 }
 
+// windowLength is how long each window lasts for which worth is added up.
+const windowLength = 3 * time.Second
+
+// send is one request at one runner.
+type send struct {
+	fleet  *fleet
+	daemon *desked
+	made   *order
+	step   award.Step
+	batch  *batch
+	at     time.Time
+}
+
 func (fleet *fleet) pass(daemon *desked, made *order, step award.Step) {
 	world := fleet.world
 	batch := fleet.batches[step.Runner.ID]
@@ -462,64 +486,83 @@
 		world.After(time.Millisecond, func() { fleet.again(daemon, made, step, true) })
 		return
 	}
-	sent := world.Now
-	daemon.desk.Sent(sent, made.ticket, step)
-	one := &sequence{job: made, urgency: step.Urgency, prompt: made.ticket.Bid.PromptTokens}
-	one.first = func() {
-		made.firstAt = world.Now
-		daemon.book.Served(batch.id)
-		report := batch.report()
-		report.Room, report.Tokens = 0, 0
-		daemon.book.Reported(world.Now, batch.id, report)
-		daemon.desk.First(made.ticket, step, world.Now.Sub(sent))
-		reread, held := 0, made.held
-		for place, key := range made.ticket.Keys[:len(made.ticket.Keys)-1] {
-			if held -= made.ticket.PartTokens[place]; held < 0 && fleet.kept[key] {
-				reread += made.ticket.PartTokens[place]
-			}
-			fleet.kept[key] = true
+	sent := &send{fleet: fleet, daemon: daemon, made: made, step: step, batch: batch, at: world.Now}
+	daemon.desk.Sent(sent.at, made.ticket, step)
+	one := &sequence{job: made, urgency: step.Urgency, prompt: made.ticket.Bid.PromptTokens, first: sent.first}
+	one.finished = func(whole bool) { sent.finished(one, whole) }
+	if !batch.take(one) {
+		daemon.desk.PutBack(sent.at, made.ticket, step)
+		fleet.again(daemon, made, step, false)
+	}
+}
+
+// first takes the first event of an answer.
+func (send *send) first() {
+	fleet, daemon, made, batch := send.fleet, send.daemon, send.made, send.batch
+	now := fleet.world.Now
+	made.firstAt = now
+	daemon.book.Served(batch.id)
+	report := batch.report()
+	report.Room, report.Tokens = 0, 0
+	daemon.book.Reported(now, batch.id, report)
+	daemon.desk.First(made.ticket, send.step, now.Sub(send.at))
+	reread := fleet.reread(made)
+	fleet.both(made, func(earned *Earned) {
+		earned.First = append(earned.First, now.Sub(made.begun))
+		if batch.zone != daemon.zone {
+			earned.Across++
+			earned.AcrossBytes += 1000 + float64(made.ticket.Bid.PromptTokens) + 80*float64(made.answer)/float64(batch.figures.Stride)
 		}
-		fleet.both(made, func(earned *Earned) {
-			earned.First = append(earned.First, world.Now.Sub(made.begun))
-			if batch.zone != daemon.zone {
-				earned.Across++
-				earned.AcrossBytes += 1000 + float64(made.ticket.Bid.PromptTokens) + 80*float64(made.answer)/float64(batch.figures.Stride)
-			}
-			earned.Reread += reread
-		})
-	}
-	one.finished = func(whole bool) {
-		now := world.Now
-		fleet.both(made, func(earned *Earned) {
-			cell := earned.Window[int(made.begun.Sub(fleet.begun)/(3*time.Second))]
-			value := 0.0
-			inTime := one.worstPause <= made.lane.Pause && made.firstAt.Sub(made.begun) <= made.lane.Aim
-			if !whole {
-				earned.Lost++
-			} else if inTime {
-				earned.InTime++
-				value = made.worth
-			} else {
-				earned.Late++
-				value = made.late
-			}
-			if whole && made.large {
-				earned.LargeServed++
-			}
-			earned.Worth += value
-			cell[1] += value
-			earned.Window[int(made.begun.Sub(fleet.begun)/(3*time.Second))] = cell
-		})
-		if whole {
-			daemon.desk.Learn(0, 0, now.Sub(sent))
-		} else if !one.began {
-			daemon.book.Failed(now, batch.id, "gave no first event")
+		earned.Reread += reread
+	})
+}
+
+// reread counts the tokens of a prompt that some runner had read before and this one has read anew.
+func (fleet *fleet) reread(made *order) int {
+	reread, held := 0, made.held
+	for place, key := range made.ticket.Keys[:len(made.ticket.Keys)-1] {
+		if held -= made.ticket.PartTokens[place]; held < 0 && fleet.kept[key] {
+			reread += made.ticket.PartTokens[place]
 		}
-		daemon.desk.Release(now, made.ticket, batch.id)
-		fleet.steps(daemon)
+		fleet.kept[key] = true
 	}
-	if !batch.take(one) {
-		daemon.desk.PutBack(sent, made.ticket, step)
-		fleet.again(daemon, made, step, false)
+	return reread
+}
+
+// finished takes the end of an answer, which is whole or not.
+func (send *send) finished(one *sequence, whole bool) {
+	fleet, daemon, made := send.fleet, send.daemon, send.made
+	now := fleet.world.Now
+	inTime := one.worstPause <= made.lane.Pause && made.firstAt.Sub(made.begun) <= made.lane.Aim
+	window := int(made.begun.Sub(fleet.begun) / windowLength)
+	fleet.both(made, func(earned *Earned) { earned.end(made, window, whole, inTime) })
+	if whole {
+		daemon.desk.Learn(0, 0, now.Sub(send.at))
+	} else if !one.began {
+		daemon.book.Failed(now, send.batch.id, "gave no first event")
+	}
+	daemon.desk.Release(now, made.ticket, send.batch.id)
+	fleet.steps(daemon)
+}
+
+// end adds up the end of one request.
+func (earned *Earned) end(made *order, window int, whole, inTime bool) {
+	value := 0.0
+	switch {
+	case !whole:
+		earned.Lost++
+	case inTime:
+		earned.InTime++
+		value = made.worth
+	default:
+		earned.Late++
+		value = made.late
+	}
+	if whole && made.large {
+		earned.LargeServed++
 	}
+	earned.Worth += value
+	cell := earned.Window[window]
+	cell[1] += value
+	earned.Window[window] = cell
 }
