--- /dev/null
+++ b/cmd/wtproof/fleet.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"wardtray/proof/fleet"
+)
+
+// registerFleet adds the command that runs a deployment as real processes.
+func registerFleet(application *kingpin.Application, known commands) {
+	command := application.Command("fleet", "Run a deployment as real processes on loopback and check it.")
+	deployment := deploymentArgument(command)
+	names := sortedNames(fleet.Scenarios)
+	scenario := command.Flag("scenario", "One of: "+strings.Join(names, ", ")+"; or all.").Default("default").Enum(append(names, "all")...)
+	options := fleet.Options{Output: os.Stdout}
+	command.Flag("seconds", "How long the load lasts.").Default("30").IntVar(&options.Seconds)
+	command.Flag("seed", "Seed of the load and the faults.").Default("1").Int64Var(&options.Seed)
+	command.Flag("rate", "Requests a second; 0 for the deployment's own.").Default("0").Float64Var(&options.Rate)
+	command.Flag("folder", "Where startup files, data and logs go; a temporary one if empty.").StringVar(&options.Folder)
+	command.Flag("keep", "Keep the temporary folder.").BoolVar(&options.Keep)
+	command.Flag("binaries", "Where wtdata and wtcore are; beside wtproof if empty.").StringVar(&options.Binaries)
+	known[command.FullCommand()] = func() error {
+		chosen := []string{*scenario}
+		if *scenario == "all" {
+			chosen = names
+		}
+		return proveFleet(*deployment, chosen, options)
+	}
+}
+
+// proveFleet runs scenarios one after the other. Where a rule was broken it ends with exit code 1.
+func proveFleet(deployment string, scenarios []string, options fleet.Options) error {
+	if options.Binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		options.Binaries = filepath.Dir(self)
+	}
+	clean := true
+	for _, name := range scenarios {
+		fmt.Printf("--- %s, %s, seed %d\n", deployment, name, options.Seed)
+		held, err := fleet.Prove(fleet.Shapes[deployment], fleet.Scenarios[name], options)
+		if err != nil {
+			return err
+		}
+		clean = clean && held
+	}
+	endUnless(clean)
+	return nil
+}
+
+// registerScenarios adds the command that lists the scenarios.
+func registerScenarios(application *kingpin.Application, known commands) {
+	command := application.Command("scenarios", "List the scenarios.")
+	known[command.FullCommand()] = func() error {
+		for _, name := range sortedNames(fleet.Scenarios) {
+			fmt.Printf("%-14s %s\n", name, fleet.Scenarios[name].Help)
+		}
+		return nil
+	}
+}
