--- a/cmd/wtctl/main.go
+++ b/cmd/wtctl/main.go
@@ -14,11 +14,9 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"wardtray/config"
-	"wardtray/config/nginx"
 	"wardtray/control/core"
 	"wardtray/control/operator"
 	"wardtray/process/fault"
-	"wardtray/request/intake"
 )
 
 // The exit codes; wtctl --help tells them.
@@ -48,125 +46,57 @@
   wtctl import nginx.conf > spec.json
   wtctl explain 127.0.1.1:8200 --lane chat --model m --prompt-tokens 900 --prefix system=400`
 
-type context struct {
-	client *operator.Client
-	json   bool
-	output io.Writer
-}
-
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
 
+// run runs one command and gives the exit code.
 func run(arguments []string, input io.Reader, output, errors io.Writer) int {
-	ended, code := false, exitFine
+	ended := false
 	application := kingpin.New("wtctl", help).UsageWriter(output).ErrorWriter(errors).Terminate(func(int) { ended = true })
 	application.HelpFlag.Short('h')
 	cores := application.Flag("core", "HTTP address of a wtcore; may be given several times, tried in order.").Short('c').Envar("WTCTL_CORE").Strings()
 	asJSON := application.Flag("json", "Print answers as JSON.").Bool()
-	here := &context{output: output}
-
-	commands := map[string]func() (int, error){}
-	get := application.Command("get", "Print the present spec; its epoch goes to standard error.")
-	commands[get.FullCommand()] = func() (int, error) { return here.get(errors) }
-
-	apply := application.Command("apply", "Put a whole spec into effect, or nothing of it.")
-	applyFile := apply.Arg("file", "The spec; - for standard input.").Required().String()
-	base := apply.Flag("base", "The epoch it was built on; the present one if left out.").Default("").String()
-	applyOperation := apply.Flag("operation", "An id of your own, to ask by and to repeat safely.").String()
-	applyEpoch := apply.Flag("epoch", "The epoch that the spec is to have; the next one if left out.").Uint64()
-	commands[apply.FullCommand()] = func() (int, error) {
-		return here.change((*operator.Client).Apply, *applyFile, *base, operator.Change{Operation: orNew(*applyOperation), Epoch: *applyEpoch}, input)
-	}
-
-	change := application.Command("change", "Add, replace and remove named zones, pools and lanes: all of it, or nothing.")
-	changeFile := change.Arg("file", "The change; - for standard input.").Required().String()
-	changeBase := change.Flag("base", "The epoch it was built on; the present one if left out.").Default("").String()
-	changeOperation := change.Flag("operation", "An id of your own, to ask by and to repeat safely.").String()
-	changeEpoch := change.Flag("epoch", "The epoch that the spec is to have; the next one if left out.").Uint64()
-	commands[change.FullCommand()] = func() (int, error) {
-		return here.change((*operator.Client).Change, *changeFile, *changeBase, operator.Change{Operation: orNew(*changeOperation), Epoch: *changeEpoch}, input)
-	}
-
-	diff := application.Command("diff", "Show how a spec differs from the present one.")
-	diffFile := diff.Arg("file", "The spec; - for standard input.").Required().String()
-	commands[diff.FullCommand()] = func() (int, error) { return here.diff(*diffFile, input) }
-
-	for _, verb := range []string{"close", "open"} {
-		command := application.Command(verb, map[string]string{"close": "Close a zone to new work.", "open": "Open a zone again."}[verb])
-		zone := command.Arg("zone", "The zone's name.").Required().String()
-		named := command.Flag("operation", "An id of your own.").String()
-		commands[command.FullCommand()] = func() (int, error) {
-			operation := orNew(*named)
-			return here.told(here.client.Zone(verb, *zone, operation))
-		}
-	}
-
-	operation := application.Command("operation", "Tell what became of a change.")
-	operationID := operation.Arg("id", "Its operation id.").Required().String()
-	commands[operation.FullCommand()] = func() (int, error) { return here.told(here.client.Operation(*operationID)) }
-
-	status := application.Command("status", "Show the fleet.")
-	part := status.Arg("part", "all, chain, view, cohort, runners or counters.").Default("all").Enum("all", "chain", "view", "cohort", "runners", "counters")
-	commands[status.FullCommand()] = func() (int, error) { return here.status(*part) }
-
-	explain := application.Command("explain", "Tell where a request would go and why, without sending it.")
-	daemon := explain.Arg("daemon", "HTTP address of a wtdata.").Required().String()
-	lane := explain.Flag("lane", "The lane.").Required().String()
-	model := explain.Flag("model", "The model.").Required().String()
-	adapter := explain.Flag("adapter", "The adapter.").String()
-	tokens := explain.Flag("prompt-tokens", "The prompt's tokens.").Default("1000").String()
-	prefix := explain.Flag("prefix", "Prefix parts in order, as name=tokens,name=tokens.").String()
-	commands[explain.FullCommand()] = func() (int, error) {
-		headers := map[string]string{intake.HeaderLane: *lane, intake.HeaderModel: *model, intake.HeaderRequest: "explain",
-			intake.HeaderPrompt: *tokens, intake.HeaderAnswer: "1"}
-		for name, value := range map[string]string{intake.HeaderAdapter: *adapter, intake.HeaderPrefix: *prefix} {
-			if value != "" {
-				headers[name] = value
-			}
-		}
-		return here.explain(*daemon, headers)
-	}
-
-	importing := application.Command("import", "Read an nginx configuration's upstreams into a spec to be reviewed; notes go to standard error.")
-	importFile := importing.Arg("file", "The configuration.").Required().String()
-	commands[importing.FullCommand()] = func() (int, error) {
-		made, notes, err := nginx.Import(*importFile)
-		if err != nil {
-			return exitRefused, err
-		}
-		for _, note := range notes {
-			fmt.Fprintln(errors, note)
-		}
-		return exitFine, here.print(json.RawMessage(made.Encode()))
-	}
-
+	here := &context{input: input, output: output, errors: errors}
+	known := here.register(application)
 	chosen, err := application.Parse(arguments)
 	if ended {
-		// Kingpin ends alike when help is asked for and when no command is given.
-		for _, argument := range arguments {
-			if strings.HasPrefix(argument, "--help") || argument == "-h" || argument == "help" {
-				return exitFine
-			}
-		}
-		return exitUsage
+		return codeOfHelp(arguments)
 	}
 	if err != nil {
 		fmt.Fprintf(errors, "wtctl: %v; see wtctl --help\n", err)
 		return exitUsage
 	}
 	here.client, here.json = operator.New(*cores), *asJSON
-	code, err = commands[chosen]()
+	code, err := known[chosen]()
 	if err != nil {
 		fmt.Fprintf(errors, "wtctl: %v\n", err)
-		codes := map[fault.Kind]int{fault.Unreachable: exitUnreachable, fault.BadStartup: exitUsage}
-		if code = codes[fault.Of(err).Kind]; code == exitFine {
-			code = exitRefused
-		}
+		return codeOf(err)
 	}
 	return code
 }
 
+// codeOfHelp is the exit code where only the usage was printed: kingpin ends alike when help is asked for and when no
+// command is given.
+func codeOfHelp(arguments []string) int {
+	for _, argument := range arguments {
+		if strings.HasPrefix(argument, "--help") || argument == "-h" || argument == "help" {
+			return exitFine
+		}
+	}
+	return exitUsage
+}
+
+// codeOf is the exit code of an error.
+func codeOf(err error) int {
+	codes := map[fault.Kind]int{fault.Unreachable: exitUnreachable, fault.BadStartup: exitUsage}
+	if code, known := codes[fault.Of(err).Kind]; known {
+		return code
+	}
+	return exitRefused
+}
+
+// orNew gives an operator's own id of an operation, or a new one.
 func orNew(operation string) string {
 	if operation != "" {
 		return operation
@@ -211,7 +141,8 @@
 	return fault.Wrap(encoder.Encode(value), fault.Internal, "printing")
 }
 
-func (here *context) get(errors io.Writer) (int, error) {
+// get prints the present spec, and its epoch to the errors.
+func (here *context) get() (int, error) {
 	reply, err := here.client.Get()
 	if err != nil {
 		return exitRefused, err
@@ -220,13 +151,14 @@
 		return here.told(reply, nil)
 	}
 	if reply.Outcome == "empty" {
-		fmt.Fprintln(errors, "there is no spec yet; the first one is built on epoch 0")
+		fmt.Fprintln(here.errors, "there is no spec yet; the first one is built on epoch 0")
 		return exitFine, nil
 	}
-	fmt.Fprintf(errors, "epoch %d\n", reply.Epoch)
+	fmt.Fprintf(here.errors, "epoch %d\n", reply.Epoch)
 	return exitFine, here.print(reply.Spec)
 }
 
+// readFile reads a file, or the standard input for a dash.
 func readFile(path string, input io.Reader) ([]byte, error) {
 	// Kingpin hands a lone dash on as an empty argument.
 	if path == "-" || path == "" {
@@ -237,10 +169,12 @@
 	return content, fault.Wrap(err, fault.BadStartup, "reading the spec")
 }
 
+// sender is a call that sends a spec, or a change of it.
+type sender func(client *operator.Client, content []byte, change operator.Change) (core.Reply, error)
+
 // change reads a file and sends it, built on the epoch named or on the present one.
-func (here *context) change(send func(client *operator.Client, content []byte, change operator.Change) (core.Reply, error),
-	path, base string, change operator.Change, input io.Reader) (int, error) {
-	content, err := readFile(path, input)
+func (here *context) change(send sender, path, base string, change operator.Change) (int, error) {
+	content, err := readFile(path, here.input)
 	if err != nil {
 		return exitUsage, err
 	}
@@ -259,8 +193,9 @@
 	return here.told(send(here.client, content, change))
 }
 
-func (here *context) diff(path string, input io.Reader) (int, error) {
-	content, err := readFile(path, input)
+// diff prints how the spec in a file differs from the present one; the exit code tells whether it does.
+func (here *context) diff(path string) (int, error) {
+	content, err := readFile(path, here.input)
 	if err != nil {
 		return exitUsage, err
 	}
