Long functions of fleet, strict, pressure, registry and config's tests are split into steps

Changed tests: config's book_test and change_test, budget_test: the definition that is compared with is a function of its own, what is compared is the same.

--- a/config/book_test.go
+++ b/config/book_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// longestPrefix is the definition of a route: the lane of the host whose prefix of the path is the longest.
+func longestPrefix(spec *Spec, host, path string) (found *Lane) {
+	for place := range spec.Lanes {
+		lane := &spec.Lanes[place]
+		if lane.Authority == host && strings.HasPrefix(path, lane.PathPrefix) && (found == nil || len(lane.PathPrefix) > len(found.PathPrefix)) {
+			found = lane
+		}
+	}
+	return found
+}
+
 // The quick search agrees with the definition on drawn prefixes and paths.
 func TestRouteAgreesWithItsDefinition(t *testing.T) {
 	random := rand.New(rand.NewSource(7))
@@ -59,13 +70,7 @@
 		book := routed(places...)
 		for range 50 {
 			host, asked := []string{"h", "k"}[random.Intn(2)], path(9)
-			var want *Lane
-			for place := range book.Spec.Lanes {
-				lane := &book.Spec.Lanes[place]
-				if lane.Authority == host && strings.HasPrefix(asked, lane.PathPrefix) && (want == nil || len(lane.PathPrefix) > len(want.PathPrefix)) {
-					want = lane
-				}
-			}
+			want := longestPrefix(book.Spec, host, asked)
 			if got := book.Route(host, asked); got != want {
 				t.Fatalf("%v: %s%s goes to %v, not %v", places, host, asked, got, want)
 			}
--- a/config/change_test.go
+++ b/config/change_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// changedZones is the definition of a change for zones; upsert and removed hold the names in the change.
+func changedZones(present, upserted []Zone, upsert, removed map[string]bool) (zones []Zone) {
+	for _, zone := range present {
+		if !removed[zone.Name] {
+			zones = append(zones, Zone{Name: zone.Name, Closed: upsert[zone.Name]})
+		}
+		delete(upsert, zone.Name)
+	}
+	for _, zone := range upserted {
+		if upsert[zone.Name] {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // A change agrees with its definition on drawn lists: entries that stay or are replaced keep their order,
 // those that are new follow in the order given.
 func TestChangeAgreesWithItsDefinition(t *testing.T) {
@@ -64,18 +80,7 @@
 		for _, name := range names() {
 			change.Remove.Zones, removed[name], clash = append(change.Remove.Zones, name), true, clash || upsert[name]
 		}
-		var want []Zone
-		for _, zone := range present.Zones {
-			if !removed[zone.Name] {
-				want = append(want, Zone{Name: zone.Name, Closed: upsert[zone.Name]})
-			}
-			delete(upsert, zone.Name)
-		}
-		for _, zone := range change.Upsert.Zones {
-			if upsert[zone.Name] {
-				want = append(want, zone)
-			}
-		}
+		want := changedZones(present.Zones, change.Upsert.Zones, upsert, removed)
 		present.Pools, present.Lanes = []Pool{{Name: "p", Services: []string{"s"}}}, Lanes{{Name: "l", Pool: "p", Worth: 1, Purse: 1, Patience: Span(1e9)}}
 		next, flaws := change.Apply(present)
 		if clash != (len(flaws) > 0) {
--- a/config/spec.go
+++ b/config/spec.go
@@ -1,4 +1,4 @@
-// Package spec is the one document that operators write: lanes, pools and zones. It is read by
+// Package config holds the spec, the one document that operators write: lanes, pools and zones. It is read by
 // generated easyjson code, checked whole, and kept in one canonical form.
 package config
 
@@ -19,9 +19,11 @@
 const (
 	// MaximumBytes bounds a spec as sent.
 	MaximumBytes = 16 << 20
-	// MaximumLanes, MaximumPools and MaximumZones bound what it may hold.
+	// MaximumLanes bounds a spec's lanes.
 	MaximumLanes = 50000
+	// MaximumPools bounds a spec's pools.
 	MaximumPools = 10000
+	// MaximumZones bounds a spec's zones.
 	MaximumZones = 64
 )
 
--- a/control/registry/registrar.go
+++ b/control/registry/registrar.go
@@ -465,44 +465,91 @@
 	}
 }
 
+// survey is what a look over all live runners found.
+type survey struct {
+	// count is how many runners are live and don't drain; direct is how many of them this core hears itself.
+	count, direct int
+	// quiet have not been heard for their bound, longQuiet not for several times as long; ended have drained long enough.
+	quiet, longQuiet, ended []string
+}
+
 // look calls runners silent of which no core has heard for long.
 func (registrar *Registrar) look(now time.Time) {
 	if now.Sub(registrar.looked) < lookEvery {
 		return
 	}
 	registrar.looked = now
-	var quiet, longQuiet, ended []string
-	count, direct := 0, 0
+	found := registrar.survey(now)
+	registrar.forgetUnlisted()
+	// A core that hears neither the others nor most runners is itself the one that is cut off.
+	if now.Before(registrar.graceUntil) || !registrar.surroundings.Joined(now) && 2*found.direct < found.count {
+		return
+	}
+	quiet := found.quiet
+	// Most runners at once are more likely kept from calling by something between them and us; acting on
+	// it would stop all service.
+	if len(quiet) >= crowdLeast && 2*len(quiet) > found.count {
+		quiet = found.longQuiet
+	}
+	for _, id := range quiet {
+		registrar.silence(now, id)
+	}
+	for _, id := range found.ended {
+		registrar.setState(now, id, Gone)
+	}
+}
+
+// survey looks at every live runner.
+func (registrar *Registrar) survey(now time.Time) survey {
+	var found survey
 	for _, id := range registrar.ids() {
 		line := registrar.Line(id)
 		if !live[line.State] {
 			delete(registrar.heard, id)
 			continue
 		}
-		known := registrar.heard[id]
-		// What another core has just told counts as heard now, for nobody can say when it was.
-		if known == nil || known.call < line.Call {
-			registrar.note(now, id, line.Call, false)
-			known = registrar.heard[id]
-		}
-		passed, bound := now.Sub(known.at), registrar.quietBound(known)
-		if line.State == Draining {
-			if passed > drainingBeats*registrar.beat {
-				ended = append(ended, id)
-			}
-			continue
-		}
-		count++
-		if known.directly && passed <= bound {
-			direct++
-		}
-		if passed > bound {
-			quiet = append(quiet, id)
-		}
-		if passed > crowdFactor*bound {
-			longQuiet = append(longQuiet, id)
+		registrar.addTo(&found, now, line)
+	}
+	return found
+}
+
+// lastHeard gives when a runner was heard last, by this core or another.
+func (registrar *Registrar) lastHeard(now time.Time, line *wire.Runner) *heard {
+	id := line.RunnerId
+	known := registrar.heard[id]
+	// What another core has just told counts as heard now, for nobody can say when it was.
+	if known == nil || known.call < line.Call {
+		registrar.note(now, id, line.Call, false)
+		known = registrar.heard[id]
+	}
+	return known
+}
+
+// addTo adds one live runner to a survey.
+func (registrar *Registrar) addTo(survey *survey, now time.Time, line *wire.Runner) {
+	id := line.RunnerId
+	known := registrar.lastHeard(now, line)
+	passed, bound := now.Sub(known.at), registrar.quietBound(known)
+	if line.State == Draining {
+		if passed > drainingBeats*registrar.beat {
+			survey.ended = append(survey.ended, id)
 		}
+		return
+	}
+	survey.count++
+	if known.directly && passed <= bound {
+		survey.direct++
 	}
+	if passed > bound {
+		survey.quiet = append(survey.quiet, id)
+	}
+	if passed > crowdFactor*bound {
+		survey.longQuiet = append(survey.longQuiet, id)
+	}
+}
+
+// forgetUnlisted drops what is kept of runners that are no longer known.
+func (registrar *Registrar) forgetUnlisted() {
 	for id := range registrar.heard {
 		if registrar.Line(id) == nil {
 			delete(registrar.heard, id)
@@ -513,23 +560,6 @@
 			delete(registrar.spread, id)
 		}
 	}
-	// A core that hears neither the others nor most runners is itself the one that is cut off.
-	if now.Before(registrar.graceUntil) || !registrar.surroundings.Joined(now) && 2*direct < count {
-		return
-	}
-	// Most runners at once are more likely kept from calling by something between them and us; acting on
-	// it would stop all service.
-	if len(quiet) >= crowdLeast && 2*len(quiet) > count {
-		quiet = longQuiet
-	}
-	for _, id := range quiet {
-		registrar.silence(now, id)
-	}
-	for _, id := range ended {
-		line := changed(registrar.Line(id), Gone, registrar.latest(id))
-		registrar.Take(now, []*wire.Runner{line})
-		registrar.unsent = append(registrar.unsent, line)
-	}
 }
 
 func (registrar *Registrar) quietBound(known *heard) time.Duration {
@@ -540,9 +570,15 @@
 	return time.Duration(beats * float64(registrar.beat))
 }
 
+// silence calls a runner silent.
 func (registrar *Registrar) silence(now time.Time, id string) {
 	registrar.counters.Silent++
-	line := changed(registrar.Line(id), Silent, registrar.latest(id))
+	registrar.setState(now, id, Silent)
+}
+
+// setState gives a runner a state as its latest version, to be told to the other cores.
+func (registrar *Registrar) setState(now time.Time, id, state string) {
+	line := changed(registrar.Line(id), state, registrar.latest(id))
 	registrar.Take(now, []*wire.Runner{line})
 	registrar.unsent = append(registrar.unsent, line)
 }
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -10,6 +10,16 @@
 	"github.com/leanovate/gopter/prop"
 )
 
+// countInWindow counts the times that lie in the window which ends now.
+func countInWindow(now time.Time, times []time.Time) (count int) {
+	for _, at := range times {
+		if now.Sub(at) <= Default.Window {
+			count++
+		}
+	}
+	return count
+}
+
 // However requests and wishes to repeat come, at every repeat the last ten seconds keep the bound,
 // and a budget without requests gives nothing.
 func TestEveryWindowKeepsTheBound(t *testing.T) {
@@ -19,14 +29,6 @@
 		random := rand.New(rand.NewSource(seed))
 		budget, now := New(Default, nil), time.Unix(1_700_000_000, 0)
 		var requests, repeats []time.Time
-		since := func(times []time.Time) (count int) {
-			for _, at := range times {
-				if now.Sub(at) <= Default.Window {
-					count++
-				}
-			}
-			return count
-		}
 		for range 3000 {
 			now = now.Add(time.Duration(random.Int63n(int64(20 * time.Millisecond))))
 			if random.Intn(1000) == 0 {
@@ -37,11 +39,12 @@
 				requests = append(requests, now)
 				continue
 			}
-			if budget.Repeat(now) {
-				repeats = append(repeats, now)
-				if float64(since(repeats)) > Default.Ratio*float64(since(requests)) {
-					return false
-				}
+			if !budget.Repeat(now) {
+				continue
+			}
+			repeats = append(repeats, now)
+			if float64(countInWindow(now, repeats)) > Default.Ratio*float64(countInWindow(now, requests)) {
+				return false
 			}
 		}
 		return len(repeats) > 0
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -128,49 +128,61 @@
 	listed := map[string]bool{}
 	for _, line := range runners {
 		listed[line.RunnerId] = true
-		shard := book.shard(line.RunnerId)
-		shard.mutex.Lock()
-		known := shard.entries[line.RunnerId]
-		if known == nil {
-			known = &entry{first: now}
-			// A daemon that has just begun sees every runner for the first time, which does not make them cold.
-			known.settled = now.Sub(book.begun) < GraceAtStart && line.State == "ready"
-			shard.entries[line.RunnerId] = known
-		}
-		// A runner that has begun to drain comes back under another identity only; a list that says otherwise
-		// is an older one.
-		if line.State == "draining" {
-			shard.drained[line.RunnerId] = now
-		}
-		if _, drains := shard.drained[line.RunnerId]; drains && line.State != "draining" {
-			line = &wire.Runner{RunnerId: line.RunnerId, Address: line.Address, Zone: line.Zone, Service: line.Service, State: "draining"}
-		}
-		known.line, known.listed = line, true
-		if line.State == "ready" && known.ready.IsZero() {
-			known.ready = now
-		}
-		shard.mutex.Unlock()
+		book.listRunner(now, line)
 	}
 	for _, shard := range book.shards {
-		shard.mutex.Lock()
-		for id, at := range shard.drained {
-			if now.Sub(at) > drainedBound {
-				delete(shard.drained, id)
-			}
+		gone = append(gone, shard.sweep(now, listed)...)
+	}
+	sort.Strings(gone)
+	return gone
+}
+
+// listRunner takes one line of the platform's list.
+func (book *Book) listRunner(now time.Time, line *wire.Runner) {
+	shard := book.shard(line.RunnerId)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	known := shard.entries[line.RunnerId]
+	if known == nil {
+		known = &entry{first: now}
+		// A daemon that has just begun sees every runner for the first time, which does not make them cold.
+		known.settled = now.Sub(book.begun) < GraceAtStart && line.State == "ready"
+		shard.entries[line.RunnerId] = known
+	}
+	// A runner that has begun to drain comes back under another identity only; a list that says otherwise
+	// is an older one.
+	if line.State == "draining" {
+		shard.drained[line.RunnerId] = now
+	}
+	if _, drains := shard.drained[line.RunnerId]; drains && line.State != "draining" {
+		line = &wire.Runner{RunnerId: line.RunnerId, Address: line.Address, Zone: line.Zone, Service: line.Service, State: "draining"}
+	}
+	known.line, known.listed = line, true
+	if line.State == "ready" && known.ready.IsZero() {
+		known.ready = now
+	}
+}
+
+// sweep forgets those that drained long ago, and the runners that are not listed and have no request in flight, which it
+// gives.
+func (shard *shard) sweep(now time.Time, listed map[string]bool) (gone []string) {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	for id, at := range shard.drained {
+		if now.Sub(at) > drainedBound {
+			delete(shard.drained, id)
 		}
-		for id, known := range shard.entries {
-			if listed[id] {
-				continue
-			}
-			known.listed = false
-			if known.inFlight == 0 {
-				delete(shard.entries, id)
-				gone = append(gone, id)
-			}
+	}
+	for id, known := range shard.entries {
+		if listed[id] {
+			continue
+		}
+		known.listed = false
+		if known.inFlight == 0 {
+			delete(shard.entries, id)
+			gone = append(gone, id)
 		}
-		shard.mutex.Unlock()
 	}
-	sort.Strings(gone)
 	return gone
 }
 
--- a/process/strict/strict.go
+++ b/process/strict/strict.go
@@ -15,6 +15,7 @@
 // MaximumDepth bounds nesting.
 const MaximumDepth = 16
 
+// level is one object or list that is open.
 type level struct {
 	path   string
 	object bool
@@ -25,6 +26,12 @@
 	place int
 }
 
+// walker follows the tokens of one document.
+type walker struct {
+	// levels are the objects and lists that are open, the outermost first.
+	levels []*level
+}
+
 // Check gives a Malformed fault that names the first thing wrong and its path.
 func Check(content []byte) error {
 	if !utf8.Valid(content) {
@@ -32,49 +39,74 @@
 	}
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.UseNumber()
-	var levels []*level
-	for {
+	walker := &walker{}
+	for ended := false; !ended; {
 		token, err := decoder.Token()
 		if err != nil {
 			return fault.New(fault.Malformed, "at byte %d: %v", decoder.InputOffset(), err)
 		}
-		here := ""
-		if len(levels) > 0 {
-			top := levels[len(levels)-1]
-			here = top.step()
-			if name, isName := token.(string); top.object && !top.keyed && isName {
-				if top.names[name] {
-					return fault.New(fault.Malformed, "%s is given twice", join(top.path, name))
-				}
-				top.names[name], top.key, top.keyed = true, name, true
-				continue
-			}
-		}
-		delimiter, isDelimiter := token.(json.Delim)
-		opening := isDelimiter && (delimiter == '{' || delimiter == '[')
-		closing := isDelimiter && !opening
-		if closing {
-			levels = levels[:len(levels)-1]
-		}
-		if opening {
-			if len(levels) >= MaximumDepth {
-				return fault.New(fault.Malformed, "%s is nested too deep", here)
-			}
-			levels = append(levels, &level{path: here, object: delimiter == '{', names: map[string]bool{}})
-			continue
-		}
-		if len(levels) > 0 {
-			levels[len(levels)-1].after()
-			continue
-		}
-		// One whole value has ended; anything but white space behind it is not part of the document.
-		if _, err := decoder.Token(); err != io.EOF {
-			return fault.New(fault.Malformed, "there is text after the end, at byte %d", decoder.InputOffset())
+		if ended, err = walker.take(token); err != nil {
+			return err
 		}
+	}
+	// One whole value has ended; anything but white space behind it is not part of the document.
+	if _, err := decoder.Token(); err != io.EOF {
+		return fault.New(fault.Malformed, "there is text after the end, at byte %d", decoder.InputOffset())
+	}
+	return nil
+}
+
+// take follows one token; it tells whether the document's value has ended with it.
+func (walker *walker) take(token json.Token) (ended bool, err error) {
+	top := walker.top()
+	if name, isName := token.(string); isName && top != nil && top.object && !top.keyed {
+		return false, top.takeName(name)
+	}
+	switch token {
+	case json.Delim('{'), json.Delim('['):
+		return false, walker.open(token == json.Delim('{'))
+	case json.Delim('}'), json.Delim(']'):
+		walker.levels = walker.levels[:len(walker.levels)-1]
+	}
+	// A value has ended: the document's, or one within the object or list that is now the innermost.
+	if top = walker.top(); top == nil {
+		return true, nil
+	}
+	top.after()
+	return false, nil
+}
+
+// top gives the innermost object or list that is open, nil outside of all.
+func (walker *walker) top() *level {
+	if len(walker.levels) == 0 {
 		return nil
 	}
+	return walker.levels[len(walker.levels)-1]
+}
+
+// open enters an object or a list.
+func (walker *walker) open(object bool) error {
+	path := ""
+	if top := walker.top(); top != nil {
+		path = top.step()
+	}
+	if len(walker.levels) >= MaximumDepth {
+		return fault.New(fault.Malformed, "%s is nested too deep", path)
+	}
+	walker.levels = append(walker.levels, &level{path: path, object: object, names: map[string]bool{}})
+	return nil
+}
+
+// takeName takes the name of an object's next value.
+func (level *level) takeName(name string) error {
+	if level.names[name] {
+		return fault.New(fault.Malformed, "%s is given twice", join(level.path, name))
+	}
+	level.names[name], level.key, level.keyed = true, name, true
+	return nil
 }
 
+// step gives the path of the value that comes next.
 func (level *level) step() string {
 	if level.object {
 		return join(level.path, level.key)
@@ -82,6 +114,7 @@
 	return level.path + "[" + strconv.Itoa(level.place) + "]"
 }
 
+// after takes the end of a value.
 func (level *level) after() {
 	level.keyed = false
 	level.place++
--- a/proof/broken/check.go
+++ b/proof/broken/check.go
@@ -12,6 +12,9 @@
 	"sync"
 )
 
+// outputBound is how many bytes of a command's output are printed.
+const outputBound = 600
+
 // testName matches the test function at the head of a pattern for go test -run.
 var testName = regexp.MustCompile(`^\^?(Test\w+)`)
 
@@ -77,6 +80,12 @@
 	return fmt.Errorf("%s has no test function %s", patch.folder, match[1])
 }
 
+// shortened gives the beginning of a command's output.
+func shortened(output string) string {
+	output = strings.TrimSpace(output)
+	return output[:min(len(output), outputBound)]
+}
+
 // buildOverlaid builds the packages that a patch touches, with the patched files from a folder in place of the tree's.
 func buildOverlaid(patch patch, folder string) error {
 	replacements := map[string]string{}
@@ -100,7 +109,7 @@
 	}
 	arguments := append([]string{"build", "-overlay", overlayFile}, slices.Compact(packages)...)
 	if output, err := run(".", nil, "go", arguments...); err != nil {
-		return errors.New("the patched packages do not build: " + strings.TrimSpace(output))
+		return errors.New("the patched packages do not build: " + shortened(output))
 	}
 	return nil
 }
--- a/proof/broken/trial.go
+++ b/proof/broken/trial.go
@@ -40,7 +40,7 @@
 		return "", err
 	}
 	if output, err := run(folder, nil, "go", "build", "./..."); err != nil {
-		return "", fmt.Errorf("the patched tree does not build: %s", strings.TrimSpace(output))
+		return "", fmt.Errorf("the patched tree does not build: %s", shortened(output))
 	}
 	output, err := run(folder, []string{"WARDTRAY_SEEDS=" + patch.seeds}, "go", "test", patch.folder, "-run", patch.test, "-count=1", "-timeout", "20m")
 	if err == nil {
@@ -51,7 +51,7 @@
 			return strings.TrimSpace(line[:min(len(line), 200)]), nil
 		}
 	}
-	return "", fmt.Errorf("red, but not for %q: %s", patch.red, strings.TrimSpace(output[:min(len(output), 600)]))
+	return "", fmt.Errorf("red, but not for %q: %s", patch.red, shortened(output))
 }
 
 // apply applies a patch to the files in a folder, which holds at least those that the patch changes.
--- a/proof/fleet/report.go
+++ b/proof/fleet/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"sort"
 	"time"
 
@@ -23,24 +24,7 @@
 	figures := Figures{Kinds: map[string]int{}, First: map[string][]time.Duration{}}
 	fleet.Record.Change(func(record *history.History) {
 		for _, answer := range record.Answers {
-			figures.Requests++
-			kinds := []struct {
-				holds bool
-				count *int
-			}{{answer.Done, &figures.Done}, {answer.Lost, &figures.Lost}, {answer.Error, &figures.Broken},
-				{answer.Status == 504, &figures.Unknown}, {true, &figures.Refused}}
-			for _, kind := range kinds {
-				if kind.holds {
-					*kind.count++
-					break
-				}
-			}
-			if answer.Kind != "" {
-				figures.Kinds[answer.Lane+" "+answer.Kind]++
-			}
-			if answer.Done {
-				figures.First[answer.Lane] = append(figures.First[answer.Lane], answer.First)
-			}
+			figures.addAnswer(answer)
 		}
 		seen := map[string]bool{}
 		for _, run := range record.Runs {
@@ -50,6 +34,33 @@
 			seen[run.Request] = true
 		}
 	})
+	figures.CacheShare = fleet.cacheShare()
+	return figures
+}
+
+// addAnswer counts one answer by how it ended.
+func (figures *Figures) addAnswer(answer *history.Answer) {
+	figures.Requests++
+	switch {
+	case answer.Done:
+		figures.Done++
+		figures.First[answer.Lane] = append(figures.First[answer.Lane], answer.First)
+	case answer.Lost:
+		figures.Lost++
+	case answer.Error:
+		figures.Broken++
+	case answer.Status == http.StatusGatewayTimeout:
+		figures.Unknown++
+	default:
+		figures.Refused++
+	}
+	if answer.Kind != "" {
+		figures.Kinds[answer.Lane+" "+answer.Kind]++
+	}
+}
+
+// cacheShare gives the part of all prompt tokens that runners found in their caches.
+func (fleet *Fleet) cacheShare() float64 {
 	cached, prompted := int64(0), int64(0)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -59,10 +70,10 @@
 			prompted += runner.Prompted.Load()
 		}
 	}
-	if prompted > 0 {
-		figures.CacheShare = float64(cached) / float64(prompted)
+	if prompted == 0 {
+		return 0
 	}
-	return figures
+	return float64(cached) / float64(prompted)
 }
 
 // Quantile gives the value below which such a part of the lengths lies.
--- a/proof/fleet/scenario.go
+++ b/proof/fleet/scenario.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand"
 	"os"
 	"time"
@@ -47,7 +48,12 @@
 
 // At waits until so many seconds of the load have passed.
 func (stage *Stage) At(seconds float64) {
-	timer := time.NewTimer(time.Until(stage.begun.Add(time.Duration(seconds * float64(time.Second)))))
+	waitUntil(stage.begun.Add(time.Duration(seconds * float64(time.Second))))
+}
+
+// waitUntil waits for a moment, which may have passed.
+func waitUntil(moment time.Time) {
+	timer := time.NewTimer(time.Until(moment))
 	defer timer.Stop()
 	<-timer.C
 }
@@ -57,17 +63,11 @@
 
 // Prove runs one scenario on one deployment and tells whether every rule held.
 func Prove(shape Shape, scenario Scenario, options Options) (bool, error) {
-	folder := options.Folder
-	if folder == "" {
-		made, err := os.MkdirTemp("", "wtproof-")
-		if err != nil {
-			return false, err
-		}
-		folder = made
-		if !options.Keep {
-			defer os.RemoveAll(made)
-		}
+	folder, remove, err := options.workFolder()
+	if err != nil {
+		return false, err
 	}
+	defer remove()
 	fleet, err := New(shape, folder, options.Binaries, options.Seed)
 	if err != nil {
 		return false, err
@@ -76,31 +76,64 @@
 	if err := fleet.StartAll(); err != nil {
 		return false, err
 	}
+	if err := fleet.bringUp(folder, options.Output); err != nil {
+		return false, err
+	}
+	if err := fleet.runScenario(scenario, options); err != nil {
+		return false, err
+	}
+	if !Await(patience, fleet.finished) {
+		fmt.Fprintln(options.Output, "nobody answered for the state at the end")
+	}
+	violations := history.Check(fleet.Record)
+	if options.Timeless {
+		violations = history.Timeless(violations)
+	}
+	return fleet.Print(options.Output, violations), nil
+}
+
+// workFolder gives the folder for startup files, data and logs, and the function that removes it if it is temporary.
+func (options Options) workFolder() (folder string, remove func(), err error) {
+	keep := func() {}
+	if options.Folder != "" {
+		return options.Folder, keep, nil
+	}
+	folder, err = os.MkdirTemp("", "wtproof-")
+	if err != nil || options.Keep {
+		return folder, keep, err
+	}
+	return folder, func() { os.RemoveAll(folder) }, nil
+}
+
+// bringUp waits for the first view, applies the first spec and lets runners warm up.
+func (fleet *Fleet) bringUp(folder string, output io.Writer) error {
 	begun := time.Now()
-	var first *history.Order
 	// A slow machine may take its time; the bounds of the rules are measured elsewhere.
 	if !Await(patience, func() bool {
 		reply, err := fleet.Get(fleet.Cores()[0])
 		return err == nil && reply.Status == 200
 	}) {
-		return false, fmt.Errorf("the control plane gave no first view within %v; logs are in %s", patience, folder)
+		return fmt.Errorf("the control plane gave no first view within %v; logs are in %s", patience, folder)
 	}
+	var first *history.Order
 	for first == nil || first.Outcome == "unknown" && time.Since(begun) < patience {
 		first = fleet.Apply(fleet.Cores()[len(fleet.Cores())-1], "first", 0, "")
 	}
 	if first.Outcome != "accepted" {
-		return false, fmt.Errorf("the first spec was not accepted: %+v", first)
+		return fmt.Errorf("the first spec was not accepted: %+v", first)
 	}
-	fmt.Fprintf(options.Output, "%s: %d machines, %d disks, %d runners; first spec in effect %v after the start\n", shape.Name,
-		len(fleet.Machines), len(fleet.Cores()), shape.Runners, time.Since(begun).Round(time.Millisecond))
+	fmt.Fprintf(output, "%s: %d machines, %d disks, %d runners; first spec in effect %v after the start\n", fleet.Shape.Name,
+		len(fleet.Machines), len(fleet.Cores()), fleet.Shape.Runners, time.Since(begun).Round(time.Millisecond))
 	// The brief's traffic begins about ten seconds after the machines, when runners are warm and daemons known to be fit.
-	if wait := time.Until(begun.Add(6 * time.Second)); wait > 0 {
-		timer := time.NewTimer(wait)
-		<-timer.C
-	}
+	waitUntil(begun.Add(6 * time.Second))
+	return nil
+}
+
+// runScenario sends the deployment's mix of requests while the scenario does its harm.
+func (fleet *Fleet) runScenario(scenario Scenario, options Options) error {
 	rate := options.Rate
 	if rate == 0 {
-		rate = shape.Rate
+		rate = fleet.Shape.Rate
 	}
 	stage := &Stage{Fleet: fleet, Random: rand.New(rand.NewSource(options.Seed)), Options: options, factor: 1, begun: time.Now()}
 	stage.Factor = func() float64 {
@@ -108,7 +141,7 @@
 		fleet.Record.Change(func(*history.History) { value = stage.factor })
 		return value
 	}
-	sender := load.New(shape.Mix, shape.Zones, fleet.Platform.Pick, fleet.Record, options.Seed)
+	sender := load.New(fleet.Shape.Mix, fleet.Shape.Zones, fleet.Platform.Pick, fleet.Record, options.Seed)
 	sender.Hot = max(options.Hot, scenario.Hot)
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -118,38 +151,34 @@
 		sender.Run(running, func() float64 { return rate * stage.Factor() })
 		close(finished)
 	}()
-	err = scenario.Run(stage)
-	stage.At(float64(options.Seconds))
-	// Whether service is back can only be seen while somebody asks for it.
-	fleet.Record.Change(func(record *history.History) {
-		for _, back := range record.Returns {
-			if until := back.At.Add(history.ReturnBound).Sub(stage.begun).Seconds(); until > float64(options.Seconds) {
-				options.Seconds = int(until) + 1
-			}
-		}
-	})
+	err := scenario.Run(stage)
 	stage.At(float64(options.Seconds))
+	stage.At(float64(max(options.Seconds, stage.secondsToReturn())))
 	stop()
 	<-finished
-	if err != nil {
-		return false, err
-	}
-	asked := Await(patience, func() bool {
-		for _, core := range fleet.Cores() {
-			if fleet.Finish(core) == nil {
-				return true
-			}
+	return err
+}
+
+// secondsToReturn gives how long the load must last to show whether service is back in time after each return, which
+// can only be seen while somebody asks for it.
+func (stage *Stage) secondsToReturn() (seconds int) {
+	stage.Record.Change(func(record *history.History) {
+		for _, back := range record.Returns {
+			until := back.At.Add(history.ReturnBound).Sub(stage.begun).Seconds()
+			seconds = max(seconds, int(math.Ceil(until)))
 		}
-		return false
 	})
-	if !asked {
-		fmt.Fprintln(options.Output, "nobody answered for the state at the end")
-	}
-	violations := history.Check(fleet.Record)
-	if options.Timeless {
-		violations = history.Timeless(violations)
+	return seconds
+}
+
+// finished asks the cores for the state at the end until one has answered.
+func (fleet *Fleet) finished() bool {
+	for _, core := range fleet.Cores() {
+		if fleet.Finish(core) == nil {
+			return true
+		}
 	}
-	return fleet.Print(options.Output, violations), nil
+	return false
 }
 
 // Scale changes the rate of requests.
--- a/transport/seam/real.go
+++ b/transport/seam/real.go
@@ -61,13 +61,16 @@
 	return err == nil && quiet
 }
 
+// fromHTTP is one request of the server's, as a Requester.
 type fromHTTP struct{ context *fasthttp.RequestCtx }
 
 // FromHTTP is the requester behind one HTTP request.
 func FromHTTP(context *fasthttp.RequestCtx) Requester { return fromHTTP{context} }
 
+// Method gives the request's method.
 func (requester fromHTTP) Method() string { return string(requester.context.Method()) }
 
+// Authority gives the Host header.
 func (requester fromHTTP) Authority() string { return string(requester.context.Request.Header.Host()) }
 
 // Target gives the bytes as they came: cleaning them up would change what was asked.
@@ -75,6 +78,7 @@
 	return string(requester.context.Request.Header.RequestURI())
 }
 
+// Header gives every value of a header.
 func (requester fromHTTP) Header(name string) []string {
 	var values []string
 	for _, value := range requester.context.Request.Header.PeekAll(name) {
@@ -83,14 +87,17 @@
 	return values
 }
 
+// Headers calls a function for every line of the request's head.
 func (requester fromHTTP) Headers(each func(name, value string)) {
 	for name, value := range requester.context.Request.Header.All() {
 		each(string(name), string(value))
 	}
 }
 
+// Body gives the whole body, which the server has read.
 func (requester fromHTTP) Body() []byte { return requester.context.PostBody() }
 
+// Last closes the connection after this answer.
 func (requester fromHTTP) Last() { requester.context.SetConnectionClose() }
 
 func (requester fromHTTP) head(status int, headers []Header) {
@@ -102,6 +109,7 @@
 	}
 }
 
+// Answer gives a whole answer.
 func (requester fromHTTP) Answer(status int, headers []Header, body []byte) {
 	requester.head(status, headers)
 	requester.context.SetBody(body)
