--- a/process/strict/strict.go
+++ b/process/strict/strict.go
@@ -62,10 +62,10 @@
 	if name, isName := token.(string); isName && top != nil && top.object && !top.keyed {
 		return false, top.takeName(name)
 	}
-	switch token {
-	case json.Delim('{'), json.Delim('['):
+	if token == json.Delim('{') || token == json.Delim('[') {
 		return false, walker.open(token == json.Delim('{'))
-	case json.Delim('}'), json.Delim(']'):
+	}
+	if token == json.Delim('}') || token == json.Delim(']') {
 		walker.levels = walker.levels[:len(walker.levels)-1]
 	}
 	// A value has ended: the document's, or one within the object or list that is now the innermost.
--- a/proof/broken/main.go
+++ b/proof/broken/main.go
@@ -34,16 +34,12 @@
 	if len(patches) == 0 || chosen.jobs < 1 {
 		exit(fmt.Errorf("nothing to do: give --only a pattern of names that --list shows, and --jobs of at least 1"))
 	}
-	passed := true
-	switch {
-	case chosen.list:
+	if chosen.list {
 		list(patches)
-	case chosen.check:
-		passed = checkAll(patches, chosen.jobs)
-	default:
-		passed = tryAll(patches, chosen.jobs)
+		return
 	}
-	if !passed {
+	work := map[bool]func([]patch, int) bool{true: checkAll, false: tryAll}[chosen.check]
+	if !work(patches, chosen.jobs) {
 		os.Exit(1)
 	}
 }
--- a/proof/fleet/report.go
+++ b/proof/fleet/report.go
@@ -41,22 +41,23 @@
 // addAnswer counts one answer by how it ended.
 func (figures *Figures) addAnswer(answer *history.Answer) {
 	figures.Requests++
-	switch {
-	case answer.Done:
-		figures.Done++
-		figures.First[answer.Lane] = append(figures.First[answer.Lane], answer.First)
-	case answer.Lost:
-		figures.Lost++
-	case answer.Error:
-		figures.Broken++
-	case answer.Status == http.StatusGatewayTimeout:
-		figures.Unknown++
-	default:
-		figures.Refused++
+	ends := []struct {
+		holds bool
+		count *int
+	}{{answer.Done, &figures.Done}, {answer.Lost, &figures.Lost}, {answer.Error, &figures.Broken},
+		{answer.Status == http.StatusGatewayTimeout, &figures.Unknown}, {true, &figures.Refused}}
+	for _, end := range ends {
+		if end.holds {
+			*end.count++
+			break
+		}
 	}
 	if answer.Kind != "" {
 		figures.Kinds[answer.Lane+" "+answer.Kind]++
 	}
+	if answer.Done {
+		figures.First[answer.Lane] = append(figures.First[answer.Lane], answer.First)
+	}
 }
 
 // cacheShare gives the part of all prompt tokens that runners found in their caches.
--- a/proof/place/play.go
+++ b/proof/place/play.go
@@ -548,13 +548,12 @@
 // end adds up the end of one request.
 func (earned *Earned) end(made *order, window int, whole, inTime bool) {
 	value := 0.0
-	switch {
-	case !whole:
+	if !whole {
 		earned.Lost++
-	case inTime:
+	} else if inTime {
 		earned.InTime++
 		value = made.worth
-	default:
+	} else {
 		earned.Late++
 		value = made.late
 	}
