proof/hollow: head and daemons lost while an operator makes changes

The phases of `wtproof hollow run` lose one or the other, make a single change meanwhile, and tell neither how long daemons had no lease nor what is sent while no head acts.

Change: `--kill-head`, `--power`, `--lose`, with their moments, take the place of the phases. A run has four stages (before, silent, degraded, after), each a phase of the results: messages and bytes, processor time, memory, times without a lease of up to 64 daemons a worker, each change with its outcome, and the machine's load. Daemons without power keep their sockets and answer nothing; a head without power is stopped. Hollow daemons now hear of refused connections, as real ones do.

Ruled out: the operator's client asking the lost head first; it would wait 9 s for it and measure its own patience, so the head is asked last.

--- a/proof/hollow/command.go
+++ b/proof/hollow/command.go
@@ -33,6 +33,7 @@
 	memory := run.Flag("memory", "MiB that all processes together may hold; a run that takes more is ended.").Default("12288").Uint64()
 	slow := run.Flag("slow", "How many times slower the daemons' clocks run than the cores', so that a small machine can carry many; 0 for what fits the size. Phases that need prompt daemons are left out above 4.").Default("0").Float64()
 	bound := run.Flag("bound", "How long one fleet may be measured; phases not begun by then are left out.").Default("120s").Duration()
+	faults := faultFlags(run)
 	seed := run.Flag("seed", "Seed.").Default("1").Int64()
 	network := run.Flag("network", "Second byte of the loopback addresses.").Default("60").Int()
 	binaries := run.Flag("binaries", "Where wtcore is; beside wtproof if empty.").String()
@@ -93,7 +94,7 @@
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
 			for _, point := range cross(*lanes, *runners, *daemons) {
 				measured, err := Measure(Options{Daemons: point[2], Runners: point[1], Listed: *listed, Cores: *cores, Lanes: point[0], Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
-					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
+					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Faults: *faults, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
 				if err != nil {
 					return err
 				}
@@ -112,6 +113,21 @@
 	}
 }
 
+// faultFlags adds the flags of a run with faults, which takes the place of the phases.
+func faultFlags(run *kingpin.CmdClause) *FaultPlan {
+	plan := &FaultPlan{}
+	run.Flag("kill-head", "Lose the head while an operator makes changes; takes the place of the phases.").BoolVar(&plan.KillHead)
+	run.Flag("power", "The lost head falls silent as without power; otherwise its process is killed and connections to it are refused.").BoolVar(&plan.Power)
+	run.Flag("lose", "Share of the daemons that fall silent as without power, from 0 to 0.9; takes the place of the phases.").Float64Var(&plan.Lose)
+	run.Flag("kill-at", "When the head is lost, from the first change on.").Default("8s").DurationVar(&plan.KillAt)
+	run.Flag("head-back", "When it is started again.").Default("18s").DurationVar(&plan.HeadBack)
+	run.Flag("lose-at", "When the daemons are lost.").Default("8s").DurationVar(&plan.LoseAt)
+	run.Flag("lost-back", "When they are started again.").Default("22s").DurationVar(&plan.LostBack)
+	run.Flag("change-every", "How often an operator makes a change meanwhile; 0 for never.").Default("1s").DurationVar(&plan.Every)
+	run.Flag("settled", "For how long the fleet is watched once all are back and serve.").Default("8s").DurationVar(&plan.Settled)
+	return plan
+}
+
 // cross gives each of the first with each of the second and each of the third.
 func cross(first, second, third []int) (points [][3]int) {
 	for _, one := range first {
@@ -151,13 +167,16 @@
 			for flow := range phase.Flows {
 				phase.Flows[flow].Messages, phase.Flows[flow].Bytes = rounded(phase.Flows[flow].Messages), rounded(phase.Flows[flow].Bytes)
 			}
+			for change := range phase.Changes {
+				phase.Changes[change].At, phase.Changes[change].Seconds = rounded(phase.Changes[change].At), rounded(phase.Changes[change].Seconds)
+			}
 			for core := range phase.Cores {
 				seen := &phase.Cores[core]
 				for _, value := range []*float64{&seen.Processor, &seen.Sent, &seen.Received, &seen.BytesOut, &seen.BytesIn} {
 					*value = rounded(*value)
 				}
 			}
-			if phase.Name != "quiet" {
+			if phase.Name != "quiet" && phase.Name != stageSilent {
 				phase.Flows = nil
 			}
 		}
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -43,6 +43,11 @@
 	epoch     uint64
 	// witness daemons also pay for the snapshot that the request path takes after each step.
 	witness bool
+	// dark tells that the machine lost its power: nothing is sent or answered, and no connection is closed.
+	dark bool
+	// watched daemons note for how long they had no lease.
+	watched bool
+	lease   leaseWatch
 }
 
 // item is one piece of a worker's work: a frame or an envelope for a daemon, or something to do.
@@ -197,6 +202,9 @@
 		}
 		worker.step(daemon, "tick", threadTime(), daemon.director.Tick)
 		now = worker.host.now()
+		if daemon.watched {
+			daemon.lease.note(worker.remaining(daemon, now), monotonic())
+		}
 	}
 }
 
@@ -294,23 +302,60 @@
 	if daemon.up {
 		return nil
 	}
+	if daemon.dark {
+		daemon.wire.Close()
+	}
 	now := worker.host.now()
-	daemon.up, daemon.documents, daemon.epoch = true, 0, 0
+	daemon.up, daemon.dark, daemon.documents, daemon.epoch, daemon.lease = true, false, 0, 0, leaseWatch{}
 	daemon.life++
 	life := daemon.life
 	daemon.due = now.Add(time.Duration(worker.random.Int63n(int64(plane.TickEvery))))
 	daemon.director = director.New(now, director.Startup{Address: daemon.place.Address, HTTP: daemon.place.Address, Zone: daemon.place.Zone, Seeds: worker.host.seeds, Registered: !worker.host.plan.Listed},
 		rand.New(rand.NewSource(worker.random.Int63())))
-	daemon.wire = transport.New(daemon.place.Address, daemon.place.Zone, func(envelope *wire.Envelope) { worker.fromCore(daemon, life, envelope) }, nil)
+	daemon.wire = transport.New(daemon.place.Address, daemon.place.Zone, func(envelope *wire.Envelope) { worker.fromCore(daemon, life, envelope) },
+		func(address string, tried time.Time) { worker.refused(daemon, life, address, tried) })
 	return daemon.wire.Listen()
 }
 
+// refused tells a daemon that nobody listened at an address; it runs on the transport's own goroutine.
+func (worker *worker) refused(daemon *daemon, life int, address string, tried time.Time) {
+	worker.put(item{do: func() {
+		if daemon.up && daemon.life == life {
+			worker.step(daemon, "refused", threadTime(), func(now time.Time) { daemon.director.Refused(now, address, tried) })
+		}
+	}})
+}
+
+// darken lets a daemon fall silent as a machine without power: its sockets stay as they are.
+func (worker *worker) darken(daemon *daemon) error {
+	if daemon.up {
+		daemon.up, daemon.dark = false, true
+		daemon.life++
+	}
+	return nil
+}
+
+// watchLease begins to note the times without a lease anew.
+func (worker *worker) watchLease(daemon *daemon) error {
+	daemon.lease = leaseWatch{}
+	return nil
+}
+
+// remaining gives for how long of the machine's time a daemon may still award work.
+func (worker *worker) remaining(daemon *daemon, now time.Time) time.Duration {
+	until := daemon.director.Until(now)
+	if !until.After(now) {
+		return 0
+	}
+	return time.Duration(float64(until.Sub(now)) * worker.host.clock.Load().slow)
+}
+
 // end takes a daemon away without a word.
 func (worker *worker) end(daemon *daemon) {
-	if !daemon.up {
+	if !daemon.up && !daemon.dark {
 		return
 	}
-	daemon.up = false
+	daemon.up, daemon.dark = false, false
 	daemon.life++
 	daemon.wire.Close()
 	daemon.director, daemon.wire = nil, nil
--- /dev/null
+++ b/proof/hollow/faults_test.go
@@ -0,0 +1,130 @@
+package hollow
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A small fleet whose head and half of whose daemons fall silent: it serves again, changes are acknowledged
+// before and after, and every figure that the page reads is there, also once the results were written and read.
+func TestHeadAndHalfOfTheDaemonsLost(t *testing.T) {
+	folder := t.TempDir()
+	build := exec.Command("go", "build", "-o", folder, "wardtray/cmd/wtcore")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	told := &strings.Builder{}
+	plan := FaultPlan{KillHead: true, Power: true, Lose: 0.5, KillAt: 2 * time.Second, LoseAt: 2 * time.Second, HeadBack: 6 * time.Second, LostBack: 6 * time.Second,
+		Every: 500 * time.Millisecond, Settled: 2 * time.Second}
+	run, err := Measure(Options{Daemons: 12, Cores: 3, Lanes: 4, Pools: 2, Processors: 2, CoreProcessors: 2, Memory: 4 << 30, Seed: 1, Network: 200 + os.Getpid()%50,
+		Quiet: time.Second, Founding: 2 * time.Minute, Faults: plan, Bound: 4 * time.Minute, Binaries: folder, Folder: t.TempDir(), Output: told})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, told)
+	}
+	defer func() {
+		if t.Failed() {
+			t.Log(told)
+		}
+	}()
+	path := filepath.Join(folder, "results.json")
+	if err := (Results{Runs: []Run{run}}).write(path); err != nil {
+		t.Fatal(err)
+	}
+	results, err := ReadResults(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := results.Runs[0]
+	for _, stage := range stageNames {
+		for _, name := range []string{"daemon.messages", "daemon.bytes", "daemon.processor", "lease.watched"} {
+			if value, found := read.figure(stage, name); !found || value <= 0 {
+				t.Errorf("%s: %s is %v", stage, name, value)
+			}
+		}
+	}
+	for _, stage := range []string{stageBefore, stageAfter} {
+		if accepted, _ := read.figure(stage, "changes.accepted"); accepted == 0 {
+			t.Errorf("%s: no change was acknowledged", stage)
+		}
+	}
+	if open, found := read.figure(stageDegraded, "serves.open"); !found || open != 0 {
+		t.Errorf("%v of the daemons that were left had no lease when the others came back", open)
+	}
+	for _, phase := range read.Phases {
+		if len(phase.Notes) > 0 {
+			t.Errorf("%s: %s", phase.Name, strings.Join(phase.Notes, "; "))
+		}
+	}
+	if !strings.Contains(results.Table(), "| faults-silent | head.seconds |") {
+		t.Error("the table lacks the silence")
+	}
+}
+
+func TestPlanIsChecked(t *testing.T) {
+	for _, plan := range []FaultPlan{{Lose: -0.1}, {Lose: 0.95}, {KillHead: true, KillAt: 2, HeadBack: 2}, {Lose: 0.5, LoseAt: 3, LostBack: 1}} {
+		if plan.check() == nil {
+			t.Errorf("%+v was taken", plan)
+		}
+	}
+	if err := (FaultPlan{KillHead: true, KillAt: 1, HeadBack: 2, Lose: 0.5, LoseAt: 1, LostBack: 2}).check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestLeaseWatchTellsGaps(t *testing.T) {
+	watch := leaseWatch{}
+	watch.note(0, 10) // None yet: a daemon that never had one has lost none.
+	watch.note(100, 20)
+	watch.note(50, 70)
+	watch.note(0, 130)
+	watch.note(0, 150)
+	watch.note(40, 200)
+	history := watch.history(210)
+	if !history.Held || history.Open || len(history.Gaps) != 1 || history.Gaps[0] != (Interval{From: 120, To: 200}) {
+		t.Errorf("%+v", history)
+	}
+	watch.note(0, 300)
+	history = watch.history(350)
+	if !history.Open || len(history.Gaps) != 2 || history.Gaps[1] != (Interval{From: 240, To: 350}) {
+		t.Errorf("%+v", history)
+	}
+	if (&leaseWatch{}).history(5).Held {
+		t.Error("a daemon without a lease held one")
+	}
+}
+
+func TestLeaseFiguresAreClippedToTheStage(t *testing.T) {
+	second := time.Second
+	leases := []LeaseHistory{{Held: true, Gaps: []Interval{{From: 1 * second, To: 4 * second}}}, {Held: true}, {}}
+	figures := leaseFigures(leases, Interval{From: 2 * second, To: 10 * second})
+	if figures["lease.watched"] != 2 || figures["lease.without_share"] != 0.5 || figures["lease.without_mean"] != 1 || figures["lease.without_longest"] != 2 {
+		t.Errorf("%v", figures)
+	}
+	if serving := servingFigures(leases, 1*second); serving["serves.seconds"] != 3 || serving["serves.open"] != 1 {
+		t.Errorf("%v", serving)
+	}
+}
+
+func TestChangesCountAsOfTheirStage(t *testing.T) {
+	second := time.Second
+	run := &faultRun{firstFault: 10 * second, stages: []stage{{name: stageBefore, bounds: Interval{To: 10 * second}}, {name: stageSilent, bounds: Interval{From: 10 * second, To: 12 * second}},
+		{name: stageDegraded, bounds: Interval{From: 12 * second, To: 20 * second}}, {name: stageAfter, bounds: Interval{From: 21 * second, To: 30 * second}}}}
+	for _, sample := range []struct {
+		sent, answered time.Duration
+		stage          string
+	}{{1, 2, stageBefore}, {9, 11, stageSilent}, {9, 19, stageSilent}, {11, 25, stageSilent}, {12, 13, stageDegraded}, {20, 22, stageAfter}, {29, 31, stageAfter}} {
+		if told := run.stageOf(ChangeRecord{sent: sample.sent * second, answered: sample.answered * second}); told != sample.stage {
+			t.Errorf("sent at %d s, answered at %d s: %s", sample.sent, sample.answered, told)
+		}
+	}
+	figures := changeFigures([]ChangeRecord{{Seconds: 3, Outcome: "accepted"}, {Seconds: 1, Outcome: "accepted"}, {Seconds: 2, Outcome: "accepted"}, {Seconds: 5, Outcome: "unknown"}})
+	content, _ := json.Marshal(figures)
+	if string(content) != `{"changes.accepted":3,"changes.median":2,"changes.most":3,"changes.unsure":1}` {
+		t.Errorf("%s", content)
+	}
+}
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -46,6 +46,8 @@
 	Phases []string
 	// Silent bounds the size at which the head may fall silent: each daemon then asks all others.
 	Silent int
+	// Faults are done while changes are made, after the quiet and before the phases.
+	Faults FaultPlan
 	// Slow is how many times slower the daemons' clocks run than the cores'; 0 for what fits the size.
 	Slow float64
 	// Bound is how long the whole run may take.
@@ -129,6 +131,8 @@
 	place   Place
 	file    string
 	command *exec.Cmd
+	// dark tells that the process is stopped and answers nothing, as a machine without power.
+	dark bool
 }
 
 // fleet is a hollow fleet that runs.
@@ -243,6 +247,13 @@
 		_ = process.command.Wait()
 		process.command = nil
 	}
+	process.dark = false
+}
+
+// darken lets a core fall silent without its connections being closed, as a machine that lost its power.
+func (process *coreProcess) darken() {
+	process.signal(syscall.SIGSTOP)
+	process.dark = true
 }
 
 func (process *coreProcess) signal(signal syscall.Signal) {
@@ -302,6 +313,7 @@
 		}
 		total.Asked += report.Asked
 		total.Dropped += report.Dropped
+		total.Leases = append(total.Leases, report.Leases...)
 		total.Used += report.Used
 		total.Heap += report.Heap
 		for _, line := range report.Flows {
@@ -332,7 +344,7 @@
 // status asks a core for its state; a core that does not answer gives an empty one.
 func (fleet *fleet) status(process *coreProcess) corehost.Status {
 	status := corehost.Status{}
-	if process.command == nil {
+	if process.command == nil || process.dark {
 		return status
 	}
 	response, err := fleet.http.Get("http://" + process.place.HTTP + "/v1/status")
--- a/proof/hollow/host.go
+++ b/proof/hollow/host.go
@@ -85,6 +85,8 @@
 	Heap     uint64                     `json:"heap"`
 	Resident uint64                     `json:"resident"`
 	Arrivals map[uint64][]time.Duration `json:"arrivals,omitempty"`
+	// Leases are the times without a lease of the daemons that are watched.
+	Leases []LeaseHistory `json:"leases,omitempty"`
 }
 
 // lateness is a coarse histogram of how late ticks came: below 1, 2, 4 ... milliseconds.
@@ -181,7 +183,7 @@
 			continue
 		}
 		worker := host.workers[own%len(host.workers)]
-		made := &daemon{place: &place, worker: worker, witness: own < plan.Witnesses}
+		made := &daemon{place: &place, worker: worker, witness: own < plan.Witnesses, watched: len(worker.daemons) < watchedDaemons}
 		worker.daemons = append(worker.daemons, made)
 		host.daemons[place.Address] = made
 		own++
@@ -245,7 +247,12 @@
 var verbs = map[string]func(host *host, order Order) Report{
 	"begin": func(host *host, order Order) Report { return host.each(order, (*worker).begin) },
 	"end":   func(host *host, order Order) Report { return host.each(order, (*worker).quietEnd) },
-	"cut":   (*host).orderCut,
+	"dark":  func(host *host, order Order) Report { return host.each(order, (*worker).darken) },
+	// Times without a lease are told from the latest "watch" on.
+	"watch":  func(host *host, order Order) Report { return host.each(order, (*worker).watchLease) },
+	"leases": (*host).orderLeases,
+	"count":  (*host).orderCount,
+	"cut":    (*host).orderCut,
 	"pace": func(host *host, order Order) Report {
 		// Once there is a document, full speed is more than the machine can carry.
 		if order.Slow >= host.plan.Slow || !host.documented.Load() {
@@ -261,6 +268,34 @@
 	},
 }
 
+// orderLeases reports the times without a lease of the watched daemons that live.
+func (host *host) orderLeases(Order) Report {
+	report := Report{}
+	for _, worker := range host.workers {
+		worker.call(func() {
+			for _, daemon := range worker.daemons {
+				if daemon.watched && daemon.up {
+					report.Leases = append(report.Leases, daemon.lease.history(monotonic()))
+				}
+			}
+		})
+	}
+	return report
+}
+
+// orderCount reports only what was sent, which costs the daemons nothing.
+func (host *host) orderCount(Order) Report {
+	report := Report{}
+	for _, worker := range host.workers {
+		worker.call(func() {
+			for flow, count := range worker.flows {
+				report.Flows = append(report.Flows, FlowLine{Flow: flow, Count: *count})
+			}
+		})
+	}
+	return report
+}
+
 func (worker *worker) quietEnd(daemon *daemon) error {
 	worker.end(daemon)
 	return nil
@@ -322,6 +357,7 @@
 }
 
 // sampled bounds how many daemons of a worker are asked whether they serve: the answer walks the directory.
+// Those that are dark are passed over.
 const sampled = 32
 
 // report gathers the counts; a sample only asks some daemons whether they serve.
@@ -339,6 +375,9 @@
 			daemons := named[worker]
 			step := max(1, len(daemons)/sampled)
 			for place := 0; place < len(daemons); place += step {
+				if daemons[place].dark {
+					continue
+				}
 				if !daemons[place].up {
 					report.Asked++
 					report.Least = 0
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 
@@ -33,7 +34,7 @@
 		fmt.Fprintf(text, " %d daemons, %d runners |", run.Daemons, run.Runners)
 	}
 	fmt.Fprintf(text, "\n| --- | --- |%s\n", strings.Repeat(" --- |", len(results.Runs)))
-	for _, phase := range append([]string{"founding", "quiet"}, PhaseNames()...) {
+	for _, phase := range slices.Concat([]string{"founding", "quiet"}, stageNames, PhaseNames()) {
 		names := map[string]bool{}
 		for _, run := range results.Runs {
 			for _, held := range run.Phases {
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"os/exec"
@@ -56,6 +57,8 @@
 	Flows   []FlowRate          `json:"flows,omitempty"`
 	Steps   map[string]StepRate `json:"steps,omitempty"`
 	Cores   []Core              `json:"cores,omitempty"`
+	// Changes are those that an operator made meanwhile, one by one, where faults were done.
+	Changes []ChangeRecord `json:"changes,omitempty"`
 	// Notes tell what did not come about and what was left out.
 	Notes []string `json:"notes,omitempty"`
 	// Upset tells that the machine did not keep up, or that the head fell silent unasked, so that daemons
@@ -164,6 +167,9 @@
 			return run, fault.New(fault.BadStartup, "there is no phase %q; give some of %s", name, strings.Join(PhaseNames(), ", "))
 		}
 	}
+	if err := options.Faults.check(); err != nil {
+		return run, err
+	}
 	if options.Slow <= 0 {
 		options.Slow = max(1, float64(options.Daemons)/float64(perPace*max(1, options.Processors)))
 	}
@@ -198,6 +204,10 @@
 	pause(min(length, settling))
 	quiet := fleet.watch("quiet", func(phase *Phase) { pause(length) })
 	quiet.Figures["daemon.heap"] = float64(fleet.order(Order{Verb: "settle"}).Heap) / float64(max(1, options.Daemons))
+	if options.Faults.any() {
+		run.Phases = append(append(run.Phases, quiet), fleet.faults()...)
+		return run, nil
+	}
 	fleet.setPace(2 * options.Slow)
 	halved := fleet.watch("halved", func(phase *Phase) { pause(length) })
 	fleet.setPace(options.Slow)
@@ -230,69 +240,22 @@
 
 // watch runs a phase and notes what it cost.
 func (fleet *fleet) watch(name string, do func(phase *Phase)) Phase {
-	phase := Phase{Name: name, Figures: map[string]float64{}, Steps: map[string]StepRate{}}
-	type core struct {
-		used time.Duration
-		wire map[string]any
-		id   int
-	}
-	before := make([]core, len(fleet.cores))
-	for place, process := range fleet.cores {
-		if process.command != nil {
-			used, _ := usage(process.command.Process.Pid)
-			before[place] = core{used: used, wire: fleet.status(process).Wire, id: process.command.Process.Pid}
-		}
-	}
-	first, begun := fleet.order(Order{Verb: "report"}), time.Now()
-	do(&phase)
-	second := fleet.order(Order{Verb: "report"})
-	phase.Seconds = time.Since(begun).Seconds()
-	each := float64(max(1, fleet.options.Daemons)) * phase.Seconds / fleet.pace
-	phase.Figures["daemon.processor"] = (second.Used - first.Used).Seconds() / each
-	phase.Figures["carrier.dropped"] = float64(second.Dropped - first.Dropped)
-	phase.Figures["harness.processor"] = (second.Used - first.Used).Seconds() / phase.Seconds
-	late := lateness{}
-	for place := range late.Buckets {
-		late.Buckets[place] = second.Late.Buckets[place] - first.Late.Buckets[place]
-	}
-	phase.Figures["harness.late_99"] = late.share(0.99).Seconds()
-	fleet.flows(&phase, first, second, each)
-	for kind, spent := range second.Spent {
-		steps, time := spent.Steps-first.Spent[kind].Steps, spent.Time-first.Spent[kind].Time
-		if steps > 0 {
-			phase.Steps[kind] = StepRate{PerSecond: float64(steps) / each, Microseconds: time.Seconds() * 1e6 / float64(steps)}
-		}
-	}
-	for place, process := range fleet.cores {
-		if process.command == nil || process.command.Process.Pid != before[place].id {
-			continue
-		}
-		used, resident := usage(process.command.Process.Pid)
-		status := fleet.status(process)
-		rate := func(name string) float64 {
-			return (number(status.Wire[name]) - number(before[place].wire[name])) / phase.Seconds
-		}
-		phase.Cores = append(phase.Cores, Core{Place: status.Core.Place, Processor: (used - before[place].used).Seconds() / phase.Seconds, Resident: resident,
-			Sent: rate("sent"), Received: rate("received"), BytesOut: rate("bytes_out"), BytesIn: rate("bytes_in"), Dropped: rate("dropped") * phase.Seconds})
-	}
-	fleet.coreFigures(&phase)
+	first := fleet.observe()
+	done := Phase{Figures: map[string]float64{}}
+	do(&done)
+	phase := fleet.between(name, first, fleet.observe(), fleet.options.Daemons)
+	phase.Notes = done.Notes
+	phase.Upset = done.Upset
+	maps.Copy(phase.Figures, done.Figures)
 	// A contact asked by many where nobody was harmed means that the head was not heard in time.
 	if !phases[name].silent && name != "churn" && name != "rack" && phase.Figures["kind.ContactAsk.messages"] > upsetBound && name != "founding" {
 		phase.Upset = true
 		phase.Notes = append(phase.Notes, "upset: daemons asked each other although nothing was done to the head")
 	}
-	hosts, cores := fleet.resident()
-	phase.Figures["harness.resident"], phase.Figures["cores.resident"] = float64(hosts), float64(cores)
-	fleet.tell("%s: %.1f s, %.2f processors for the daemons, %.1f messages and %.0f bytes a daemon and second, ticks %.0f ms late (99%%), %d MiB; %s", name, phase.Seconds,
-		phase.Figures["harness.processor"], phase.Figures["daemon.messages"], phase.Figures["daemon.bytes"], phase.Figures["harness.late_99"]*1000, (hosts+cores)>>20, strings.Join(phase.Notes, "; "))
+	fleet.tellPhase(phase)
 	return phase
 }
 
-func number(value any) float64 {
-	found, _ := value.(float64)
-	return found
-}
-
 // paced are the cores' figures that grow with how often daemons ask.
 var paced = []string{"processor", "sent", "received", "bytes_out", "bytes_in"}
 
@@ -320,47 +283,6 @@
 	fleet.pace = slow
 }
 
-// flows notes what a daemon sent and what the cores sent it, by kind and border.
-func (fleet *fleet) flows(phase *Phase, first, second Report, each float64) {
-	held := map[Flow]Count{}
-	for _, line := range first.Flows {
-		held[line.Flow] = line.Count
-	}
-	for _, line := range second.Flows {
-		rate := FlowRate{Kind: line.Kind, Way: line.Way, Border: line.Border, Messages: float64(line.Messages-held[line.Flow].Messages) / each,
-			Bytes: float64(line.Bytes-held[line.Flow].Bytes) / each}
-		if rate.Messages == 0 {
-			continue
-		}
-		phase.Flows = append(phase.Flows, rate)
-		if rate.Way != "from cores" {
-			phase.Figures["daemon.messages"] += rate.Messages
-			phase.Figures["daemon.bytes"] += rate.Bytes
-			phase.Figures["daemon.bytes_"+map[string]string{"zone": "own_zone", "region": "other_zone", "regions": "other_region"}[rate.Border]] += rate.Bytes
-		}
-		phase.Figures["daemon.bytes_all"] += rate.Bytes
-		phase.Figures["kind."+rate.Kind+".messages"] += rate.Messages
-		phase.Figures["kind."+rate.Kind+".bytes"] += rate.Bytes
-	}
-	sort.Slice(phase.Flows, func(left, right int) bool {
-		one, other := phase.Flows[left], phase.Flows[right]
-		return one.Way+one.Kind+one.Border < other.Way+other.Kind+other.Border
-	})
-}
-
-// coreFigures notes the head's and the tail's figures by name, and the greatest of the others.
-func (fleet *fleet) coreFigures(phase *Phase) {
-	for _, core := range phase.Cores {
-		for _, role := range strings.Split(core.Place, " and ") {
-			for name, value := range map[string]float64{"processor": core.Processor, "resident": float64(core.Resident), "sent": core.Sent, "received": core.Received,
-				"bytes_out": core.BytesOut, "bytes_in": core.BytesIn, "dropped": core.Dropped} {
-				key := role + "." + name
-				phase.Figures[key] = max(phase.Figures[key], value)
-			}
-		}
-	}
-}
-
 // found starts daemons and cores and waits until the whole directory is there and serves.
 func (fleet *fleet) found() (Phase, error) {
 	var err error
