proof/hollow: times without a lease from the first moment on, upset stages marked

Cause: a daemon that never got its lease back after its return was left out of the figures, and the stage after the faults told of leases what was seen before the others came back: nothing.

Change: a watched daemon has no lease until one is seen; the last stage takes the histories of its own end. Stages without a fault are marked upset where daemons asked each other, as other phases are.

Ruled out: watching every daemon; at 300 the look walks the directory on the present code.

--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -306,7 +306,7 @@
 		daemon.wire.Close()
 	}
 	now := worker.host.now()
-	daemon.up, daemon.dark, daemon.documents, daemon.epoch, daemon.lease = true, false, 0, 0, leaseWatch{}
+	daemon.up, daemon.dark, daemon.documents, daemon.epoch, daemon.lease = true, false, 0, 0, newLeaseWatch(monotonic())
 	daemon.life++
 	life := daemon.life
 	daemon.due = now.Add(time.Duration(worker.random.Int63n(int64(plane.TickEvery))))
@@ -337,7 +337,11 @@
 
 // watchLease begins to note the times without a lease anew.
 func (worker *worker) watchLease(daemon *daemon) error {
-	daemon.lease = leaseWatch{}
+	at := monotonic()
+	daemon.lease = newLeaseWatch(at)
+	if daemon.up {
+		daemon.lease.note(worker.remaining(daemon, worker.host.now()), at)
+	}
 	return nil
 }
 
--- a/proof/hollow/faults.go
+++ b/proof/hollow/faults.go
@@ -128,7 +128,8 @@
 	run.returnDaemons()
 	pause(run.plan.Settled)
 	run.close(stageAfter, fleet.options.Daemons)
-	return run.phases(leases, changes.end())
+	settled := fleet.order(Order{Verb: "leases"}).Leases
+	return run.phases(leases, settled, changes.end())
 }
 
 // operatorCores are the cores that an operator asks, the head last: a client that waits for the answer of a
@@ -153,6 +154,9 @@
 func (run *faultRun) close(name string, daemons int) {
 	now, at := run.fleet.observe(), monotonic()
 	phase := run.fleet.between(name, run.last, now, daemons)
+	if name == stageBefore || name == stageAfter {
+		phase.judgeUpset()
+	}
 	run.stages = append(run.stages, stage{name: name, bounds: Interval{From: run.since, To: at}, phase: phase, daemons: daemons})
 	run.last, run.since = now, at
 	run.fleet.tellPhase(phase)
@@ -288,12 +292,17 @@
 	run.last, run.since = run.fleet.observe(), monotonic()
 }
 
-// phases gives each stage with what the leases and the changes say of it.
-func (run *faultRun) phases(leases []LeaseHistory, changes []ChangeRecord) []Phase {
+// phases gives each stage with what the leases and the changes say of it. The leases are those of the live
+// daemons up to the return of the lost ones; settled are those of all at the end.
+func (run *faultRun) phases(leases, settled []LeaseHistory, changes []ChangeRecord) []Phase {
 	var phases []Phase
 	for place := range run.stages {
 		stage := &run.stages[place]
-		maps.Copy(stage.phase.Figures, leaseFigures(leases, stage.bounds))
+		histories := leases
+		if stage.name == stageAfter {
+			histories = settled
+		}
+		maps.Copy(stage.phase.Figures, leaseFigures(histories, stage.bounds))
 		stage.phase.Changes = run.changesOf(stage.name, changes)
 		maps.Copy(stage.phase.Figures, changeFigures(stage.phase.Changes))
 		phases = append(phases, stage.phase)
@@ -311,9 +320,6 @@
 	figures := map[string]float64{}
 	watched, without, total, longest := 0, 0, time.Duration(0), time.Duration(0)
 	for _, history := range leases {
-		if !history.Held {
-			continue
-		}
 		watched++
 		mine := time.Duration(0)
 		for _, gap := range history.Gaps {
@@ -343,7 +349,7 @@
 		for _, gap := range history.Gaps {
 			last = max(last, gap.To)
 		}
-		if history.Open || !history.Held {
+		if history.Open {
 			open++
 		}
 	}
--- a/proof/hollow/faults_test.go
+++ b/proof/hollow/faults_test.go
@@ -77,35 +77,37 @@
 }
 
 func TestLeaseWatchTellsGaps(t *testing.T) {
-	watch := leaseWatch{}
-	watch.note(0, 10) // None yet: a daemon that never had one has lost none.
+	watch := newLeaseWatch(10)
+	watch.note(0, 15) // It has had none yet, and that is a gap as well.
 	watch.note(100, 20)
 	watch.note(50, 70)
 	watch.note(0, 130)
 	watch.note(0, 150)
 	watch.note(40, 200)
 	history := watch.history(210)
-	if !history.Held || history.Open || len(history.Gaps) != 1 || history.Gaps[0] != (Interval{From: 120, To: 200}) {
+	if history.Open || len(history.Gaps) != 2 || history.Gaps[0] != (Interval{From: 10, To: 20}) || history.Gaps[1] != (Interval{From: 120, To: 200}) {
 		t.Errorf("%+v", history)
 	}
 	watch.note(0, 300)
 	history = watch.history(350)
-	if !history.Open || len(history.Gaps) != 2 || history.Gaps[1] != (Interval{From: 240, To: 350}) {
+	if !history.Open || len(history.Gaps) != 3 || history.Gaps[2] != (Interval{From: 240, To: 350}) {
 		t.Errorf("%+v", history)
 	}
-	if (&leaseWatch{}).history(5).Held {
-		t.Error("a daemon without a lease held one")
+	serving := newLeaseWatch(10)
+	serving.note(5, 10)
+	if history := serving.history(12); history.Open || len(history.Gaps) != 0 {
+		t.Errorf("%+v", history)
 	}
 }
 
 func TestLeaseFiguresAreClippedToTheStage(t *testing.T) {
 	second := time.Second
-	leases := []LeaseHistory{{Held: true, Gaps: []Interval{{From: 1 * second, To: 4 * second}}}, {Held: true}, {}}
+	leases := []LeaseHistory{{Gaps: []Interval{{From: 1 * second, To: 4 * second}}}, {}, {Gaps: []Interval{{From: 9 * second, To: 11 * second}}, Open: true}, {}}
 	figures := leaseFigures(leases, Interval{From: 2 * second, To: 10 * second})
-	if figures["lease.watched"] != 2 || figures["lease.without_share"] != 0.5 || figures["lease.without_mean"] != 1 || figures["lease.without_longest"] != 2 {
+	if figures["lease.watched"] != 4 || figures["lease.without_share"] != 0.5 || figures["lease.without_mean"] != 0.75 || figures["lease.without_longest"] != 2 {
 		t.Errorf("%v", figures)
 	}
-	if serving := servingFigures(leases, 1*second); serving["serves.seconds"] != 3 || serving["serves.open"] != 1 {
+	if serving := servingFigures(leases[:3], 1*second); serving["serves.seconds"] != 10 || serving["serves.open"] != 1 {
 		t.Errorf("%v", serving)
 	}
 }
--- a/proof/hollow/lease.go
+++ b/proof/hollow/lease.go
@@ -19,9 +19,7 @@
 
 // LeaseHistory is what one watched daemon tells of its lease.
 type LeaseHistory struct {
-	// Held tells that it had one since it began or since it was asked to watch.
-	Held bool `json:"held"`
-	// Gaps are the stretches without a lease after the first one; Open tells that the last one lasts.
+	// Gaps are the stretches without a lease; Open tells that the last one lasts.
 	Gaps []Interval `json:"gaps,omitempty"`
 	Open bool       `json:"open,omitempty"`
 }
@@ -29,30 +27,35 @@
 // leaseWatch notes when a daemon has no lease. It looks at each tick, so that a gap between two is not seen
 // and the end of a gap is told up to a tick too late.
 type leaseWatch struct {
-	held   bool
 	lapsed bool
-	until  time.Duration
-	gaps   []Interval
+	// until is the end of the present lease, or the moment from which on there is none.
+	until time.Duration
+	gaps  []Interval
+}
+
+// newLeaseWatch begins to watch a daemon that has no lease.
+func newLeaseWatch(at time.Duration) leaseWatch {
+	return leaseWatch{lapsed: true, until: at}
 }
 
 // note takes in for how long the lease goes on from a moment; 0 or less tells that there is none.
 func (watch *leaseWatch) note(remaining, at time.Duration) {
 	if remaining > 0 {
-		if watch.lapsed {
+		if watch.lapsed && at > watch.until {
 			watch.gaps = append(watch.gaps, Interval{From: watch.until, To: at})
 		}
-		watch.held, watch.lapsed, watch.until = true, false, at+remaining
+		watch.lapsed, watch.until = false, at+remaining
 		return
 	}
-	if watch.held && !watch.lapsed {
-		// Until the last look the lease was good; the moment told then may have been taken back since.
+	if !watch.lapsed {
+		// The moment told at the last look may have been taken back since.
 		watch.lapsed, watch.until = true, min(watch.until, at)
 	}
 }
 
 // history gives what was noted up to a moment.
 func (watch *leaseWatch) history(at time.Duration) LeaseHistory {
-	history := LeaseHistory{Held: watch.held, Gaps: append([]Interval{}, watch.gaps...), Open: watch.lapsed}
+	history := LeaseHistory{Gaps: append([]Interval{}, watch.gaps...), Open: watch.lapsed}
 	if watch.lapsed {
 		history.Gaps = append(history.Gaps, Interval{From: watch.until, To: at})
 	}
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -247,15 +247,21 @@
 	phase.Notes = done.Notes
 	phase.Upset = done.Upset
 	maps.Copy(phase.Figures, done.Figures)
-	// A contact asked by many where nobody was harmed means that the head was not heard in time.
-	if !phases[name].silent && name != "churn" && name != "rack" && phase.Figures["kind.ContactAsk.messages"] > upsetBound && name != "founding" {
-		phase.Upset = true
-		phase.Notes = append(phase.Notes, "upset: daemons asked each other although nothing was done to the head")
+	if !phases[name].silent && name != "churn" && name != "rack" && name != "founding" {
+		phase.judgeUpset()
 	}
 	fleet.tellPhase(phase)
 	return phase
 }
 
+// judgeUpset marks an unharmed phase in which daemons asked each other: the head was not heard in time.
+func (phase *Phase) judgeUpset() {
+	if phase.Figures["kind.ContactAsk.messages"] > upsetBound {
+		phase.Upset = true
+		phase.Notes = append(phase.Notes, "upset: daemons asked each other although nothing was done to the head")
+	}
+}
+
 // paced are the cores' figures that grow with how often daemons ask.
 var paced = []string{"processor", "sent", "received", "bytes_out", "bytes_in"}
 
