--- a/edge/plane/plane.go
+++ b/edge/plane/plane.go
@@ -73,7 +73,9 @@
 	// drainBegun is when a planned stop began.
 	drainBegun time.Time
 	snapshot   atomic.Pointer[director.Snapshot]
-	daemons    atomic.Pointer[[]string]
+	// renewed is closed, and made anew, when the snapshot may be relied on for longer than before.
+	renewed atomic.Pointer[chan struct{}]
+	daemons atomic.Pointer[[]string]
 
 	mutex    sync.Mutex
 	director *director.Director
@@ -106,8 +108,9 @@
 	}
 	plane.director = director.New(now, startup.Startup, rand.New(rand.NewSource(startup.Random.Int63())))
 	plane.snapshot.Store(&director.Snapshot{})
+	plane.renew()
 	plane.daemons.Store(&[]string{startup.Address})
-	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Begun: now, Speech: startup.Speech, Repeats: startup.Repeats, Await: startup.Await, Snapshot: plane.snapshot.Load,
+	plane.Yard = &course.Yard{Name: startup.Address, Zone: startup.Zone, World: world, Begun: now, Speech: startup.Speech, Repeats: startup.Repeats, Await: startup.Await, Snapshot: plane.snapshot.Load, Renewed: func() <-chan struct{} { return *plane.renewed.Load() },
 		Daemons: func() []string { return *plane.daemons.Load() }, Book: pressure.NewBook(now, startup.Address), Indexer: indexer,
 		Links: link.New(world, startup.Speech.Identity()), Tally: tally.New(), Desk: plane.desk,
 		Once: memory, Tell: func(key once.Key, dropped bool) {
@@ -125,13 +128,22 @@
 	do(now, plane.director)
 	plane.send(plane.director.Drain())
 	snapshot := plane.director.Snapshot(now)
-	plane.snapshot.Store(&snapshot)
+	former := plane.snapshot.Swap(&snapshot)
 	plane.follow(now, snapshot)
+	if snapshot.Until.After(former.Until) {
+		close(*plane.renew())
+	}
 	if plane.director.WantsPoll() {
 		plane.poll()
 	}
 }
 
+// renew makes the channel by which requests wait for the next renewal, and gives the one before.
+func (plane *Plane) renew() *chan struct{} {
+	next := make(chan struct{})
+	return plane.renewed.Swap(&next)
+}
+
 // Drain begins a planned stop: fitness fails, and what comes yet is still taken.
 func (plane *Plane) Drain() {
 	plane.drainBegun = plane.world.Now()
--- a/proof/sim/strand.go
+++ b/proof/sim/strand.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// wait parks the running strand for a length of true time, or until a channel is closed.
+func (world *World) wait(length time.Duration, woken <-chan struct{}) {
+	strand, end := world.current, world.Now.Add(length)
+	world.At(end, func() { world.wake(strand) })
+	world.until(func() bool { return closed(woken) || !world.Now.Before(end) })
+}
+
+func closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // until parks the running strand until something of its own process holds.
 func (world *World) until(holds func() bool) {
 	strand := world.current
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -88,6 +88,9 @@
 	Sent uint64
 	// The greatest epoch under which this address awarded work.
 	epoch uint64
+	// sureUntil is up to when a data daemon was last seen to be sure of its spec, by its own clock; sureSince is since
+	// when it has been so without a break.
+	sureUntil, sureSince time.Time
 }
 
 // Up tells whether the host runs.
@@ -264,6 +267,7 @@
 		return
 	}
 	world.drain(host)
+	world.noteSure(host)
 	world.stir(host)
 	world.Check.step(host)
 }
@@ -514,7 +518,7 @@
 	made, err := plane.New(seam.World{
 		Now:  func() time.Time { return world.local(host) },
 		Go:   func(work func()) { world.spawn(host, work) },
-		Wait: world.sleep,
+		Wait: world.wait,
 		Dial: func(address string, terms seam.Terms) (seam.Conn, error) { return world.dial(host, address, terms) },
 	}, plane.Startup{Startup: director.Startup{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds, Registered: world.Callers != nil}, Random: random, Await: world.await,
 		Send: func(parcels []machine.Parcel) { world.send(host, parcels) }, Poll: func() { world.Platform.poll(host, life) }, Log: silent})
@@ -532,6 +536,17 @@
 	world.every(host, life, plane.AgeEvery, made.Age)
 }
 
+// noteSure notes since when a data daemon has been sure of its spec.
+func (world *World) noteSure(host *Host) {
+	if host.plane == nil {
+		return
+	}
+	if local := world.local(host); !local.Before(host.sureUntil) {
+		host.sureSince = world.Now
+	}
+	host.sureUntil = host.plane.Snapshot().Until
+}
+
 // every does something in a host's process again and again, while that lives and is not frozen.
 func (world *World) every(host *Host, life int, length time.Duration, do func()) {
 	world.After(time.Duration(world.random.Int63n(int64(length))), func() { world.again(host, life, length, do) })
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -37,7 +37,6 @@
 	writeBound      = 2 * time.Second
 	// sureBound is how long a request waits for its daemon to be sure of its spec again.
 	sureBound = time.Second
-	sureEvery = 20 * time.Millisecond
 	// usualStart is within what time of its start a daemon is sure of its spec.
 	usualStart     = 800 * time.Millisecond
 	longestSilence = 10 * time.Second
@@ -62,11 +61,13 @@
 	// Await waits for the next step of a ticket.
 	Await    func(steps <-chan award.Step) award.Step
 	Snapshot func() *director.Snapshot
-	Daemons  func() []string
-	Book     *pressure.Book
-	Indexer  *kvblock.Indexer
-	Links    *link.Links
-	Tally    *tally.Tally
+	// Renewed gives a channel that is closed when a later snapshot may be relied on for longer.
+	Renewed func() <-chan struct{}
+	Daemons func() []string
+	Book    *pressure.Book
+	Indexer *kvblock.Indexer
+	Links   *link.Links
+	Tally   *tally.Tally
 	// Desk gives the desk of a pool.
 	Desk func(pool string) *award.Desk
 	// Once remembers requests that run at most once; Tell tells the zone's other daemons of them.
@@ -259,7 +260,9 @@
 	if wait := course.request.Wait; wait > 0 && course.begun.Add(wait).Before(until) {
 		until = course.begun.Add(wait)
 	}
-	for ; ; course.yard.World.Wait(sureEvery) {
+	for {
+		// Asked for before the look, so that no renewal falls between the two.
+		renewed := course.yard.Renewed()
 		snapshot, now := course.yard.Snapshot(), course.now()
 		if snapshot.Book == nil {
 			return false
@@ -270,6 +273,7 @@
 		if !now.Before(until) {
 			return false
 		}
+		course.yard.World.Wait(until.Sub(now), renewed)
 	}
 }
 
--- a/request/course/resume_test.go
+++ b/request/course/resume_test.go
@@ -218,3 +218,29 @@
 		t.Errorf("terms of dialing: %+v", terms)
 	}
 }
+
+// A request that waits for a sure spec goes on at the renewal, not at a poll some time after it.
+func TestRenewalEndsTheWaitForASureSpec(t *testing.T) {
+	house := build(t, start(t, "r1", events(1, done(1), true)))
+	unsure := &director.Snapshot{SpecEpoch: 1, Book: house.snapshot.Book}
+	sure := house.snapshot
+	var present atomic.Pointer[director.Snapshot]
+	present.Store(unsure)
+	renewed := make(chan struct{})
+	var woken time.Duration
+	house.Snapshot = present.Load
+	house.Renewed = func() <-chan struct{} { return renewed }
+	house.World.Wait = func(length time.Duration, channel <-chan struct{}) {
+		if channel != (<-chan struct{})(renewed) {
+			t.Error("the wait does not end with the renewal")
+		}
+		woken = length
+		present.Store(sure)
+	}
+	if status, body := house.send(t, "once", "renewed"); status != 200 {
+		t.Errorf("sure again: %d %s", status, body)
+	}
+	if woken <= 0 || woken > sureBound {
+		t.Errorf("the wait was bounded by %v", woken)
+	}
+}
--- a/transport/seam/real.go
+++ b/transport/seam/real.go
@@ -14,7 +14,7 @@
 
 // Real is the world of a process whose connections leave from an address; nil leaves that to the system.
 func Real(local net.Addr) World {
-	return World{Now: time.Now, Go: func(work func()) { go work() }, Wait: time.Sleep, Dial: func(address string, terms Terms) (Conn, error) {
+	return World{Now: time.Now, Go: func(work func()) { go work() }, Wait: wait, Dial: func(address string, terms Terms) (Conn, error) {
 		dialer := net.Dialer{Timeout: terms.Dial, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			outer := raw.Control(func(descriptor uintptr) { err = keep(int(descriptor), terms) })
@@ -31,6 +31,16 @@
 	}}
 }
 
+// wait returns after a length of time, or as soon as a channel is closed.
+func wait(length time.Duration, woken <-chan struct{}) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-woken:
+	}
+}
+
 // keep sets the terms on a socket.
 //
 // The system goes on sending what a closed, or killed, sender left behind. Work that was given up
--- a/transport/seam/seam.go
+++ b/transport/seam/seam.go
@@ -30,8 +30,8 @@
 	Now func() time.Time
 	// Go begins work beside the caller's.
 	Go func(work func())
-	// Wait lets a length of time pass.
-	Wait func(length time.Duration)
+	// Wait lets a length of time pass, or less where a channel is closed meanwhile.
+	Wait func(length time.Duration, woken <-chan struct{})
 	// Dial makes a connection that keeps the terms.
 	Dial func(address string, terms Terms) (Conn, error)
 }
