--- a/proof/history/check_test.go
+++ b/proof/history/check_test.go
@@ -169,3 +169,31 @@
 		}
 	}
 }
+
+// A daemon that has had no path to the core goes by what it had when it lost that, and by nothing older; it alone, and
+// no longer than it is without the core.
+func TestDaemonWithoutTheCore(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return begun.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, trial := range map[string]struct {
+		daemon      string
+		from, until float64
+		rule        string
+	}{
+		"apart since before the closing": {"d1", 19, 31, ""},
+		"another daemon is apart":        {"d2", 19, 31, "closed-zone"},
+		"back for a while":               {"d1", 19, 29, "closed-zone"},
+		"apart only after the closing":   {"d1", 27, 31, "closed-zone"},
+	} {
+		history := clean()
+		history.Runs[30].Zone = "b"
+		history.Aparts = []*Apart{{Daemon: trial.daemon, From: at(trial.from), Until: at(trial.until)}}
+		found := ""
+		for _, violation := range Check(history) {
+			found = violation.Rule
+		}
+		if found != trial.rule {
+			t.Errorf("%s: %q instead of %q", name, found, trial.rule)
+		}
+	}
+}
--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -115,6 +115,13 @@
 	Knowable time.Duration
 }
 
+// Apart tells that a daemon had no path to the core in a time. Until is when it must have learned what it missed, or
+// serve no more.
+type Apart struct {
+	Daemon      string
+	From, Until time.Time
+}
+
 // Return tells that all machines were back after a time of being down.
 type Return struct{ At time.Time }
 
@@ -149,6 +156,8 @@
 	Orders  []*Order
 	Leaves  []*Leaving
 	Faults  []Fault
+	// Aparts are the times in which daemons had no path to the core, where the simulator tells of them.
+	Aparts  []*Apart
 	Returns []Return
 	Rooms   []Room
 	Final   Final
--- /dev/null
+++ b/proof/sim/apart.go
@@ -0,0 +1,117 @@
+package sim
+
+import (
+	"time"
+
+	"wardtray/proof/history"
+)
+
+const (
+	// regainBound is within what time of getting back a path to the core a daemon has learned of what it missed, or
+	// serves no more. The users' rule leaves it three seconds.
+	regainBound = time.Second
+	// leaseBound is how much longer than the last answer of a core machine a lease counts, with what clocks go wrong.
+	leaseBound = 1200 * time.Millisecond
+)
+
+// separation is how a data daemon stands to the core: since when it has had no path both ways to any core machine that
+// runs, is not frozen and itself reaches more than half of the core; and the last such time that is over.
+type separation struct {
+	since, former, ended time.Time
+	record               *history.Apart
+}
+
+// topologyChanged says that links, machines or processes are other than before.
+func (world *World) topologyChanged() { world.stale = true }
+
+// refreshSeparation brings each daemon's separation from the core up to date after a change of the topology.
+func (world *World) refreshSeparation() {
+	if !world.stale {
+		return
+	}
+	world.stale = false
+	settled := world.settledCores()
+	for _, host := range world.Datas() {
+		world.separate(host, !world.reachesAny(host, settled))
+	}
+}
+
+// settledCores gives the running, unfrozen core machines that reach more than half of the core.
+func (world *World) settledCores() []*Host {
+	cores := world.Cores()
+	var settled []*Host
+	for _, host := range cores {
+		if !host.up || host.frozen {
+			continue
+		}
+		reached := 0
+		for _, other := range cores {
+			if other == host || world.linked(host, other) {
+				reached++
+			}
+		}
+		if 2*reached > len(cores) {
+			settled = append(settled, host)
+		}
+	}
+	return settled
+}
+
+func (world *World) reachesAny(host *Host, cores []*Host) bool {
+	for _, core := range cores {
+		if world.linked(host, core) {
+			return true
+		}
+	}
+	return false
+}
+
+// linked tells whether there is a path both ways between two machines.
+func (world *World) linked(one, other *Host) bool {
+	return world.passes(one, other) && world.passes(other, one)
+}
+
+// separate notes that a daemon has lost the core, or has it back.
+func (world *World) separate(host *Host, apart bool) {
+	separation := &host.separation
+	if apart != separation.since.IsZero() {
+		return
+	}
+	if !apart {
+		separation.former, separation.ended = separation.since, world.Now
+		separation.since = time.Time{}
+		if separation.record != nil {
+			separation.record.Until = world.Now.Add(regainBound)
+		}
+		return
+	}
+	separation.since, separation.record = world.Now, nil
+	if world.Traffic != nil && world.WithoutCore > 0 {
+		separation.record = &history.Apart{Daemon: host.Address, From: world.Now, Until: world.Now.Add(world.WithoutCore + leaseBound)}
+		world.Traffic.History.Aparts = append(world.Traffic.History.Aparts, separation.record)
+	}
+}
+
+// mayIgnore tells whether a daemon may still award by what it knew before something was acknowledged a while ago: within
+// a bound in any case, and while it has been without the core, for the time that its settings allow.
+func (checker *Checker) mayIgnore(host *Host, late, bound time.Duration) bool {
+	world := checker.world
+	if late <= bound {
+		return true
+	}
+	if world.WithoutCore == 0 {
+		return false
+	}
+	separation := &host.separation
+	if !separation.since.IsZero() {
+		length := world.Now.Sub(separation.since)
+		checker.worst("older news used without the core", length)
+		return length <= world.WithoutCore+leaseBound
+	}
+	back := world.Now.Sub(separation.ended)
+	if separation.ended.IsZero() || back > regainBound {
+		return false
+	}
+	checker.worst("older news used after the core was back", back)
+	return separation.ended.Sub(separation.former) <= world.WithoutCore+leaseBound
+}
