--- a/config/startup/flags.go
+++ b/config/startup/flags.go
@@ -59,6 +59,25 @@
 // ApplyTime gives within what time a change must be in force.
 func (startup *Startup) ApplyTime() time.Duration { return span(startup.Apply, 2*time.Second) }
 
+// ContactTime gives how long machines must be cut off to count as out of touch.
+func (startup *Startup) ContactTime() time.Duration { return span(startup.Contact, 3*time.Second) }
+
+// AcknowledgeTime gives within what time a valid change must be acknowledged while the core is whole.
+func (startup *Startup) AcknowledgeTime() time.Duration {
+	return span(startup.Acknowledge, 4*time.Second)
+}
+
+// CatchUpTime gives after what time a wtcore that is back, or new, no longer counts as lost.
+func (startup *Startup) CatchUpTime() time.Duration { return span(startup.CatchUp, 4*time.Second) }
+
+// GraceTime gives how long a wtcore may take to end after it was told to.
+func (startup *Startup) GraceTime() time.Duration { return span(startup.Grace, 8*time.Second) }
+
+// WithoutCoreTime gives how long a wtdata goes on serving while it reaches no wtcore at all.
+func (startup *Startup) WithoutCoreTime() time.Duration {
+	return span(startup.WithoutCore, 5*time.Minute)
+}
+
 // RepeatsWindow gives the window of the repeats.
 func (startup *Startup) RepeatsWindow() time.Duration {
 	return span(startup.Repeats.Window, 10*time.Second)
@@ -95,7 +114,14 @@
 	if needs.Folder {
 		application.Flag("folder", "The data folder.").StringVar(&given.Folder)
 	}
+	application.Flag("contact", "How long machines must be cut off to count as out of touch.").StringVar(&given.Contact)
+	if needs.Folder {
+		application.Flag("acknowledge", "Within what time a valid change must be acknowledged while the core is whole.").StringVar(&given.Acknowledge)
+		application.Flag("catch-up", "After what time a machine that is back, or new, no longer counts as lost.").StringVar(&given.CatchUp)
+		application.Flag("grace", "How long the process may take to end after SIGTERM.").StringVar(&given.Grace)
+	}
 	if needs.Platform {
+		application.Flag("without-core", "How long to go on serving while no wtcore is reached at all; 0s: not beyond the lease.").StringVar(&given.WithoutCore)
 		application.Flag("platform", "URL of the platform's list of runners.").StringVar(&given.Platform)
 		application.Flag("drain", "How long requests are still taken after SIGTERM.").StringVar(&given.Drain)
 	}
@@ -114,6 +140,8 @@
 	for _, pair := range []struct{ to, from *string }{
 		{&startup.Address, &given.Address}, {&startup.HTTP, &given.HTTP}, {&startup.Zone, &given.Zone}, {&startup.Log, &given.Log},
 		{&startup.Folder, &given.Folder}, {&startup.Platform, &given.Platform}, {&startup.Drain, &given.Drain},
+		{&startup.Contact, &given.Contact}, {&startup.Acknowledge, &given.Acknowledge}, {&startup.CatchUp, &given.CatchUp},
+		{&startup.Grace, &given.Grace}, {&startup.WithoutCore, &given.WithoutCore},
 	} {
 		if *pair.from != "" {
 			*pair.to = *pair.from
--- a/config/startup/startup.go
+++ b/config/startup/startup.go
@@ -50,6 +50,17 @@
 	Beat string `json:"beat,omitempty"`
 	// Apply is within what time after its acknowledgement a change must be in force; by default 2s.
 	Apply string `json:"apply,omitempty"`
+	// Contact is how long machines must be cut off from each other to count as out of touch; by default 3s.
+	Contact string `json:"contact,omitempty"`
+	// Acknowledge is within what time a valid change must be acknowledged while the core is whole; by default 4s.
+	Acknowledge string `json:"acknowledge,omitempty"`
+	// CatchUp is after what time a wtcore that is back, or new, no longer counts as lost; by default 4s.
+	CatchUp string `json:"catch_up,omitempty"`
+	// Grace is how long a wtcore may take to end after it was told to; by default 8s.
+	Grace string `json:"grace,omitempty"`
+	// WithoutCore is how long a wtdata goes on serving on the configuration that it has while it reaches no wtcore at
+	// all; by default 5m. With 0s it stops as soon as its lease is over.
+	WithoutCore string `json:"without_core,omitempty"`
 	// Repeats bound what is sent to a second runner, over all daemons.
 	Repeats Repeats `json:"repeats,omitempty"`
 	// Registered says that runners register themselves, so that there is no platform's list.
@@ -103,6 +114,25 @@
 	mostFaults     = 4
 )
 
+// checkLengths names every length of time that is none.
+func (startup *Startup) checkLengths(flaw func(format string, values ...any)) {
+	for _, length := range []struct {
+		name, text string
+		least      time.Duration
+	}{
+		{"finish", startup.Finish, 1}, {"beat", startup.Beat, 1}, {"apply", startup.Apply, 1}, {"repeats.window", startup.Repeats.Window, 1},
+		{"contact", startup.Contact, 1}, {"acknowledge", startup.Acknowledge, 1}, {"catch_up", startup.CatchUp, 1},
+		{"grace", startup.Grace, 1}, {"without_core", startup.WithoutCore, 0},
+	} {
+		if length.text == "" {
+			continue
+		}
+		if parsed, err := time.ParseDuration(length.text); err != nil || parsed < length.least || parsed > time.Hour {
+			flaw("%s: %q is no length of time up to 1h", length.name, length.text)
+		}
+	}
+}
+
 var logLevels = map[string]bool{"": true, "debug": true, "info": true, "warn": true, "error": true}
 
 // Check gives one BadStartup fault that names every flaw.
@@ -160,14 +190,7 @@
 			flaw("drain: %q is no length of time from 0s to 10m", startup.Drain)
 		}
 	}
-	for _, length := range []struct{ name, text string }{{"finish", startup.Finish}, {"beat", startup.Beat}, {"apply", startup.Apply}, {"repeats.window", startup.Repeats.Window}} {
-		if length.text == "" {
-			continue
-		}
-		if parsed, err := time.ParseDuration(length.text); err != nil || parsed <= 0 || parsed > time.Hour {
-			flaw("%s: %q is no length of time up to 1h", length.name, length.text)
-		}
-	}
+	startup.checkLengths(flaw)
 	if startup.Fitness != "" {
 		place("fitness", startup.Fitness)
 	}
--- a/config/startup/startup_easyjson.go
+++ b/config/startup/startup_easyjson.go
@@ -163,6 +163,36 @@
 			} else {
 				out.Apply = string(in.String())
 			}
+		case "contact":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Contact = string(in.String())
+			}
+		case "acknowledge":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Acknowledge = string(in.String())
+			}
+		case "catch_up":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.CatchUp = string(in.String())
+			}
+		case "grace":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Grace = string(in.String())
+			}
+		case "without_core":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.WithoutCore = string(in.String())
+			}
 		case "repeats":
 			if in.IsNull() {
 				in.Skip()
@@ -294,6 +324,31 @@
 		out.RawString(prefix)
 		out.String(string(in.Apply))
 	}
+	if in.Contact != "" {
+		const prefix string = ",\"contact\":"
+		out.RawString(prefix)
+		out.String(string(in.Contact))
+	}
+	if in.Acknowledge != "" {
+		const prefix string = ",\"acknowledge\":"
+		out.RawString(prefix)
+		out.String(string(in.Acknowledge))
+	}
+	if in.CatchUp != "" {
+		const prefix string = ",\"catch_up\":"
+		out.RawString(prefix)
+		out.String(string(in.CatchUp))
+	}
+	if in.Grace != "" {
+		const prefix string = ",\"grace\":"
+		out.RawString(prefix)
+		out.String(string(in.Grace))
+	}
+	if in.WithoutCore != "" {
+		const prefix string = ",\"without_core\":"
+		out.RawString(prefix)
+		out.String(string(in.WithoutCore))
+	}
 	if true {
 		const prefix string = ",\"repeats\":"
 		out.RawString(prefix)
--- a/config/startup/startup_test.go
+++ b/config/startup/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +64,38 @@
 		t.Error(err)
 	}
 }
+
+func TestLengthsOfTime(t *testing.T) {
+	usual := &Startup{}
+	lengths := func(startup *Startup) []time.Duration {
+		return []time.Duration{startup.ContactTime(), startup.AcknowledgeTime(), startup.CatchUpTime(), startup.GraceTime(), startup.WithoutCoreTime()}
+	}
+	if want := []time.Duration{3 * time.Second, 4 * time.Second, 4 * time.Second, 8 * time.Second, 5 * time.Minute}; !slices.Equal(lengths(usual), want) {
+		t.Errorf("%v instead of %v by default", lengths(usual), want)
+	}
+	path := filepath.Join(t.TempDir(), "startup.json")
+	text := `{"contact":"1s","acknowledge":"2s","catch_up":"3s","grace":"4s","without_core":"0s"}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	core, err := parse(t, Needs{Folder: true}, append([]string{"--startup", path, "--folder", t.TempDir(), "--catch-up", "5s"}, proper...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, 4 * time.Second, 0}; !slices.Equal(lengths(core), want) {
+		t.Errorf("%v instead of %v", lengths(core), want)
+	}
+	if _, err := parse(t, Needs{Platform: true}, append([]string{"--platform", "http://127.0.0.1:3/x", "--without-core", "0s"}, proper...)...); err != nil {
+		t.Error(err)
+	}
+	text = `{"contact":"0s","acknowledge":"-1s","catch_up":"soon","grace":"2h","without_core":"-1s"}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err = parse(t, Needs{Folder: true}, append([]string{"--startup", path, "--folder", t.TempDir()}, proper...)...)
+	for _, flaw := range []string{"contact:", "acknowledge:", "catch_up:", "grace:", "without_core:"} {
+		if err == nil || !strings.Contains(err.Error(), flaw) {
+			t.Errorf("%q is not named in %v", flaw, err)
+		}
+	}
+}
--- a/control/core/bounds.go
+++ b/control/core/bounds.go
@@ -1,25 +1,153 @@
 package core
 
-import "time"
+import (
+	"fmt"
+	"time"
 
-// The periods, time limits and sizes of the control plane.
+	"wardtray/coordination/lease"
+	"wardtray/process/fault"
+)
+
+// Limits are the times that the platform grants, by the names of the product's settings; a zero one stands for the
+// usual.
+type Limits struct {
+	// Contact is for how long machines must be cut off before they count as out of touch.
+	Contact time.Duration
+	// Acknowledge is within what time a valid change must be acknowledged where the core is whole.
+	Acknowledge time.Duration
+	// Apply is within what time after its acknowledgement a change must be in force.
+	Apply time.Duration
+	// CatchUp is after what time a machine that is back, or new, no longer counts as lost.
+	CatchUp time.Duration
+	// Grace is how long a machine that is told to stop may take.
+	Grace time.Duration
+}
+
+// The usual limits.
+const (
+	usualContact     = 3 * time.Second
+	usualAcknowledge = 4 * time.Second
+	usualApply       = 2 * time.Second
+	usualCatchUp     = 4 * time.Second
+	usualGrace       = 8 * time.Second
+)
+
+// withUsual gives the limits with the usual ones in the place of those that are zero.
+func (limits Limits) withUsual() Limits {
+	for _, pair := range []struct {
+		limit *time.Duration
+		usual time.Duration
+	}{
+		{&limits.Contact, usualContact}, {&limits.Acknowledge, usualAcknowledge}, {&limits.Apply, usualApply},
+		{&limits.CatchUp, usualCatchUp}, {&limits.Grace, usualGrace},
+	} {
+		if *pair.limit <= 0 {
+			*pair.limit = pair.usual
+		}
+	}
+	return limits
+}
+
+// Bounds are the times that the control side derives from the limits. The time of a lease is none of them: its holder
+// and its keepers must count alike, also while their settings differ for a while, so it is a constant (lease.Term).
+type Bounds struct {
+	// Suspicion is after what silence a machine counts as gone.
+	Suspicion time.Duration
+	// Sick is for how long a write may wait before a machine says that its disk fails.
+	Sick time.Duration
+	// Broken is for how long one side of a link of the chain must not hear the other before one of them is taken out.
+	Broken time.Duration
+	// Frozen is after what pause a process takes it that it stood still itself, rather than that all others fell silent.
+	Frozen time.Duration
+	// Stagger is how long each keeper lets those before it propose a view first.
+	Stagger time.Duration
+	// DaemonLease is for how long a daemon may rely on a lease, counted from its question.
+	DaemonLease time.Duration
+	// Leave is how long a machine that is told to stop waits for others to take over what it holds.
+	Leave time.Duration
+}
+
+const (
+	usualSuspicion = 700 * time.Millisecond
+	leastSuspicion = 2*beatEvery + 100*time.Millisecond
+	usualStagger   = 400 * time.Millisecond
+	leastStagger   = 200 * time.Millisecond
+)
+
+// BoundsFor derives the bounds from the limits.
+func BoundsFor(limits Limits) Bounds {
+	limits = limits.withUsual()
+	repair := min(limits.Acknowledge, limits.CatchUp)
+	suspicion := max(leastSuspicion, min(usualSuspicion, repair*7/40, limits.Contact*7/30))
+	return Bounds{
+		Suspicion:   suspicion,
+		Sick:        suspicion,
+		Broken:      suspicion,
+		Frozen:      suspicion - beatEvery,
+		Stagger:     max(leastStagger, min(usualStagger, repair/10)),
+		DaemonLease: StalenessFor(limits.Apply),
+		// The rest of the grace is for closing what is open.
+		Leave: limits.Grace * 9 / 10,
+	}
+}
+
+// Detection is after what time at most the loss of a machine is known.
+func (bounds Bounds) Detection() time.Duration { return bounds.Suspicion + beatEvery }
+
+// ViewChange is how long the agreement on a view takes at most where one proposer fails, disks and links being well.
+func (bounds Bounds) ViewChange() time.Duration { return 2 * bounds.Stagger }
+
+// Takeover is after what time at most another head may act once a head was lost.
+func (bounds Bounds) Takeover() time.Duration {
+	return bounds.Detection() + bounds.Stagger + lease.Term + claimAgain
+}
+
+// SeatRepair is after what time at most a machine that has just started has the seat of a keeper that was lost no
+// later: it is heard and told the view, says so, and a view is agreed.
+func (bounds Bounds) SeatRepair() time.Duration {
+	return bounds.Detection() + 2*beatEvery + bounds.ViewChange()
+}
+
+// CopyRepair is after what time at most it has a place in the chain too: it learns the document and a view is agreed.
+func (bounds Bounds) CopyRepair() time.Duration {
+	return bounds.SeatRepair() + learnEvery + bounds.ViewChange()
+}
+
+// Check tells which limits are too short for what has to happen within them.
+func (limits Limits) Check() error {
+	limits = limits.withUsual()
+	bounds := BoundsFor(limits)
+	for _, need := range []struct {
+		what          string
+		needed, limit time.Duration
+	}{
+		{"acknowledge: a takeover and a daemon's lease", bounds.Takeover() + bounds.DaemonLease + leaseMargin, limits.Acknowledge},
+		{"catch_up: the repair of a seat and of a copy", bounds.CopyRepair(), limits.CatchUp},
+		{"contact: the detection of a loss", bounds.Detection(), limits.Contact},
+		{"apply: twice a daemon's lease", 2 * bounds.DaemonLease, limits.Apply},
+		{"grace: the handing over of all that a machine holds", bounds.CopyRepair(), bounds.Leave},
+	} {
+		if need.needed > need.limit {
+			return fault.New(fault.BadStartup, "%s", fmt.Sprintf("%s may take %v, more than %v", need.what, need.needed, need.limit))
+		}
+	}
+	return nil
+}
+
+// The periods, time limits and sizes of the control plane that depend on no setting.
 const (
 	beatEvery     = 200 * time.Millisecond
 	claimEvery    = 200 * time.Millisecond
 	claimAgain    = 40 * time.Millisecond
 	learnEvery    = 300 * time.Millisecond
 	learnedEvery  = time.Second
-	suspicion     = 700 * time.Millisecond
-	sickAfter     = 700 * time.Millisecond
-	keeperBound   = 3 * time.Second
 	forgetBound   = 5 * time.Minute
 	logLimit      = 4 << 20
 	sweepEvery    = 5 * time.Second
-	frozenAfter   = 500 * time.Millisecond
 	maximumCohort = 64
+	// leaveSettling is how long at least a machine that leaves waits for views that others began before they heard of it.
+	leaveSettling = 2 * beatEvery
 
-	brokenAfter = 700 * time.Millisecond
-	stagger     = 400 * time.Millisecond
 	// leastChain is how long a chain may always grow.
 	leastChain = 5
 
--- /dev/null
+++ b/control/core/bounds_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"wardtray/coordination/lease"
+)
+
+// The bounds that are derived from the settings must fit into these, whatever these are as long as they pass the check.
+func TestDerivedBoundsFitTheSettings(t *testing.T) {
+	seconds := func(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+	fitting := 0
+	for _, contact := range []float64{1, 2, 3, 10} {
+		for _, acknowledge := range []float64{1, 2, 3, 4, 5, 30} {
+			for _, apply := range []float64{0.5, 1, 2, 10} {
+				for _, catchUp := range []float64{1, 2.5, 3, 4, 10} {
+					for _, grace := range []float64{1, 5, 8, 60} {
+						limits := Limits{Contact: seconds(contact), Acknowledge: seconds(acknowledge), Apply: seconds(apply), CatchUp: seconds(catchUp), Grace: seconds(grace)}
+						bounds := BoundsFor(limits)
+						requireOrder(t, limits, bounds)
+						if limits.Check() == nil {
+							fitting++
+							requireFit(t, limits, bounds)
+						}
+					}
+				}
+			}
+		}
+	}
+	if fitting < 100 {
+		t.Fatalf("only %d of the settings pass the check", fitting)
+	}
+	if err := (Limits{}).Check(); err != nil {
+		t.Fatalf("the usual settings: %v", err)
+	}
+	if err := (Limits{CatchUp: time.Second}).Check(); err == nil {
+		t.Fatal("a second to catch up in passes")
+	}
+}
+
+// requireOrder wants what must hold between bounds under any settings.
+func requireOrder(t *testing.T, limits Limits, bounds Bounds) {
+	t.Helper()
+	for what, holds := range map[string]bool{
+		"two beats within a suspicion":                   2*beatEvery < bounds.Suspicion,
+		"a frozen process knows before it suspects":      bounds.Frozen+beatEvery <= bounds.Suspicion,
+		"a daemon's lease is at most half of apply":      2*bounds.DaemonLease <= limits.Apply,
+		"a holder's lease ends before a keeper's":        lease.Held < lease.Term,
+		"a lease asked for again before it ends":         2*claimEvery < lease.Held,
+		"an attempt at a view outlasts a round of votes": bounds.Stagger >= 100*time.Millisecond,
+		"a leave ends before the grace":                  bounds.Leave < limits.Grace,
+	} {
+		if !holds {
+			t.Fatalf("%s: not for %+v, which give %+v", what, limits, bounds)
+		}
+	}
+}
+
+// requireFit wants what must hold where the settings pass the check.
+func requireFit(t *testing.T, limits Limits, bounds Bounds) {
+	t.Helper()
+	for what, holds := range map[string]bool{
+		"a lease, a detection and a view change below acknowledge": bounds.Detection()+bounds.Stagger+lease.Term+bounds.DaemonLease+leaseMargin < limits.Acknowledge,
+		"a repaired seat below catch_up":                           bounds.SeatRepair() < limits.CatchUp,
+		"a repaired copy within catch_up":                          bounds.CopyRepair() <= limits.CatchUp,
+		"a detection below contact":                                bounds.Detection() <= limits.Contact,
+	} {
+		if !holds {
+			t.Fatalf("%s: not for %+v, which give %+v", what, limits, bounds)
+		}
+	}
+}
--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -40,7 +40,7 @@
 }
 
 func (node *Node) sick(now time.Time) bool {
-	return node.diskFailed || node.outbox.Oldest(now) > sickAfter
+	return node.diskFailed || node.outbox.Oldest(now) > node.bounds.Sick
 }
 
 // tendDisk begins a new slot when the log is long, or when the disk must be tried again.
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -13,7 +13,7 @@
 
 func (node *Node) tendLearning(now time.Time) {
 	current := node.agent.Current()
-	if current.Epoch == 0 || node.chain.Inside() || node.leaving || len(current.Chain) == 0 || now.Sub(node.lastLearn) < learnEvery ||
+	if current.Epoch == 0 || node.chain.Inside() || node.leaving() || len(current.Chain) == 0 || now.Sub(node.lastLearn) < learnEvery ||
 		node.chain.LearnedView() == current.Epoch && now.Sub(node.lastLearn) < learnedEvery {
 		return
 	}
--- a/control/core/election.go
+++ b/control/core/election.go
@@ -27,7 +27,7 @@
 		if node.votedSince.IsZero() {
 			node.votedSince = now
 		}
-		if now.Sub(node.votedSince) >= node.turn(now)+stagger {
+		if now.Sub(node.votedSince) >= node.turn(now)+node.bounds.Stagger {
 			node.votedSince = now
 			node.agent.Propose(now, node.agent.Vote().Value)
 		}
@@ -35,7 +35,7 @@
 	}
 	node.votedSince = time.Time{}
 	// Whoever has just begun has heard nobody yet, which says nothing about them.
-	if now.Sub(node.begun) < suspicion {
+	if now.Sub(node.begun) < node.bounds.Suspicion {
 		return
 	}
 	wanted := node.mended(now)
@@ -46,7 +46,7 @@
 	if node.wantSince.IsZero() {
 		node.wantSince = now
 	}
-	if now.Sub(node.wantSince) >= node.turn(now) && now.Sub(node.lastMend) >= stagger {
+	if now.Sub(node.wantSince) >= node.turn(now) && now.Sub(node.lastMend) >= node.bounds.Stagger {
 		node.lastMend = now
 		node.agent.Propose(now, wanted)
 	}
@@ -63,18 +63,18 @@
 			rank++
 		}
 	}
-	return rank * stagger
+	return rank * node.bounds.Stagger
 }
 
 // tendFounding proposes the first view once every founder is there and blank.
 func (node *Node) tendFounding(now time.Time) {
-	if !node.acceptor() || now.Sub(node.lastMend) < stagger {
+	if !node.acceptor() || now.Sub(node.lastMend) < node.bounds.Stagger {
 		return
 	}
 	founders := []*wire.Member{node.self}
 	for _, peer := range node.peers {
 		if node.founder(peer.member.Address) {
-			if !peer.beat.Blank || now.Sub(peer.heard) >= suspicion {
+			if !peer.beat.Blank || now.Sub(peer.heard) >= node.bounds.Suspicion {
 				return
 			}
 			founders = append(founders, peer.member)
@@ -129,6 +129,7 @@
 	node.brokenFrom = map[string]time.Time{}
 	node.keeper.Learn(now, current)
 	node.chain.Adopt(now, current)
+	node.initialSynced = node.chain.Synced()
 	if current.HeadSince != node.head.reign {
 		node.head.begun, node.head.reign = time.Time{}, current.HeadSince
 	}
--- a/control/core/heartbeat.go
+++ b/control/core/heartbeat.go
@@ -10,7 +10,7 @@
 // fresh tells whether a member was heard of late; this machine always hears itself.
 func (node *Node) fresh(now time.Time, id string) bool {
 	peer := node.peers[id]
-	return id == node.self.Id || peer != nil && !peer.gone && now.Sub(peer.heard) < suspicion
+	return id == node.self.Id || peer != nil && !peer.gone && now.Sub(peer.heard) < node.bounds.Suspicion
 }
 
 // hears tells whether one member says that it hears another; silent is the answer where nobody knows.
@@ -37,6 +37,8 @@
 	member *wire.Member
 	beat   *wire.Beat
 	heard  time.Time
+	// initialSynced is how far it had synced when it first told that it acts under the view of its last beat.
+	initialSynced uint64
 	// gone tells that its process is dead for sure.
 	gone bool
 }
@@ -48,7 +50,7 @@
 	node.lastBeat = now
 	current := node.agent.Current()
 	beat := &wire.Beat{Member: node.self, View: current.Epoch, Fleet: current.Fleet, Blank: current.Epoch == 0,
-		Sick: node.sick(now), Synced: node.chain.Synced(), LearnedView: node.chain.LearnedView(), Leaving: node.leaving, Heard: node.heard(now)}
+		Sick: node.sick(now), Synced: node.chain.Synced(), LearnedView: node.chain.LearnedView(), Leaving: node.leaving(), Heard: node.heard(now)}
 	for _, address := range node.coreAddresses() {
 		node.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
 	}
@@ -63,7 +65,7 @@
 func (node *Node) heard(now time.Time) []string {
 	heard := []string{node.self.Id}
 	for id, peer := range node.peers {
-		if !peer.gone && now.Sub(peer.heard) < suspicion {
+		if !peer.gone && now.Sub(peer.heard) < node.bounds.Suspicion {
 			heard = append(heard, id)
 		}
 	}
@@ -114,7 +116,11 @@
 		}
 	}
 	former := node.peers[beat.Member.Id]
-	node.peers[beat.Member.Id] = &peer{member: beat.Member, beat: beat, heard: now}
+	initialSynced := beat.Synced
+	if former != nil && former.beat.View == beat.View {
+		initialSynced = former.initialSynced
+	}
+	node.peers[beat.Member.Id] = &peer{member: beat.Member, beat: beat, heard: now, initialSynced: initialSynced}
 	// Whoever hears less or is about to leave may have to be replaced at once.
 	if former != nil && (len(former.beat.Heard) != len(beat.Heard) || former.beat.Leaving != beat.Leaving || former.beat.Sick != beat.Sick) {
 		defer node.tendView(now)
--- a/control/core/keepers.go
+++ b/control/core/keepers.go
@@ -25,6 +25,9 @@
 			next[place], changed = taken, true
 		}
 	}
+	if vacant := node.vacated(now, next); vacant != nil {
+		next, changed = without(next, vacant.Id), true
+	}
 	for len(next) < node.keeperCount() {
 		taken := take(&candidates, next)
 		if taken == nil {
@@ -45,16 +48,25 @@
 	return next, false
 }
 
-// keeperGone tells whether a keeper will hardly come back: it was silent for long, or its address has another disk now.
-func (node *Node) keeperGone(now time.Time, keeper *wire.Member) bool {
-	if keeper.Id == node.self.Id {
-		return false
+// vacated gives a keeper that leaves with nobody to take its seat, where the others could agree with one vote less
+// without it: an even number of keepers. In an odd number the seat does no harm, and is there for it to come back to.
+func (node *Node) vacated(now time.Time, keepers []*wire.Member) *wire.Member {
+	if len(keepers)%2 != 0 {
+		return nil
 	}
-	peer, quiet := node.peers[keeper.Id], now.Sub(node.begun)
-	if peer != nil {
-		quiet = now.Sub(peer.heard)
+	for _, keeper := range keepers {
+		if node.leaves(now, keeper.Id) {
+			return keeper
+		}
 	}
-	return (quiet > keeperBound || node.replacedAt(keeper)) && node.silentTo(now, keeper.Id)
+	return nil
+}
+
+// keeperGone tells whether there is evidence that a keeper's seat should go to another machine: its address has a new
+// identity, it leaves by order, its disk fails, or most keepers do not hear it. A keeper that was silent only for a
+// moment loses its seat to a live machine, which is as good a keeper; without one it keeps the seat.
+func (node *Node) keeperGone(now time.Time, keeper *wire.Member) bool {
+	return node.unfit(now, keeper.Id) || keeper.Id != node.self.Id && node.replacedAt(keeper)
 }
 
 // replacedAt tells whether another identity speaks from a member's address.
@@ -67,25 +79,43 @@
 	return false
 }
 
-// keeperCandidates lists live machines that know the present view and keep none: those of the chain first.
+// keeperCandidates lists the machines that could be keepers and are none: those of the chain first.
 func (node *Node) keeperCandidates(now time.Time, members []*wire.Member) []*wire.Member {
-	current := node.agent.Current()
 	var others []*wire.Member
 	for id, peer := range node.peers {
-		if !holds(members, id) && node.fresh(now, id) && peer.beat.View == current.Epoch && !peer.beat.Leaving && !peer.beat.Sick {
+		if !holds(members, id) {
 			others = append(others, peer.member)
 		}
 	}
 	sort.Slice(others, func(left, right int) bool { return others[left].Id < others[right].Id })
 	var candidates []*wire.Member
 	for _, member := range append(append([]*wire.Member{}, members...), others...) {
-		if !keeps(current, member.Id) && node.fresh(now, member.Id) {
+		if node.keeperCandidate(now, member.Id) {
 			candidates = append(candidates, member)
 		}
 	}
 	return candidates
 }
 
+// keeperCandidate tells whether a machine keeps nothing yet, has learned the present view, is to stay, and is heard by
+// most keepers, which it will have to vote with.
+func (node *Node) keeperCandidate(now time.Time, id string) bool {
+	current := node.agent.Current()
+	if keeps(current, id) || !node.fresh(now, id) || node.unfit(now, id) {
+		return false
+	}
+	if peer := node.peers[id]; peer != nil && peer.beat.View != current.Epoch {
+		return false
+	}
+	hearing := 0
+	for _, keeper := range current.Keepers {
+		if node.fresh(now, keeper.Id) && node.hears(now, keeper.Id, id) {
+			hearing++
+		}
+	}
+	return hearing >= view.Majority(len(current.Keepers))
+}
+
 // take gives, and takes out of the candidates, the first from a zone with the fewest keepers.
 func take(candidates *[]*wire.Member, keepers []*wire.Member) *wire.Member {
 	crowds, best := crowds(keepers), -1
--- a/control/core/membership.go
+++ b/control/core/membership.go
@@ -36,34 +36,40 @@
 	return silent >= view.Majority(len(current.Keepers))
 }
 
-// unfit tells whether a member should leave the chain.
-func (node *Node) unfit(now time.Time, id string) bool {
+// lost tells whether a member is no longer there, or of no use: nobody hears it, or its disk fails.
+func (node *Node) lost(now time.Time, id string) bool {
 	if id == node.self.Id {
-		return node.sick(now) || node.leaving
+		return node.sick(now)
 	}
-	if node.silentTo(now, id) {
-		return true
+	peer := node.peers[id]
+	return node.silentTo(now, id) || peer != nil && node.fresh(now, id) && peer.beat.Sick
+}
+
+// leaves tells whether a member that is heard is about to stop by order.
+func (node *Node) leaves(now time.Time, id string) bool {
+	if id == node.self.Id {
+		return node.leaving()
 	}
 	peer := node.peers[id]
-	return peer != nil && node.fresh(now, id) && (peer.beat.Sick || peer.beat.Leaving)
+	return peer != nil && node.fresh(now, id) && peer.beat.Leaving
+}
+
+// unfit tells whether a machine should be given no place.
+func (node *Node) unfit(now time.Time, id string) bool {
+	return node.lost(now, id) || node.leaves(now, id)
 }
 
 // mended gives the view that should follow, or nil if the present one is right.
 func (node *Node) mended(now time.Time) *wire.View {
 	current := node.agent.Current()
-	next := &wire.View{Epoch: current.Epoch + 1, Fleet: current.Fleet, Floor: current.Floor}
-	for _, member := range current.Chain {
-		if !node.unfit(now, member.Id) {
-			next.Chain = append(next.Chain, member)
-		}
-	}
-	next.Chain = node.withoutBroken(now, next.Chain)
+	next := &wire.View{Epoch: current.Epoch + 1, Fleet: current.Fleet}
+	next.Chain = node.withoutLeaving(now, node.withoutBroken(now, node.withoutLost(now, current.Chain)))
 	changed := len(next.Chain) != len(current.Chain)
 	for joiner := node.joiner(now, next.Chain); joiner != nil; joiner = node.joiner(now, next.Chain) {
 		next.Chain = append(next.Chain, joiner)
 		changed = true
 	}
-	next.Floor = node.floor(current.Floor, len(next.Chain))
+	next.Floor = node.floor(current.Floor, node.staying(now, next.Chain))
 	// Whoever is left holds all that was acknowledged. A chain below its floor takes no changes, but
 	// it teaches those who come back; waiting for a lost member instead would stop it for good.
 	if len(next.Chain) == 0 {
@@ -81,6 +87,108 @@
 	return next
 }
 
+// staying counts the members that do not leave; copies that are about to go must not raise the floor.
+func (node *Node) staying(now time.Time, members []*wire.Member) int {
+	count := 0
+	for _, member := range members {
+		if !node.leaves(now, member.Id) {
+			count++
+		}
+	}
+	return count
+}
+
+// withoutLost gives the members that are not lost.
+func (node *Node) withoutLost(now time.Time, members []*wire.Member) []*wire.Member {
+	var left []*wire.Member
+	for _, member := range members {
+		if !node.lost(now, member.Id) {
+			left = append(left, member)
+		}
+	}
+	return left
+}
+
+// withoutLeaving takes out members that leave, one by one, as long as enough of the others hold all that it holds:
+// the floor where a machine outside could still join, at least one where none could.
+func (node *Node) withoutLeaving(now time.Time, members []*wire.Member) []*wire.Member {
+	least := 1
+	if node.successors(now, node.agent.Current().Chain) > 0 {
+		least = max(least, int(node.agent.Current().Floor))
+	}
+	for _, leaver := range members {
+		if !node.leaves(now, leaver.Id) {
+			continue
+		}
+		if left := without(members, leaver.Id); node.copies(members, leaver) >= least {
+			members = left
+		}
+	}
+	return members
+}
+
+// copies counts the other members of a chain that hold everything which a member of it holds. Those before it do. Of
+// those behind it a change committed in this view needs every one, so they do once they have synced what it had when
+// the view began.
+func (node *Node) copies(members []*wire.Member, leaver *wire.Member) int {
+	copies, behind := 0, false
+	for _, member := range members {
+		if member.Id == leaver.Id {
+			behind = true
+			continue
+		}
+		if !behind || node.caughtUp(member.Id, leaver.Id) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// caughtUp tells whether a member has said in the present view that it has synced what another had at its beginning.
+func (node *Node) caughtUp(id, other string) bool {
+	synced, _, told := node.progress(id)
+	_, initial, otherTold := node.progress(other)
+	return told && otherTold && synced >= initial
+}
+
+// progress gives how far a member has synced and how far it had when the present view began, if it has told.
+func (node *Node) progress(id string) (synced, initial uint64, told bool) {
+	if id == node.self.Id {
+		return node.chain.Synced(), node.initialSynced, true
+	}
+	peer := node.peers[id]
+	if peer == nil || peer.beat.View != node.agent.Current().Epoch {
+		return 0, 0, false
+	}
+	return peer.beat.Synced, peer.initialSynced, true
+}
+
+// without gives the members but one.
+func without(members []*wire.Member, id string) []*wire.Member {
+	var left []*wire.Member
+	for _, member := range members {
+		if member.Id != id {
+			left = append(left, member)
+		}
+	}
+	return left
+}
+
+// successors counts the live machines that have no place among some members and could take one, also those that have
+// not learned anything yet.
+func (node *Node) successors(now time.Time, members []*wire.Member) int {
+	count := 0
+	for id := range node.peers {
+		if !holds(members, id) && node.fresh(now, id) && !node.unfit(now, id) {
+			count++
+		}
+	}
+	if !holds(members, node.self.Id) && !node.unfit(now, node.self.Id) {
+		count++
+	}
+	return count
+}
+
 // withoutBroken takes out the later end of a link over which one side no longer hears the other.
 func (node *Node) withoutBroken(now time.Time, members []*wire.Member) []*wire.Member {
 	for place := 0; place+1 < len(members); place++ {
@@ -94,7 +202,7 @@
 		if node.brokenFrom[key].IsZero() {
 			node.brokenFrom[key] = now
 		}
-		if now.Sub(node.brokenFrom[key]) >= brokenAfter {
+		if now.Sub(node.brokenFrom[key]) >= node.bounds.Broken {
 			return append(append([]*wire.Member{}, members[:place+1]...), members[place+2:]...)
 		}
 	}
@@ -139,9 +247,3 @@
 	}
 	return crowds
 }
-
-// Leave says that this machine is about to stop by order, so that the others take it out first.
-func (node *Node) Leave() { node.leaving = true }
-
-// Left tells whether this machine may stop without harm.
-func (node *Node) Left() bool { return !node.chain.Inside() }
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -36,6 +36,8 @@
 	Faults int
 	// Staleness is for how long a data daemon may rely on a tick; 0 stands for the usual.
 	Staleness time.Duration
+	// Limits are the times that the platform grants; zero ones stand for the usual.
+	Limits Limits
 }
 
 // Counters are what a machine counts of its own work.
@@ -77,8 +79,12 @@
 	lastCall   time.Time
 	diskFailed bool
 	retryDisk  time.Time
-	leaving    bool
-	counters   Counters
+	// leavingSince is when this machine was told to leave; zero: it stays.
+	leavingSince time.Time
+	// initialSynced is how far this machine had synced when the present view began here.
+	initialSynced uint64
+	bounds        Bounds
+	counters      Counters
 	// The committed spec as it travels, and the epoch it is of.
 	packedSpec  []byte
 	packedEpoch uint64
@@ -104,7 +110,7 @@
 	for _, record := range records {
 		Replay(memory, record)
 	}
-	node := &Node{nonce: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
+	node := &Node{nonce: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, bounds: BoundsFor(startup.Limits), random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
 		self:  &wire.Member{Id: memory.Id, Address: startup.Address, Zone: startup.Zone, Http: startup.HTTP},
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
 	node.head.daemons, node.head.refused, node.head.commits = map[string]*daemon{}, map[string]bool{}, map[uint64]time.Time{}
@@ -126,6 +132,7 @@
 	}
 	if current := node.agent.Current(); current.Epoch > 0 {
 		node.chain.Adopt(now, current)
+		node.initialSynced = node.chain.Synced()
 	}
 	return node
 }
@@ -190,7 +197,7 @@
 // Tick does what is due.
 func (node *Node) Tick(now time.Time) {
 	// Whoever was frozen has heard nobody, which says nothing about them.
-	if now.Sub(node.lastTick) > frozenAfter {
+	if now.Sub(node.lastTick) > node.bounds.Frozen {
 		for _, peer := range node.peers {
 			if !peer.gone {
 				peer.heard = now
--- a/control/corehost/host.go
+++ b/control/corehost/host.go
@@ -28,7 +28,6 @@
 
 const (
 	tickEvery  = 50 * time.Millisecond
-	leaveBound = 3 * time.Second
 	diskLength = 4096
 )
 
@@ -76,7 +75,11 @@
 		log.Info("blank folder; new identity", "id", restored.Memory.Id)
 	}
 	host := &Host{startup: startup, log: log, store: restored.Store, writes: drive.NewWaitlist(diskLength), begun: time.Now()}
-	host.node = core.New(time.Now(), core.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone,
+	limits := limitsOf(startup)
+	if err := limits.Check(); err != nil {
+		log.Warn("the time limits are too short to be kept after every loss", "cause", err.Error())
+	}
+	host.node = core.New(time.Now(), core.Startup{Limits: limits, Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone,
 		Seeds: startup.Seeds, Founders: startup.Founders, Founding: !startup.Joins, Faults: startup.Faults, Beat: startup.BeatTime(), Staleness: core.StalenessFor(startup.ApplyTime())}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
 		host.step(func(now time.Time) { host.node.Receive(now, envelope) })
@@ -86,6 +89,11 @@
 	return host, nil
 }
 
+func limitsOf(startup *startup.Startup) core.Limits {
+	return core.Limits{Contact: startup.ContactTime(), Acknowledge: startup.AcknowledgeTime(), Apply: startup.ApplyTime(),
+		CatchUp: startup.CatchUpTime(), Grace: startup.GraceTime()}
+}
+
 func identity() string {
 	var bytes [12]byte
 	if _, err := crypto.Read(bytes[:]); err != nil {
@@ -94,7 +102,8 @@
 	return hex.EncodeToString(bytes[:])
 }
 
-// Run serves until the context ends, then leaves the chain if the others can spare this machine.
+// Run serves until the context ends, and then until others have taken over what this machine holds, nobody is there to
+// do so, or its grace is nearly over.
 func (host *Host) Run(running context.Context) error {
 	if host.startup.Idle {
 		host.log.Warn("no disk on this machine: standing by")
@@ -121,9 +130,9 @@
 			host.step(func(now time.Time) { host.node.Tick(now) })
 		case <-running.Done():
 			if leaveBy.IsZero() {
-				leaveBy = time.Now().Add(leaveBound)
-				host.log.Info("leaving the chain")
-				host.step(func(time.Time) { host.node.Leave() })
+				leaveBy = time.Now().Add(core.BoundsFor(limitsOf(host.startup)).Leave)
+				host.log.Info("leaving")
+				host.step(func(now time.Time) { host.node.Leave(now) })
 			}
 			<-ticker.C
 			host.step(func(now time.Time) { host.node.Tick(now) })
@@ -138,7 +147,7 @@
 func (host *Host) left() bool {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	return host.node.Left()
+	return host.node.Left(time.Now())
 }
 
 // step runs one step of the node under its lock and hands on what it asks for.
--- a/coordination/lease/claim.go
+++ b/coordination/lease/claim.go
@@ -86,6 +86,8 @@
 	rivals  []*wire.Member
 	unknown bool
 	head    *wire.Member
+	// headActs is the newest view under which that head said that it acts, perhaps one that this keeper is yet to learn of.
+	headActs uint64
 }
 
 // Restore gives a keeper that begins with a view, which its disk says is cleared or not.
@@ -111,12 +113,14 @@
 	} else {
 		keeper.rivals = nil
 	}
-	if known {
+	// A head that leaves in order tells of the new reign before this keeper has synced its view.
+	if known && keeper.headActs < view.HeadSince {
 		keeper.rivals = append(keeper.rivals, former)
 	}
 	keeper.unknown = !known
 	keeper.reign, keeper.learned, keeper.clear, keeper.head = view.HeadSince, now, now.Add(Term), view.Chain[0]
-	if view.HeadSince == 1 {
+	keeper.headActs = 0
+	if view.HeadSince == 1 || known && len(keeper.rivals) == 0 {
 		keeper.clear = now
 	}
 }
@@ -126,6 +130,9 @@
 
 // Heard takes in that a machine acts under a view by now.
 func (keeper *Keeper) Heard(now time.Time, id string, epoch uint64) {
+	if keeper.head != nil && id == keeper.head.Id {
+		keeper.headActs = max(keeper.headActs, epoch)
+	}
 	if len(keeper.rivals) > 0 && epoch >= keeper.reign {
 		keeper.settle(now, func(rival *wire.Member) bool { return rival.Id == id })
 	}
