--- a/config/pack.go
+++ b/config/pack.go
@@ -9,11 +9,11 @@
 	"wardtray/process/fault"
 )
 
-// packers are writers of Pack that were used before. Why: a fresh one takes 0.8 MB, more than any specs it packs.
+// packers are kept between calls, since making one costs far more than packing an ordinary spec.
 var packers = sync.Pool{New: func() any {
-	writer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	writer, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
-		panic(err) // A level of the library's own is never refused.
+		panic(err) // The level is one of the library's own.
 	}
 	return writer
 }}
--- a/control/core/calls_test.go
+++ b/control/core/calls_test.go
@@ -124,8 +124,8 @@
 		fresh := fleet.add(fmt.Sprintf("127.0.1.%d:1", number), 10+number, false)
 		fleet.until("the new machine to be in the chain", 10*time.Second, func() bool { return fresh.node.Chain().Inside() })
 		old := fleet.members[0]
-		old.node.Leave()
-		fleet.until("the old machine to be out of the chain", 10*time.Second, func() bool { return old.node.Left() })
+		old.node.Leave(fleet.now)
+		fleet.until("the old machine to be out of the chain", 10*time.Second, func() bool { return old.node.Left(fleet.now) })
 		fleet.kill(old)
 		fleet.members = fleet.members[1:]
 		fleet.seeds = append(fleet.seeds[1:], fresh.address)
--- a/control/core/leases.go
+++ b/control/core/leases.go
@@ -62,7 +62,7 @@
 // tells a newer view.
 func (node *Node) onTickAsk(now time.Time, envelope *wire.Envelope, message *wire.TickAsk) {
 	current := node.agent.Newest()
-	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum(), Starting: now.Sub(node.begun) < startingBound}
+	grant := &wire.TickGrant{Nonce: message.Nonce, ViewEpoch: current.Epoch, Runners: node.registrar.Sum(), Starting: now.Sub(node.begun) < node.bounds.Starting}
 	if message.View < current.Epoch {
 		grant.View = current
 	}
