--- a/control/core/leadership.go
+++ b/control/core/leadership.go
@@ -19,7 +19,7 @@
 	parked      []parked
 	daemons     map[string]*daemon
 	firstDaemon time.Time
-	refused     map[string]bool
+	refused     refusals
 	// ledger is what the keepers told of the sequences that they know.
 	ledger *lease.Ledger
 	// When recent sequences were first seen committed here.
--- a/proof/model/act.go
+++ b/proof/model/act.go
@@ -82,43 +82,61 @@
 	return len(world.names(func(host *host) bool { return host.up && !host.frozen && len(host.writes) > 0 })) == 0
 }
 
-// harm lists what may be done to machines and links.
+// harm lists what may be done to machines and links, and what ends it.
 func (world *world) harm() []Action {
 	var actions []Action
-	add := func(verb Verb, subject string) { actions = append(actions, Action{Verb: verb, Subject: subject}) }
 	for _, name := range world.targets() {
-		host := world.byName[name]
 		for _, verb := range []Verb{Kill, Crash, Wipe, Freeze, Leave} {
-			if world.budget[verb] > 0 && host.up && !host.frozen && !(verb == Leave && host.leaving) && (host.core || verb != Wipe && verb != Leave) {
-				add(verb, name)
+			if world.harmable(world.byName[name], verb) {
+				actions = append(actions, Action{Verb: verb, Subject: name})
 			}
 		}
 	}
 	for _, host := range world.hosts {
-		if !host.up && !host.gone && (host.ran || world.budget[Start] > 0) {
-			add(Start, host.name)
-		}
-		if host.up && host.frozen {
-			add(Wake, host.name)
-		}
-		if host.up && host.leaving && !host.frozen && host.node.Left() {
-			add(Stop, host.name)
+		for _, verb := range []Verb{Start, Wake, Stop} {
+			if endings[verb](world, host) {
+				actions = append(actions, Action{Verb: verb, Subject: host.name})
+			}
 		}
 	}
+	return append(append(actions, world.cuts()...), world.blackouts()...)
+}
+
+// harmable tells whether harm of a kind may come to a host.
+func (world *world) harmable(host *host, verb Verb) bool {
+	if world.budget[verb] == 0 || !host.up || host.frozen || verb == Leave && host.leaving {
+		return false
+	}
+	return host.core || verb != Wipe && verb != Leave
+}
+
+// endings tell whether a host may be started, woken or, having left, be taken away.
+var endings = map[Verb]func(world *world, host *host) bool{
+	Start: func(world *world, host *host) bool {
+		return !host.up && !host.gone && (host.ran || world.budget[Start] > 0)
+	},
+	Wake: func(_ *world, host *host) bool { return host.up && host.frozen },
+	Stop: func(world *world, host *host) bool {
+		return host.up && host.leaving && !host.frozen && host.node.Left(world.now)
+	},
+}
+
+// cuts lists the ways to cut off somebody or, where somebody is, to heal that.
+func (world *world) cuts() []Action {
+	if len(world.cutOff) > 0 {
+		return []Action{{Verb: Heal}}
+	}
+	if world.budget[Cut] == 0 {
+		return nil
+	}
+	var actions []Action
 	for _, group := range world.scenario.Cuts {
-		if world.budget[Cut] > 0 && len(world.cutOff) == 0 {
-			add(Cut, strings.Join(group, ","))
-		}
+		actions = append(actions, Action{Verb: Cut, Subject: strings.Join(group, ",")})
 	}
 	for _, link := range world.scenario.Links {
-		if world.budget[Cut] > 0 && len(world.cutOff) == 0 {
-			add(Cut, linkName(link[0], link[1]))
-		}
-	}
-	if len(world.cutOff) > 0 {
-		add(Heal, "")
+		actions = append(actions, Action{Verb: Cut, Subject: linkName(link[0], link[1])})
 	}
-	return append(actions, world.blackouts()...)
+	return actions
 }
 
 // targets lists whom harm may come to.
@@ -181,7 +199,7 @@
 	if messageVerbs[action.Verb] {
 		world.moveMessage(action)
 	} else {
-		world.act(action.Verb, action.Subject)
+		acts[action.Verb](world, world.byName[action.Subject], action.Subject)
 	}
 	world.settle()
 	return nil
@@ -195,53 +213,51 @@
 	place := slices.IndexFunc(*list, func(message message) bool { return message.digest == action.Message })
 	message := (*list)[place]
 	*list = slices.Delete(slices.Clone(*list), place, place+1)
-	switch action.Verb {
-	case Deliver, Release:
+	if action.Verb == Deliver || action.Verb == Release {
 		world.hand(message)
-	case Hold:
+	}
+	if action.Verb == Hold {
 		world.held = append(world.held, message)
 	}
 }
 
-func (world *world) act(verb Verb, subject string) {
-	host := world.byName[subject]
-	switch verb {
-	case Sync:
-		world.sync(host)
-	case Tick:
-		world.tick()
-	case Wait:
-		world.wait(waitSteps)
-	case Send:
-		world.send(subject)
-	case Kill, Crash:
-		world.end(host, verb == Crash)
-	case Wipe:
+// acts are what the actions do that are not about a message; subject is the action's, host the machine of that name.
+var acts = map[Verb]func(world *world, host *host, subject string){
+	Sync:  func(world *world, host *host, _ string) { world.sync(host) },
+	Tick:  func(world *world, _ *host, _ string) { world.tick() },
+	Wait:  func(world *world, _ *host, _ string) { world.wait(waitSteps) },
+	Send:  func(world *world, _ *host, subject string) { world.send(subject) },
+	Kill:  func(world *world, host *host, _ string) { world.end(host, false) },
+	Crash: func(world *world, host *host, _ string) { world.end(host, true) },
+	Wipe: func(world *world, host *host, _ string) {
 		world.end(host, true)
 		host.disk = newDisk()
-	case Start:
+	},
+	Start: func(world *world, host *host, _ string) {
 		world.boot(host)
 		world.step(host, host.life, 0, func() { world.tickHost(host) })
-	case Freeze:
-		host.frozen = true
-	case Wake:
-		world.wake(host)
-	case Cut:
-		for _, name := range strings.Split(subject, ",") {
-			world.cutOff[name] = true
-		}
-		world.lose(func(message message) bool { return world.parted(message.from, message.to) })
-	case Heal:
-		world.cutOff = map[string]bool{}
-	case Leave:
+	},
+	Freeze: func(_ *world, host *host, _ string) { host.frozen = true },
+	Wake:   func(world *world, host *host, _ string) { world.wake(host) },
+	Cut:    func(world *world, _ *host, subject string) { world.cut(subject) },
+	Heal:   func(world *world, _ *host, _ string) { world.cutOff = map[string]bool{} },
+	Leave: func(world *world, host *host, _ string) {
 		host.leaving = true
-		world.step(host, host.life, 0, host.node.Leave)
-	case Stop:
+		world.step(host, host.life, 0, func() { host.node.Leave(world.now) })
+	},
+	Stop: func(world *world, host *host, _ string) {
 		world.end(host, false)
 		host.gone, host.disk = true, newDisk()
-	case Blackout:
-		world.blackout(host)
+	},
+	Blackout: func(world *world, host *host, _ string) { world.blackout(host) },
+}
+
+// cut cuts off a group of machines, or one link.
+func (world *world) cut(subject string) {
+	for _, name := range strings.Split(subject, ",") {
+		world.cutOff[name] = true
 	}
+	world.lose(func(message message) bool { return world.parted(message.from, message.to) })
 }
 
 func (world *world) wake(host *host) {
--- a/proof/model/fingerprint.go
+++ b/proof/model/fingerprint.go
@@ -80,42 +80,52 @@
 	bookType = reflect.TypeFor[config.Book]()
 )
 
-// walk gives the digest of a value.
-func (walker *walker) walk(value reflect.Value) uint64 {
-	sum := digestSeed
-	switch value.Kind() {
-	case reflect.Bool:
+// walks fold in values of each kind. Functions and channels say nothing that another field does not.
+var walks [reflect.UnsafePointer + 1]func(walker *walker, sum *digest, value reflect.Value)
+
+func init() {
+	enter := func(walk func(walker *walker, sum *digest, value reflect.Value), kinds ...reflect.Kind) {
+		for _, kind := range kinds {
+			walks[kind] = walk
+		}
+	}
+	enter(func(_ *walker, sum *digest, value reflect.Value) {
 		if value.Bool() {
 			sum.add(1)
 		}
-	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
-		sum.add(uint64(value.Int()))
-	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr:
-		sum.add(value.Uint())
-	case reflect.Float32, reflect.Float64:
-		sum.addText(fmt.Sprint(value.Float()))
-	case reflect.String:
-		sum.addText(value.String())
-	case reflect.Func, reflect.Chan, reflect.UnsafePointer:
-	case reflect.Pointer:
-		sum.add(walker.walkPointer(value))
-	case reflect.Interface:
-		if !value.IsNil() {
-			sum.addText(value.Elem().Type().String())
-			sum.add(walker.walk(value.Elem()))
-		}
-	case reflect.Struct:
-		walker.walkStruct(&sum, value)
-	case reflect.Slice, reflect.Array:
-		walker.walkList(&sum, value)
-	case reflect.Map:
-		walker.walkMap(&sum, value)
-	default:
+	}, reflect.Bool)
+	enter(func(_ *walker, sum *digest, value reflect.Value) { sum.add(uint64(value.Int())) },
+		reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64)
+	enter(func(_ *walker, sum *digest, value reflect.Value) { sum.add(value.Uint()) },
+		reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr)
+	enter(func(_ *walker, sum *digest, value reflect.Value) { sum.addText(fmt.Sprint(value.Float())) }, reflect.Float32, reflect.Float64)
+	enter(func(_ *walker, sum *digest, value reflect.Value) { sum.addText(value.String()) }, reflect.String)
+	enter(func(_ *walker, _ *digest, _ reflect.Value) {}, reflect.Func, reflect.Chan, reflect.UnsafePointer)
+	enter(func(walker *walker, sum *digest, value reflect.Value) { sum.add(walker.walkPointer(value)) }, reflect.Pointer)
+	enter((*walker).walkInterface, reflect.Interface)
+	enter((*walker).walkStruct, reflect.Struct)
+	enter((*walker).walkList, reflect.Slice, reflect.Array)
+	enter((*walker).walkMap, reflect.Map)
+}
+
+// walk gives the digest of a value.
+func (walker *walker) walk(value reflect.Value) uint64 {
+	sum := digestSeed
+	walk := walks[value.Kind()]
+	if walk == nil {
 		panic("a kind that the fingerprint does not know: " + value.Kind().String())
 	}
+	walk(walker, &sum, value)
 	return uint64(sum)
 }
 
+func (walker *walker) walkInterface(sum *digest, value reflect.Value) {
+	if !value.IsNil() {
+		sum.addText(value.Elem().Type().String())
+		sum.add(walker.walk(value.Elem()))
+	}
+}
+
 func (walker *walker) walkPointer(value reflect.Value) uint64 {
 	if value.IsNil() || value.Type().Elem() == bookType {
 		return 0
--- a/transport/seam/real.go
+++ b/transport/seam/real.go
@@ -14,7 +14,7 @@
 
 // Real is the world of a process whose connections leave from an address; nil leaves that to the system.
 func Real(local net.Addr) World {
-	return World{Now: time.Now, Go: func(work func()) { go work() }, Wait: time.Sleep, Dial: func(address string, terms Terms) (Conn, error) {
+	return World{Now: time.Now, Go: func(work func()) { go work() }, Wait: wait, Dial: func(address string, terms Terms) (Conn, error) {
 		dialer := net.Dialer{Timeout: terms.Dial, LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			outer := raw.Control(func(descriptor uintptr) { err = keep(int(descriptor), terms) })
@@ -31,6 +31,16 @@
 	}}
 }
 
+// wait returns after a length of time, or as soon as a channel is closed.
+func wait(length time.Duration, woken <-chan struct{}) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-woken:
+	}
+}
+
 // keep sets the terms on a socket.
 //
 // The system goes on sending what a closed, or killed, sender left behind. Work that was given up
@@ -61,13 +71,16 @@
 	return err == nil && quiet
 }
 
+// fromHTTP is one request of the server's, as a Requester.
 type fromHTTP struct{ context *fasthttp.RequestCtx }
 
 // FromHTTP is the requester behind one HTTP request.
 func FromHTTP(context *fasthttp.RequestCtx) Requester { return fromHTTP{context} }
 
+// Method gives the request's method.
 func (requester fromHTTP) Method() string { return string(requester.context.Method()) }
 
+// Authority gives the Host header.
 func (requester fromHTTP) Authority() string { return string(requester.context.Request.Header.Host()) }
 
 // Target gives the bytes as they came: cleaning them up would change what was asked.
@@ -75,6 +88,7 @@
 	return string(requester.context.Request.Header.RequestURI())
 }
 
+// Header gives every value of a header.
 func (requester fromHTTP) Header(name string) []string {
 	var values []string
 	for _, value := range requester.context.Request.Header.PeekAll(name) {
@@ -83,14 +97,17 @@
 	return values
 }
 
+// Headers calls a function for every line of the request's head.
 func (requester fromHTTP) Headers(each func(name, value string)) {
 	for name, value := range requester.context.Request.Header.All() {
 		each(string(name), string(value))
 	}
 }
 
+// Body gives the whole body, which the server has read.
 func (requester fromHTTP) Body() []byte { return requester.context.PostBody() }
 
+// Last closes the connection after this answer.
 func (requester fromHTTP) Last() { requester.context.SetConnectionClose() }
 
 func (requester fromHTTP) head(status int, headers []Header) {
@@ -102,6 +119,7 @@
 	}
 }
 
+// Answer gives a whole answer.
 func (requester fromHTTP) Answer(status int, headers []Header, body []byte) {
 	requester.head(status, headers)
 	requester.context.SetBody(body)
