--- a/control/core/catchup_test.go
+++ b/control/core/catchup_test.go
@@ -31,13 +31,18 @@
 			3: func(member *testMember) { fleet.kill(member); fleet.start(member) },
 		}
 		// Each trouble strikes one machine and lasts for a fifth of the changes; between two, all come back.
-		struck, since, turns := (*testMember)(nil), uint64(0), 0
+		struck, since, turns, moved := (*testMember)(nil), uint64(0), 0, fleet.now
 		for operator.number < changes {
 			operator.tend(100 * time.Millisecond)
 			fleet.step()
 			if operator.number == since {
+				if fleet.now.Sub(moved) > 30*time.Second {
+					fleet.describe()
+					t.Fatalf("seed %d: %d of %d changes, and no more", seed, operator.number, changes)
+				}
 				continue
 			}
+			moved = fleet.now
 			switch since = operator.number; {
 			case since%(changes/5) == 1:
 				struck = fleet.members[fleet.random.Intn(len(fleet.members))]
@@ -55,10 +60,6 @@
 					return leader != nil && len(leader.node.View().Chain) == len(fleet.members)
 				})
 			}
-			if fleet.now.Sub(operator.sent) > 30*time.Second {
-				fleet.describe()
-				t.Fatalf("seed %d: %d of %d changes, and no more", seed, operator.number, changes)
-			}
 		}
 		fleet.run(3 * time.Second)
 		fleet.wantAlike(operator.number)
