--- a/control/core/calls_test.go
+++ b/control/core/calls_test.go
@@ -286,10 +286,13 @@
 			t.Fatalf("%s: refused %v of %d", token, refused, len(refusals.origins["a/1/"].told))
 		}
 	}
-	for number, wants := range map[int][2]bool{1: {true, false}, 2 * refusalWindow: {true, false}, 2*refusalWindow + 1: {false, true}, 3*refusalWindow + 1: {false, false}} {
-		late, refused := refusals.see(fmt.Sprintf("a/1/%d", number))
-		if late != wants[0] || refused != wants[1] {
-			t.Errorf("%d: late %v, refused %v", number, late, refused)
+	for _, wants := range []struct {
+		number        int
+		late, refused bool
+	}{{1, true, false}, {2 * refusalWindow, true, false}, {2*refusalWindow + 1, false, true}, {3*refusalWindow + 1, false, false}, {2*refusalWindow + 1, true, false}} {
+		late, refused := refusals.see(fmt.Sprintf("a/1/%d", wants.number))
+		if late != wants.late || refused != wants.refused {
+			t.Errorf("%d: late %v, refused %v", wants.number, late, refused)
 		}
 	}
 	if late, refused := refusals.see("a/2/1"); late || refused {
