proof/hollow: serving again is when all live daemons hold a lease at once

Change: it is the first moment from the new head on at which no watched daemon is without a lease.

Ruled out: the end of each daemon's first gap; a daemon may hold a keeper's confirmation, lose it, and get a lease.

--- a/proof/hollow/faults.go
+++ b/proof/hollow/faults.go
@@ -104,7 +104,7 @@
 	last   observation
 	since  time.Duration
 	notes  []string
-	// firstFault and headLost are moments of the steady time; served is the end of the last lease gap.
+	// Moments of the steady time.
 	firstFault, headLost, headActs time.Duration
 }
 
@@ -308,7 +308,7 @@
 		phases = append(phases, stage.phase)
 	}
 	degraded := &phases[len(phases)-2]
-	maps.Copy(degraded.Figures, servingFigures(leases, run.firstFault))
+	maps.Copy(degraded.Figures, servingFigures(leases, run.firstFault, max(run.firstFault, run.headActs)))
 	last := &phases[len(phases)-1]
 	last.Notes = append(last.Notes, run.notes...)
 	last.Figures["daemon.heap"] = float64(run.fleet.order(Order{Verb: "settle"}).Heap) / float64(max(1, run.fleet.options.Daemons))
@@ -341,19 +341,32 @@
 	return figures
 }
 
-// servingFigures tells how long after the first fault the last live daemon had its lease for good, and how many
-// had none when the lost ones came back.
-func servingFigures(leases []LeaseHistory, fault time.Duration) map[string]float64 {
-	last, open := fault, 0
+// servingFigures tells how long after the first fault all watched live daemons held a lease at once, looked at from
+// the moment on at which a head acted, and how many held none when the lost ones came back.
+func servingFigures(leases []LeaseHistory, fault, acts time.Duration) map[string]float64 {
+	open := 0
 	for _, history := range leases {
-		for _, gap := range history.Gaps {
-			last = max(last, gap.To)
-		}
 		if history.Open {
 			open++
 		}
 	}
-	return map[string]float64{"serves.seconds": (last - fault).Seconds(), "serves.open": float64(open)}
+	served := acts
+	for end, found := gapAt(leases, served); found; end, found = gapAt(leases, served) {
+		served = end
+	}
+	return map[string]float64{"serves.seconds": (served - fault).Seconds(), "serves.open": float64(open)}
+}
+
+// gapAt gives the latest end of the gaps in which a moment lies.
+func gapAt(leases []LeaseHistory, moment time.Duration) (end time.Duration, found bool) {
+	for _, history := range leases {
+		for _, gap := range history.Gaps {
+			if gap.From <= moment && moment < gap.To && gap.To > end {
+				end, found = gap.To, true
+			}
+		}
+	}
+	return end, found
 }
 
 // ChangeRecord is one change that an operator sent: when, counted from the first one, and how it ended.
