Capacity: the silent head rewritten from runs before and after the keepers' leases

Change: a section and a generated table of runs with the head and half of the daemons dark, on the earlier build and the present one; lines for it; what else goes from all to all, with how it grows. The section of the design "Vouching by a sample" is gone with what it was to replace; "News of one item" tells of the head's square.

Ruled out: fitting 1,000 daemons with the rest; with a change each second that fleet falls behind and gives no slope.

--- a/proof/hollow/command.go
+++ b/proof/hollow/command.go
@@ -27,7 +27,6 @@
 	names := run.Flag("phase", "What is done after the quiet; may be given several times, or all, or none.").Default("all").Enums(append(PhaseNames(), "all", "none")...)
 	quiet := run.Flag("quiet", "For how long each fleet is left alone.").Default("8s").Duration()
 	founding := run.Flag("founding", "How long a fleet may take to come up.").Default("40s").Duration()
-	silent := run.Flag("silent", "The greatest size at which the head falls silent in a phase.").Default("120").Int()
 	processors := run.Flag("processors", "Processors for all hollow daemons together.").Default("4").Int()
 	coreProcessors := run.Flag("core-processors", "Processors for each wtcore.").Default("2").Int()
 	memory := run.Flag("memory", "MiB that all processes together may hold; a run that takes more is ended.").Default("12288").Uint64()
@@ -94,7 +93,7 @@
 			results := NewResults("wtproof " + strings.Join(os.Args[1:], " "))
 			for _, point := range cross(*lanes, *runners, *daemons) {
 				measured, err := Measure(Options{Daemons: point[2], Runners: point[1], Listed: *listed, Cores: *cores, Lanes: point[0], Pools: *pools, Processors: *processors, CoreProcessors: *coreProcessors,
-					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Silent: *silent, Faults: *faults, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
+					Memory: *memory << 20, Seed: *seed, Network: *network, Quiet: *quiet, Founding: *founding, Phases: chosen, Faults: *faults, Slow: *slow, Bound: *bound, Binaries: *binaries, Program: self, Output: os.Stderr})
 				if err != nil {
 					return err
 				}
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -44,8 +44,6 @@
 	Founding time.Duration
 	// Phases are the names of what is done after the quiet.
 	Phases []string
-	// Silent bounds the size at which the head may fall silent: each daemon then asks all others.
-	Silent int
 	// Faults are done while changes are made, after the quiet and before the phases.
 	Faults FaultPlan
 	// Slow is how many times slower the daemons' clocks run than the cores'; 0 for what fits the size.
--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -116,6 +116,36 @@
 	}
 }
 
+// withoutRumors gives a daemon's bytes, sent and from cores, but for documents and what else rumors carry, in KiB.
+func withoutRumors(phase string) func(run Run) (float64, bool) {
+	return func(run Run) (float64, bool) {
+		all, found := run.figure(phase, "daemon.bytes_all")
+		rumors, _ := run.figure(phase, "kind.Rumor.bytes")
+		return (all - rumors) / 1024, found
+	}
+}
+
+// headBytesEach gives what the head sends for each daemon in a second of changes without faults, in KiB. An upset
+// phase counts: the documents that the head sends are what upsets it.
+func headBytesEach(run Run) (float64, bool) {
+	for _, phase := range run.Phases {
+		if sent, found := phase.Figures["head.bytes_out"]; found && phase.Name == stageBefore {
+			return sent / 1024 / float64(run.Daemons), true
+		}
+	}
+	return 0, false
+}
+
+// snapshotTime gives the processor time of one look that the request path takes after a step.
+func snapshotTime(run Run) (float64, bool) {
+	for _, phase := range run.Phases {
+		if steps, found := phase.Steps["snapshot"]; phase.Name == "quiet" && found {
+			return steps.Microseconds, true
+		}
+	}
+	return 0, false
+}
+
 // atFullSpeed leaves out runs whose daemons' clocks were slowed: what passes between the cores' clocks and theirs
 // is no result then.
 func atFullSpeed(value func(run Run) (float64, bool)) func(run Run) (float64, bool) {
@@ -195,39 +225,33 @@
 	{role: "data daemon", what: "processor time for 37,000 changes a day, by lanes (60 daemons)", unit: "% of a core", series: "lanes", phase: "change", value: added("change", "daemon.processor", "acknowledged.count", 100*aimChanges), aim: aimTenants, bound: boundProcessor * 100,
 		design: designDocument, mechanism: "whole specs sent and parsed for a change of one item; changes of named items would be level"},
 	{role: "data daemon", what: "messages sent while no head acts, in the busiest half second", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.messages_busiest", 1)), aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "each live daemon asks most of the directory every 0.3 s, dark daemons too, and answers as many"},
-	{role: "data daemon", what: "messages sent and from cores while no head acts", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.messages_all", 1)), aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "as above, the first 0.4 s of silence included, in which nobody asks yet"},
-	{role: "data daemon", what: "bytes while no head acts, sent and from cores", unit: "KiB/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.bytes_all", 1.0/1024)), aim: aimDaemons, today: today, bound: boundBytes / 1024,
-		design: designVouching, mechanism: "as above"},
+		mechanism: "questions for a lease to the keepers and the rest of the chain: by their number, not by the fleet's"},
+	{role: "data daemon", what: "messages sent while no head acts", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.messages", 1)), aim: aimDaemons, today: today,
+		mechanism: "as above, the first 0.4 s included, in which the head is still waited for"},
+	{role: "data daemon", what: "bytes of it without documents, sent and from cores", unit: "KiB/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(withoutRumors(stageSilent)), aim: aimDaemons, today: today, bound: boundBytes / 1024,
+		mechanism: "as above"},
+	{role: "data daemon", what: "bytes with a change each second and half of the daemons dark, sent and from cores", unit: "KiB/s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(figure(stageDegraded, "daemon.bytes_all", 1.0/1024)), aim: aimDaemons, today: today, bound: boundBytes / 1024,
+		design: designDocument, mechanism: "the whole document, directory included, two times a change; a change each second is 2.3 times what is aimed at"},
 	{role: "data daemon", what: "processor time while no head acts", unit: "% of a core", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.processor", 100)), aim: aimDaemons, today: today, bound: boundProcessor * 100,
-		design: designVouching, mechanism: "as above"},
+		mechanism: "as the messages"},
 	{role: "data daemon", what: "longest time without a lease while no head acts", unit: "s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "lease.without_longest", 1)), aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "with half of the directory dark no majority vouches, so all stop until the next head grants"},
-	{role: "data daemon", what: "all live daemons serve for good after head and half were lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(figure(stageDegraded, "serves.seconds", 1)), aim: aimDaemons, today: today, bound: boundRecovery,
-		design: designVouching, mechanism: "the next head's view, and its first grant to each"},
+		mechanism: "a keeper that has voted for the next view confirms nothing until its head acts"},
+	{role: "data daemon", what: "all live daemons serve at once after head and half were lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(figure(stageDegraded, "serves.seconds", 1)), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "the next head's view, and its first lease to each; with all daemons on one machine it is also that machine's time"},
 	{role: "head", what: "another acts after the head lost its power", unit: "s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "head.seconds", 1)), aim: aimDaemons, today: today, bound: boundRecovery,
-		mechanism: "0.7 s without a beat, a view by Paxos, the old claim's term: among the cores alone"},
-	{role: "head", what: "longest without an acknowledgement once head and half are lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(longestUnacknowledged), aim: aimDaemons, today: today, bound: boundForce,
-		design: designVouching, mechanism: "an acknowledgement takes most of the directory; with half of it dark none comes before they are back, and the outcome is told as unknown"},
+		mechanism: "0.7 s without a heartbeat, a view by Paxos, the old claim's term: among the cores alone"},
+	{role: "head", what: "longest without an acknowledgement once head and half are lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(longestUnacknowledged), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "a new head, then the leases of the one before it, however many daemons are dark; judged as a recovery"},
 	{role: "core machine", what: "messages received while no head acts, the busiest", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(busiestCore(stageSilent, func(core Core) float64 { return core.Received })), aim: aimDaemons, today: today,
-		design: designTicks, mechanism: "daemons look for the next head at every core"},
+		design: designTicks, mechanism: "each live daemon asks each keeper"},
 	{role: "core machine", what: "processor time while no head acts, the busiest", unit: "cores", series: "silent-head", phase: stageSilent, value: atFullSpeed(busiestCore(stageSilent, func(core Core) float64 { return core.Processor })), aim: aimDaemons, today: today, bound: boundCoreProcessor,
 		design: designTicks, mechanism: "as above"},
 	{role: "core machine", what: "memory with head and half of the daemons lost, the greatest", unit: "MiB", series: "silent-head", phase: stageDegraded, value: atFullSpeed(busiestCore(stageDegraded, func(core Core) float64 { return float64(core.Resident) / mebibyte })), aim: aimDaemons, today: today, bound: boundCoreMemory / mebibyte,
 		design: designTicks, mechanism: "two connections with their buffers for each daemon"},
-	{role: "head", what: "messages sent with half of the daemons dark and a change each second", unit: "/s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(figure(stageDegraded, "head.sent", 1)), aim: aimDaemons, today: today,
-		design: designTicks, mechanism: "grants, and a call each 0.1 s to every daemon that was not heard to know a change"},
-	{role: "data daemon", what: "a step's look at the directory with the head silent or not (snapshot)", unit: "µs", series: "daemons", phase: "quiet",
-		value: func(run Run) (float64, bool) {
-			for _, held := range run.Phases {
-				if steps, found := held.Steps["snapshot"]; held.Name == "quiet" && found {
-					return steps.Microseconds, true
-				}
-			}
-			return 0, false
-		}, aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "the contacts of the whole directory are walked at each step; kept sorted or only when the tick has run out it would be level"},
+	{role: "head", what: "bytes sent with a change each second, for each daemon", unit: "KiB/s", series: "silent-head", phase: stageBefore, value: atFullSpeed(headBytesEach), aim: aimDaemons, today: today,
+		design: designDocument, mechanism: "the head calls who lacks a change after 40 ms, before rumors made their first round, and so sends the document, which names every daemon, to nearly every daemon: with the square over the fleet"},
+	{role: "data daemon", what: "a look at the lease and the runners (snapshot)", unit: "µs", series: "silent-head", phase: "quiet", value: snapshotTime, aim: aimDaemons, today: today,
+		mechanism: "the keepers' confirmations: by their number"},
 	{role: "head", what: "processor time in quiet", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "head.processor", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor,
 		design: designTicks, mechanism: "one machine answers every daemon's tick; heads of zones that hold one tick for all their daemons would divide it"},
 	{role: "head", what: "of it what does not grow with how often daemons ask", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "head.processor.own", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor, design: designTicks,
@@ -316,7 +340,6 @@
 // The designs that would carry what does not hold; each is a section of the page.
 const (
 	designCut       = "Regions that serve apart"
-	designVouching  = "Vouching by a sample"
 	designTicks     = "Ticks for a zone at once"
 	designDocument  = "News of one item"
 	designLists     = "Changes in place of lists"
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -411,7 +411,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "again": AgainTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
+	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "again": AgainTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "silence": SilenceTable(now, before), "aim": describe() + "\n"}, nil
 }
 
 // Fill puts the tables into a page, each between its marks.
--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -129,7 +129,7 @@
 // phases are what can be done to a fleet that has been founded and left alone.
 var phases = map[string]struct {
 	help string
-	// silent tells that the head falls silent, so that each daemon asks all others.
+	// silent tells that the head falls silent, so that daemons look for another.
 	silent bool
 	// prompt tells that the daemons' questions must come as often as the head expects.
 	prompt bool
@@ -224,10 +224,6 @@
 			run.Phases = append(run.Phases, Phase{Name: name, Notes: []string{"left out: the daemons' clocks are too slow for what the head expects of them"}})
 			continue
 		}
-		if made.silent && options.Daemons > options.Silent {
-			run.Phases = append(run.Phases, Phase{Name: name, Notes: []string{fmt.Sprintf("left out above %d daemons: with the head silent each asks all others", options.Silent)}})
-			continue
-		}
 		run.Phases = append(run.Phases, fleet.watch(name, func(phase *Phase) { made.run(fleet, phase) }))
 	}
 	return run, nil
