--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -152,7 +152,7 @@
 	daemons := func() []string { return []string{"d"} }
 	desk := award.NewDesk(func(now time.Time) award.Field { return award.Field{Runners: book.All(now, daemons()), Daemons: 1} }, book, indexer, rand.New(rand.NewSource(1)))
 	made.Yard = &Yard{Name: "d", Zone: "a", Snapshot: func() *director.Snapshot { return made.snapshot }, Daemons: daemons, Book: book,
-		World: seam.Real(nil), Await: func(steps <-chan award.Step) award.Step { return <-steps },
+		World: seam.Real(nil), Renewed: func() <-chan struct{} { return nil }, Await: func(steps <-chan award.Step) award.Step { return <-steps },
 		Once: once.New(), Tell: func(key once.Key, dropped bool) { made.told = append(made.told, dropped) },
 		Indexer: indexer, Links: link.New(seam.Real(nil), speech.Own{}.Identity()), Speech: speech.Own{}, Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -186,9 +186,19 @@
 	return house.sendWith(t, lane, id, nil)
 }
 
+// sendBody sends a prompt.
+func (house *house) sendBody(t *testing.T, lane, prompt string) (status int, body string) {
+	house.number++
+	return house.sendAll(t, lane, fmt.Sprint("r", house.number), prompt, nil)
+}
+
 // sendWith sends further headers, where they are not empty.
 func (house *house) sendWith(t *testing.T, lane, id string, more map[string]string) (status int, body string) {
-	request, err := http.NewRequest("POST", "http://"+house.address+"/v1/stream", strings.NewReader(`{"prompt":"x"}`))
+	return house.sendAll(t, lane, id, "x", more)
+}
+
+func (house *house) sendAll(t *testing.T, lane, id, prompt string, more map[string]string) (status int, body string) {
+	request, err := http.NewRequest("POST", "http://"+house.address+"/v1/stream", strings.NewReader(`{"prompt":"`+prompt+`"}`))
 	if err != nil {
 		t.Fatal(err)
 	}
