--- a/cmd/wtproof/main.go
+++ b/cmd/wtproof/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"wardtray/proof/hollow"
+	"wardtray/proof/model"
 )
 
 // commands are the functions that run a command, by its full name. An error ends wtproof with exit code 1.
@@ -27,6 +28,8 @@
 	registerBatches(application, known)
 	registerSpread(application, known)
 	registerScenarios(application, known)
+	search := model.Register(application)
+	known[search.Command] = func() error { return search.Run(os.Stdout) }
 	for name, run := range hollow.Register(application) {
 		known[name] = run
 	}
