--- a/proof/hollow/run.go
+++ b/proof/hollow/run.go
@@ -78,6 +78,8 @@
 	Processes int   `json:"processes"`
 	// Slow is how many times slower the daemons' clocks ran than the cores'.
 	Slow float64 `json:"slow"`
+	// ChangeEvery is how often an operator made a change in a run with faults, in seconds; 0 for never.
+	ChangeEvery float64 `json:"change_every,omitempty"`
 	// Prefixes and Rate are the sizes of measurements of the request path.
 	Prefixes int     `json:"prefixes,omitempty"`
 	Rate     float64 `json:"rate,omitempty"`
@@ -129,7 +131,7 @@
 // phases are what can be done to a fleet that has been founded and left alone.
 var phases = map[string]struct {
 	help string
-	// silent tells that the head falls silent, so that each daemon asks all others.
+	// silent tells that the head falls silent, so that daemons look for another.
 	silent bool
 	// prompt tells that the daemons' questions must come as often as the head expects.
 	prompt bool
@@ -174,6 +176,9 @@
 		options.Slow = max(1, float64(options.Daemons)/float64(perPace*max(1, options.Processors)))
 	}
 	run.Slow = options.Slow
+	if options.Faults.any() {
+		run.ChangeEvery = options.Faults.Every.Seconds()
+	}
 	if options.Folder == "" {
 		folder, err := os.MkdirTemp("", "hollow")
 		if err != nil {
@@ -224,10 +229,6 @@
 			run.Phases = append(run.Phases, Phase{Name: name, Notes: []string{"left out: the daemons' clocks are too slow for what the head expects of them"}})
 			continue
 		}
-		if made.silent && options.Daemons > options.Silent {
-			run.Phases = append(run.Phases, Phase{Name: name, Notes: []string{fmt.Sprintf("left out above %d daemons: with the head silent each asks all others", options.Silent)}})
-			continue
-		}
 		run.Phases = append(run.Phases, fleet.watch(name, func(phase *Phase) { made.run(fleet, phase) }))
 	}
 	return run, nil
