Fuzzing of all that comes from outside; texts that no message can hold are turned away

Cause, found by the new fuzz tests' seeds and runs (each kept as a seed): - a registration whose id (from the path, %ff), zone, service or revision was not UTF-8 was taken.

--- /dev/null
+++ b/control/core/receive_fuzz_test.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"bufio"
+	"bytes"
+	"math/rand"
+	"testing"
+	"time"
+
+	"wardtray/transport/frame"
+	"wardtray/wire"
+	"wardtray/wire/wiretest"
+)
+
+// situations are the states in which a core is given messages: alone at its very start, and as the head of a chain.
+func situations(now time.Time) []*Node {
+	self := &wire.Member{Id: "a", Address: "127.0.0.1:1", Zone: "a"}
+	other := &wire.Member{Id: "b", Address: "127.0.0.2:1", Zone: "b"}
+	third := &wire.Member{Id: "c", Address: "127.0.0.3:1", Zone: "c"}
+	view := &wire.View{Epoch: 3, Fleet: "f", Floor: 1, Chain: []*wire.Member{self, other}, Keepers: []*wire.Member{self, other, third}}
+	document := &wire.Document{Sequence: 4, SpecEpoch: 4, Directory: []*wire.Member{{Id: "d", Address: "d", Zone: "a"}}}
+	startup := Startup{Address: self.Address, Zone: "a", Seeds: []string{other.Address}}
+	founding := startup
+	founding.Founding = true
+	return []*Node{
+		New(now, founding, &wire.Memory{Id: "a"}, nil, rand.New(rand.NewSource(1))),
+		New(now, startup, &wire.Memory{Id: "a", View: view, Document: document}, nil, rand.New(rand.NewSource(1))),
+	}
+}
+
+// Whatever another process sends, a core goes on: it does not panic, and its own messages and records can be written.
+func FuzzReceive(fuzz *testing.F) {
+	for _, sample := range wiretest.Envelopes() {
+		content, err := frame.Encode(sample.Envelope)
+		if err != nil {
+			fuzz.Fatal(err)
+		}
+		fuzz.Add(content)
+		fuzz.Add(append(content, content...))
+	}
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
+		for _, node := range situations(time.Unix(1_700_000_000, 0)) {
+			deliver(t, node, content)
+		}
+	})
+}
+
+// deliver gives a core every message of a stream, with time passing between them.
+func deliver(t *testing.T, node *Node, content []byte) {
+	t.Helper()
+	now := time.Unix(1_700_000_000, 0)
+	for reader := bufio.NewReader(bytes.NewReader(content)); ; {
+		envelope, _, err := frame.Decode(reader)
+		if err == nil {
+			node.Receive(now, envelope)
+		}
+		now = now.Add(100 * time.Millisecond)
+		node.Tick(now)
+		parcels, writes := node.Drain()
+		for _, write := range writes {
+			node.Synced(now, write.Sequence)
+		}
+		for _, parcel := range parcels {
+			if _, err := frame.Encode(parcel.Envelope); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/control/corehost/http.go
+++ b/control/corehost/http.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
@@ -15,7 +16,11 @@
 	"wardtray/wire"
 )
 
-const requestBound = 10 * time.Second
+const (
+	requestBound = 10 * time.Second
+	// maximumOperation bounds the id under which an operator sends a change.
+	maximumOperation = 128
+)
 
 // serve opens the operators' side.
 func (host *Host) serve() (*fasthttp.Server, error) {
@@ -129,8 +134,10 @@
 	if zone, found := context.UserValue("zone").(string); found {
 		message.Zone = zone
 	}
-	if len(message.Operation) > 128 {
-		return nil, fault.New(fault.Malformed, "operation: at most 128 bytes")
+	// A message, and a record on a disk, can't hold other bytes than UTF-8: one such change could be neither passed on
+	// nor synced.
+	if len(message.Operation) > maximumOperation || !utf8.ValidString(message.Operation) || !utf8.ValidString(message.Zone) {
+		return nil, fault.New(fault.Malformed, "operation, zone: at most %d bytes of UTF-8", maximumOperation)
 	}
 	var err error
 	if message.Base, message.HasBase, err = number(context, "base"); err != nil {
--- a/control/corehost/http_test.go
+++ b/control/corehost/http_test.go
@@ -29,7 +29,7 @@
 			t.Errorf("%s: %v %v", verb, got, err)
 		}
 		for query, path := range map[string]string{"": "base", "base=": "base", "base=x": "base", "base=-1": "base", "base=1&epoch=x": "epoch", "base=1&epoch=-2": "epoch",
-			"base=1&epoch=1.5": "epoch", "base=1&operation=" + strings.Repeat("x", 129): "operation"} {
+			"base=1&epoch=1.5": "epoch", "base=1&operation=" + strings.Repeat("x", 129): "operation", "base=1&operation=%ff": "operation"} {
 			if _, err := read(verb, query); err == nil || !strings.Contains(err.Error(), path) {
 				t.Errorf("%s?%s: %v", verb, query, err)
 			}
--- a/control/registry/call.go
+++ b/control/registry/call.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/mailru/easyjson"
 
@@ -76,7 +77,7 @@
 	flaw(!place(call.Address), "address: %q is no ip:port", call.Address)
 	flaw(!name(call.Zone), "zone: wants 1 to %d letters without blanks or slashes", maximumName)
 	flaw(!name(call.Service), "service: wants 1 to %d letters without blanks or slashes", maximumName)
-	flaw(len(call.Revision) > maximumName, "revision: at most %d bytes", maximumName)
+	flaw(len(call.Revision) > maximumName || !utf8.ValidString(call.Revision), "revision: at most %d bytes of UTF-8", maximumName)
 	flaw(call.Slots < 1 || call.Slots > maximumSlots, "slots: wants 1 to %d", maximumSlots)
 	flaw(!callStates[call.State], "state: %q is neither ready nor draining", call.State)
 	flaw(call.Cold < 0 || time.Duration(call.Cold) > maximumCold, "cold: wants 0s to %v", maximumCold)
@@ -96,8 +97,10 @@
 
 func name(text string) bool { return text != "" && len(text) <= maximumName && plain(text) }
 
+// plain tells whether a text can be told to every process: a message can't hold other bytes than UTF-8, and one line
+// with such bytes would keep everything from being told that travels with it.
 func plain(text string) bool {
-	return !strings.ContainsFunc(text, func(letter rune) bool { return letter <= ' ' || letter == '/' || letter == 0x7f })
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, func(letter rune) bool { return letter <= ' ' || letter == '/' || letter == 0x7f })
 }
 
 func place(address string) bool {
--- /dev/null
+++ b/edge/director/receive_fuzz_test.go
@@ -0,0 +1,52 @@
+package director
+
+import (
+	"bufio"
+	"bytes"
+	"math/rand"
+	"testing"
+	"time"
+
+	"wardtray/transport/frame"
+	"wardtray/wire/wiretest"
+)
+
+// Whatever another process sends, a daemon goes on: it does not panic, and its own messages can be written.
+func FuzzReceive(fuzz *testing.F) {
+	for _, sample := range wiretest.Envelopes() {
+		content, err := frame.Encode(sample.Envelope)
+		if err != nil {
+			fuzz.Fatal(err)
+		}
+		fuzz.Add(content)
+		fuzz.Add(append(content, content...))
+	}
+	news, err := frame.Encode(document(&testing.T{}, 7))
+	if err != nil {
+		fuzz.Fatal(err)
+	}
+	fuzz.Add(news)
+	fuzz.Fuzz(func(t *testing.T, content []byte) {
+		for _, registered := range []bool{false, true} {
+			director := New(begun, Startup{Address: "d0", Zone: "a", Seeds: []string{"127.0.0.1:1"}, Registered: registered}, rand.New(rand.NewSource(1)))
+			director.Receive(begun, document(t, 3))
+			now := begun
+			for reader := bufio.NewReader(bytes.NewReader(content)); ; {
+				envelope, _, err := frame.Decode(reader)
+				if err == nil {
+					director.Receive(now, envelope)
+				}
+				now = now.Add(100 * time.Millisecond)
+				director.Tick(now)
+				for _, parcel := range director.Drain() {
+					if _, err := frame.Encode(parcel.Envelope); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err != nil {
+					break
+				}
+			}
+		}
+	})
+}
--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -101,12 +101,11 @@
 		event.Raw = raw
 		if err == io.EOF && !reader.rules.Counted {
 			reader.ended = true
-			// What follows the last blank line belongs to the body and is passed on with it.
-			if len(event.Raw) > 0 {
-				event.ID = reader.last
-				return event, nil
+			if len(event.Raw) == 0 {
+				return Event{}, io.EOF
 			}
-			return Event{}, io.EOF
+			// What follows the last blank line belongs to the body and is passed on with it, in its order.
+			break
 		}
 		if err != nil {
 			return Event{}, fault.Wrap(err, fault.RunFailed, "the stream broke off after event %d", reader.last)
--- /dev/null
+++ b/request/stream/stream_fuzz_test.go
@@ -0,0 +1,60 @@
+package stream
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+)
+
+// Whatever a runner sends, reading it neither panics nor makes anything up: the events are the bytes of the body in
+// their order, their ids rise, and how the body was cut into pieces on its way makes no difference.
+func FuzzReader(fuzz *testing.F) {
+	for _, text := range []string{"", "id: 1\nevent: token\ndata: x\n\n", "id: 1\nevent: done\ndata: {\"events\":0}\n\n", "id: 2\r\ndata: x\r\n\r\nid: 7\r\n\r\n",
+		": a comment\n\n\n\nweight-versions: 3\nid: 4\n\n", "id: 9223372036854775807\n\nid: 1\n\n", "id: -4\n\nid\n\n", "data: half", "\r\r\n\n", "id: 1\rdata: x\r\r", "id:0\n", "id: 4\n\nid: 2\ndata: x\n"} {
+		fuzz.Add([]byte(text), 0, true)
+		fuzz.Add([]byte(text), 3, false)
+	}
+	fuzz.Fuzz(func(t *testing.T, content []byte, last int, counted bool) {
+		rules := Rules{Counted: counted}
+		whole, wholeErr := readAll(bytes.NewReader(content), rules, last)
+		pieces, piecesErr := readAll(iotest.OneByteReader(bytes.NewReader(content)), rules, last)
+		if !same(whole, pieces) || (wholeErr == io.EOF) != (piecesErr == io.EOF) {
+			t.Fatalf("%q: %v %v in one piece, %v %v byte by byte", content, whole, wholeErr, pieces, piecesErr)
+		}
+		checkEvents(t, content, whole, rules, last, wholeErr == io.EOF)
+	})
+}
+
+func readAll(source io.Reader, rules Rules, last int) ([]Event, error) {
+	reader := NewReader(source, rules, last)
+	var events []Event
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+// checkEvents holds what was read to the bytes that it was read from.
+func checkEvents(t *testing.T, content []byte, events []Event, rules Rules, last int, ended bool) {
+	t.Helper()
+	rest := content
+	for _, event := range events {
+		if event.ID < last || len(event.id) > 0 && event.ID == last {
+			t.Fatalf("%q: event %d follows event %d", content, event.ID, last)
+		}
+		if last = event.ID; rules.Counted {
+			continue
+		}
+		if !bytes.HasPrefix(rest, event.Raw) {
+			t.Fatalf("%q: %q is not what came", content, event.Raw)
+		}
+		rest = rest[len(event.Raw):]
+	}
+	if ended && !rules.Counted && len(rest) > 0 {
+		t.Fatalf("%q: %q was left out", content, rest)
+	}
+}
--- /dev/null
+++ b/wire/wiretest/wiretest.go
@@ -0,0 +1,81 @@
+// Package wiretest gives tests one envelope of every kind.
+package wiretest
+
+import (
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"wardtray/wire"
+)
+
+// maximumDepth bounds how deep messages are filled.
+const maximumDepth = 5
+
+// Sample is one envelope of a kind.
+type Sample struct {
+	Kind     string
+	Envelope *wire.Envelope
+}
+
+// Envelopes gives, for every kind of body, an envelope whose body is empty and one whose every field is set.
+func Envelopes() []Sample {
+	var samples []Sample
+	body := (&wire.Envelope{}).ProtoReflect().Descriptor().Oneofs().ByName("body")
+	for place := range body.Fields().Len() {
+		field := body.Fields().Get(place)
+		for _, depth := range []int{0, maximumDepth} {
+			envelope := &wire.Envelope{From: "127.0.0.2:1", Sender: "b", Zone: "a"}
+			message := envelope.ProtoReflect()
+			fill(message.Mutable(field).Message(), depth)
+			samples = append(samples, Sample{Kind: string(field.Name()), Envelope: envelope})
+		}
+	}
+	return samples
+}
+
+// fill sets every field of a message down to a depth.
+func fill(message protoreflect.Message, depth int) {
+	if depth == 0 {
+		return
+	}
+	fields := message.Descriptor().Fields()
+	for place := range fields.Len() {
+		field := fields.Get(place)
+		switch {
+		case field.IsMap():
+			continue
+		case field.IsList():
+			list := message.Mutable(field).List()
+			list.Append(element(field, list.NewElement, depth))
+		default:
+			message.Set(field, element(field, func() protoreflect.Value { return message.NewField(field) }, depth))
+		}
+	}
+}
+
+// element gives a value for a field, or for an element of its list.
+func element(field protoreflect.FieldDescriptor, blank func() protoreflect.Value, depth int) protoreflect.Value {
+	switch field.Kind() {
+	case protoreflect.MessageKind:
+		made := blank()
+		fill(made.Message(), depth-1)
+		return made
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString("a")
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte(`{"a":1}`))
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(true)
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(1)
+	case protoreflect.Int32Kind:
+		return protoreflect.ValueOfInt32(1)
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(1)
+	case protoreflect.Int64Kind:
+		return protoreflect.ValueOfInt64(1)
+	case protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(1)
+	default:
+		return blank()
+	}
+}
