A daemon takes nothing in the second half of its time to stop

Ruled out: closing the listener after `drain` (connections being made are reset, kept ones leave their client in doubt).

Change: in the second half of drain + finish a request is refused with 503 and `Connection: close`, which promises that it did not run.

--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -162,6 +162,8 @@
 	finish := host.startup.FinishTime(finishBound)
 	for !host.Drained(length) && time.Since(begun) < length+finish {
 		<-ticker.C
+		// What comes that late might have to be cut, and another daemon can still serve it.
+		host.Yard.Stopping.Store(time.Since(begun) > (length+finish)/2)
 	}
 	finishing, stop := context.WithTimeout(context.Background(), max(leastFinish, length+finish-time.Since(begun)))
 	defer stop()
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -83,7 +83,8 @@
 	// Begun is when the process began.
 	Begun    time.Time
 	InFlight atomic.Int64
-	Draining atomic.Bool
+	// Draining says that a planned stop has begun, Stopping that nothing more is taken.
+	Draining, Stopping atomic.Bool
 	budgets  sync.Map
 }
 
@@ -389,6 +390,9 @@
 		return err
 	}
 	course.request, course.after = request, request.After
+	if course.yard.Stopping.Load() {
+		return fault.New(fault.NotServing, "this daemon is about to stop")
+	}
 	if known := course.take(); known != "" {
 		return fault.New(fault.AlreadyTaken, "the request with this id %s", known)
 	}
