--- a/edge/datahost/stop_test.go
+++ b/edge/datahost/stop_test.go
@@ -47,7 +47,7 @@
 // zone stopped at once, clients were sent to them again, and requests taken six seconds after the order to stop were cut.
 func TestAStoppingDaemonClosesItsFront(t *testing.T) {
 	settings := &startup.Startup{Address: freeAddress(t), HTTP: freeAddress(t), Fitness: freeAddress(t), Zone: "a", Registered: true,
-		Seeds: []string{"127.0.0.1:1"}, Drain: "100ms", Finish: "10s"}
+		Seeds: []string{"127.0.0.1:1"}, Drain: "100ms", Finish: "4s"}
 	host, err := New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
