--- a/proof/model/doc.go
+++ b/proof/model/doc.go
@@ -5,8 +5,8 @@
 // checks the five properties after each:
 //
 //	P1 whoever is cut off hands out, refuses and confirms nothing: one machine leads at a time, no read is older than
-//	   what was acknowledged before it was asked, and a daemon that reaches a core machine awards by nothing older than
-//	   Staleness after an acknowledgement
+//	   what was acknowledged before it was asked, and from the moment of an acknowledgement on no daemon that reaches a
+//	   core machine awards by less (one that reached none for a while has Staleness from then on)
 //	P2 of two changes on one base one at most is acknowledged, and no outcome is ever taken back
 //	P3 what was acknowledged outlives the loss of one disk while all others lose their power, at any moment
 //	P4 nobody leads, teaches or joins with less than was acknowledged
@@ -14,7 +14,11 @@
 //
 // and agreement: one document for each sequence, one view for each epoch.
 //
+// Every order is tried up to a few actions, which the search prints; beyond that it goes on at random, by a seed, up to the
+// scenario's depth. Scenarios begin with a fleet that was founded, serves, and holds acknowledged changes.
+//
 // What is not explored: clocks that drift, damaged files (package snapshot), the transport, the registry of runners, and
-// the order of messages that a scenario does not name, which are delivered as they are sent. A state is known by a hash
+// the order of messages that a scenario does not name, which are delivered as they are sent. Time passes by steps of
+// 100 ms, and messages take none unless they are held back. A state is known by a hash
 // of everything that the machines hold, read by reflection; see walker for what it leaves out.
 package model
--- /dev/null
+++ b/proof/model/judge_test.go
@@ -0,0 +1,86 @@
+package model
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"wardtray/control/core"
+)
+
+// TestAnswersAreJudged wants each pair of answers that can't both be true noticed, and honest ones let pass.
+func TestAnswersAreJudged(t *testing.T) {
+	left, right := Question{Verb: "apply", Operation: "left", Base: 1}, Question{Verb: "apply", Operation: "right", Base: 1}
+	scenario := &Scenario{Name: "answers", Sends: []Question{left, right, left}}
+	type given struct {
+		place, status int
+		epoch         uint64
+		operation     string
+	}
+	for name, attempt := range map[string]struct {
+		answers []given
+		broken  string
+	}{
+		"one wins":                        {[]given{{0, 200, 2, "left"}, {1, 409, 2, "right"}}, ""},
+		"again the same":                  {[]given{{0, 200, 2, "left"}, {2, 200, 2, "left"}}, ""},
+		"unknown, then accepted":          {[]given{{0, 504, 0, "left"}, {2, 200, 2, "left"}}, ""},
+		"no way, then accepted":           {[]given{{0, 503, 0, "left"}, {2, 200, 2, "left"}}, ""},
+		"both on one base":                {[]given{{0, 200, 2, "left"}, {1, 200, 3, "right"}}, "P2"},
+		"refused, then accepted":          {[]given{{0, 409, 1, "left"}, {2, 200, 2, "left"}}, "P2"},
+		"accepted, then refused":          {[]given{{0, 200, 2, "left"}, {2, 409, 2, "left"}}, "P2"},
+		"accepted under two epochs":       {[]given{{0, 200, 2, "left"}, {2, 200, 3, "left"}}, "P2"},
+		"another's answer":                {[]given{{0, 200, 2, "right"}}, "P5"},
+		"answered twice":                  {[]given{{0, 200, 2, "left"}, {0, 200, 2, "left"}}, "P5"},
+		"one that was sent once, refused": {[]given{{1, 503, 0, "right"}, {1, 200, 3, "right"}}, "P5"},
+	} {
+		judge := newWorld(scenario).judge
+		judge.effective = map[string]uint64{}
+		judge.copies = map[string]int{"left": faults + 1, "right": faults + 1}
+		for _, one := range attempt.answers {
+			if one.status == 200 {
+				judge.effective[one.operation] = max(judge.effective[one.operation], one.epoch)
+			}
+			judge.answer(one.place, one.status, encode(t, core.Reply{Operation: one.operation, Epoch: one.epoch}))
+		}
+		if !strings.HasPrefix(judge.broken, attempt.broken) || attempt.broken == "" && judge.broken != "" {
+			t.Errorf("%s: %q, wanted %q", name, judge.broken, attempt.broken)
+		}
+	}
+}
+
+// TestAcknowledgedWithoutCopies wants an acknowledgement that rests on one disk noticed, and one of nothing at all.
+func TestAcknowledgedWithoutCopies(t *testing.T) {
+	scenario := &Scenario{Name: "copies", Sends: []Question{{Verb: "apply", Operation: "left", Base: 1}}}
+	for name, prepare := range map[string]func(judge *judge){
+		"one copy":      func(judge *judge) { judge.effective["left"], judge.copies["left"] = 2, faults },
+		"not committed": func(judge *judge) { judge.copies["left"] = faults + 1 },
+	} {
+		judge := newWorld(scenario).judge
+		prepare(judge)
+		judge.answer(0, 200, encode(t, core.Reply{Operation: "left", Epoch: 2}))
+		if !strings.HasPrefix(judge.broken, "P3") {
+			t.Errorf("%s: %q", name, judge.broken)
+		}
+	}
+}
+
+// TestOldReadsAreNoticed wants a read noticed that is older than what was acknowledged before it was asked.
+func TestOldReadsAreNoticed(t *testing.T) {
+	scenario := &Scenario{Name: "reads", Sends: []Question{{Verb: "get"}}}
+	for epoch, broken := range map[uint64]string{1: "P1", 2: "", 3: ""} {
+		judge := newWorld(scenario).judge
+		judge.asked[0] = 2
+		judge.answer(0, 200, encode(t, core.Reply{Epoch: epoch}))
+		if got, _, _ := strings.Cut(judge.broken, ":"); got != broken {
+			t.Errorf("epoch %d: %q", epoch, judge.broken)
+		}
+	}
+}
+
+func encode(t *testing.T, reply core.Reply) []byte {
+	content, err := json.Marshal(reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
