view: a keeper with a slow disk finishes its attempt at a view

Cause: an attempt counted as failed after 400 ms, and the next one made its promises worthless. A keeper needs two writes for it, so that with 200 to 700 ms a write (slower ones count as a failing disk) no view could ever be agreed where that keeper's vote was needed. Seen red in TestTheOnlyHolderStaysUntilASuccessorHasItsCopy with 550 ms a write: "no leader after 4s", view 3 for ever. Now nobody proposes while its own promise or vote is not synced, and each attempt at one view has twice the time of the one before, up to 1.6 s.

--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -14,9 +14,13 @@
 	"wardtray/wire"
 )
 
-// Patience is how long an attempt may take before it counts as failed.
+// Patience is how long the first attempt at a view may take before it counts as failed.
 const Patience = 400 * time.Millisecond
 
+// mostPatience is how long a later one may take: each has twice the time of the one before, since disks may be too slow
+// for two writes in the time of the first.
+const mostPatience = 4 * Patience
+
 // Agent is proposer, acceptor and learner in one.
 type Agent struct {
 	self    string
@@ -28,6 +32,10 @@
 	since   time.Time
 	vote    *wire.Vote
 	attempt *attempt
+	// patience is how long the present attempt may take; zero: none was made at this view yet.
+	patience time.Duration
+	// syncing counts the promises and votes that the disk has not confirmed yet.
+	syncing int
 	round   uint64
 	// The view whose record is being synced, or was last; it is acted on only afterwards.
 	newest *wire.View
@@ -73,9 +81,10 @@
 // Voted tells whether this keeper has voted for the next view.
 func (agent *Agent) Voted() bool { return agent.vote.Value != nil }
 
-// Busy tells whether an attempt of this agent's is under way.
+// Busy tells whether an attempt of this agent's is under way, or a promise or vote of its own, which a new attempt
+// would only make worthless.
 func (agent *Agent) Busy(now time.Time) bool {
-	return agent.attempt != nil && now.Sub(agent.attempt.begun) < Patience
+	return agent.syncing > 0 || agent.attempt != nil && now.Sub(agent.attempt.begun) < agent.patience
 }
 
 // Propose begins an attempt at the next view among the present keepers.
@@ -94,6 +103,7 @@
 
 func (agent *Agent) begin(now time.Time, value *wire.View, acceptors []*wire.Member, quorum int) {
 	agent.round = max(agent.round, agent.vote.GetPromised().GetRound()) + 1
+	agent.patience = min(max(Patience, 2*agent.patience), mostPatience)
 	agent.attempt = &attempt{
 		instance: agent.current.Epoch + 1, ballot: &wire.Ballot{Round: agent.round, Proposer: agent.self},
 		acceptors: acceptors, quorum: quorum, value: value, begun: now,
@@ -161,7 +171,9 @@
 	}
 	agent.vote = &wire.Vote{Instance: message.Instance, Promised: message.Ballot, Accepted: agent.vote.Accepted, Value: agent.vote.Value}
 	promised := agent.vote
+	agent.syncing++
 	agent.outbox.Persist(now, &wire.Record{Body: &wire.Record_Vote{Vote: promised}}, func(time.Time) {
+		agent.syncing--
 		agent.outbox.Send(reply, &wire.Envelope{Body: &wire.Envelope_ViewPromise{ViewPromise: &wire.ViewPromise{
 			Instance: message.Instance, Ballot: message.Ballot, Accepted: promised.Accepted, Value: promised.Value}}})
 	})
@@ -207,7 +219,9 @@
 		return
 	}
 	agent.vote = &wire.Vote{Instance: message.Instance, Promised: message.Ballot, Accepted: message.Ballot, Value: message.Value}
+	agent.syncing++
 	agent.outbox.Persist(now, &wire.Record{Body: &wire.Record_Vote{Vote: agent.vote}}, func(time.Time) {
+		agent.syncing--
 		agent.outbox.Send(reply, &wire.Envelope{Body: &wire.Envelope_ViewAccepted{ViewAccepted: &wire.ViewAccepted{
 			Instance: message.Instance, Ballot: message.Ballot}}})
 	})
@@ -247,7 +261,7 @@
 			return
 		}
 		former := agent.current
-		agent.current, agent.since, agent.attempt = view, done, nil
+		agent.current, agent.since, agent.attempt, agent.patience = view, done, nil, 0
 		agent.vote = &wire.Vote{Instance: view.Epoch + 1}
 		told := map[string]bool{}
 		for _, group := range [][]*wire.Member{former.Chain, former.Keepers, view.Chain, view.Keepers} {
