--- a/control/core/membership.go
+++ b/control/core/membership.go
@@ -71,7 +71,11 @@
 	// it teaches those who come back; waiting for a lost member instead would stop it for good.
 	if len(next.Chain) == 0 || !node.holdsAll(current.Chain, next.Chain) {
 		next.Chain, changed = current.Chain, false
+		if survivors := node.survivors(now, current); len(survivors) > 0 {
+			next.Chain, changed = survivors, true
+		}
 	}
+	next.Reserve = reserveOf(current, next)
 	keepers, replaced := node.mendedKeepers(now, next.Chain)
 	next.Keepers = keepers
 	if !changed && !replaced {
@@ -84,6 +88,36 @@
 	return next
 }
 
+// reserveOf gives the members of the last chain that took changes, for as long as the chain is shorter than its floor.
+func reserveOf(current, next *wire.View) []*wire.Member {
+	if len(next.Chain) >= int(next.Floor) {
+		return nil
+	}
+	if len(current.Chain) >= int(current.Floor) {
+		return current.Chain
+	}
+	return current.Reserve
+}
+
+// survivors gives the machines that may go on where every member of a chain that was too short to take changes has
+// lost its disk: those of the last chain that took some. What was acknowledged was so in that chain or before it, and
+// each of its members held it; they keep their order, since each history begins with its successor's. A member that is
+// only silent may come back with its disk, so nobody goes on without it.
+func (node *Node) survivors(now time.Time, current *wire.View) []*wire.Member {
+	for _, member := range current.Chain {
+		if !node.replacedAt(member) {
+			return nil
+		}
+	}
+	var survivors []*wire.Member
+	for _, member := range current.Reserve {
+		if !holds(current.Chain, member.Id) && node.fresh(now, member.Id) && !node.unfit(now, member.Id) {
+			survivors = append(survivors, member)
+		}
+	}
+	return survivors
+}
+
 // holdsAll tells whether those who would stay have all that was committed. A member that joined a moment ago may
 // lack what was committed since it learned the document. So it is not left alone while one who has all may come back,
 // as after a loss of power from which the machines return one by one.
