coordination/chain: a slow tail needs what was there when the view began, no more

Cause: a tail answers nothing before it has all that its predecessor had when the view began, but the predecessor compared with what it has by now. While changes go on, a tail whose disk is slower never got there, and nothing was committed after a view change (found by the tests of leaving members: 3 s and more at five changes a second and 600 ms a write). Now each member keeps a mark: what it held when it was first sure, in this view, to have all that came before. Nothing newer was committed before the view began. Ruled out: a mark of what is synced, since an entry may be on its way to the disk. Test: TestASlowTailComesUpWhileChangesGoOn, red before ("the tail waits for what goes on coming in"). proof/model and control/core green.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -49,7 +49,9 @@
 	passed          uint64
 	successorBefore uint64
 	// Whether the predecessor has spoken in this view; a tail answers nothing before.
-	aligned     bool
+	aligned bool
+	// mark is what this member had when it was first sure, in this view, to have all that came before.
+	mark        uint64
 	lastSend    time.Time
 	learnedView uint64
 	// learning is the view of a document that was learned and is on its way to the disk.
@@ -86,6 +88,7 @@
 	}
 	chain.successorHeard, chain.successorSynced, chain.aligned = false, 0, chain.place == 0
 	chain.passed, chain.successorBefore, chain.learning = 0, 0, 0
+	chain.mark = chain.received
 	chain.lastSend = time.Time{}
 	// Nobody is left who has more than the head of an agreed view.
 	if chain.place == 0 {
@@ -279,9 +282,11 @@
 
 func (chain *Chain) align() {
 	successor := chain.successor()
-	if successor != nil && chain.aligned && chain.successorSynced >= chain.synced {
+	// What came since then was committed by nobody before the view began, so a successor that follows at a distance
+	// while changes go on need not catch up with it first.
+	if successor != nil && chain.aligned && chain.successorSynced >= chain.mark {
 		chain.outbox.Send(chain.address(successor), &wire.Envelope{Body: &wire.Envelope_ChainHold{ChainHold: &wire.ChainHold{
-			View: chain.view.Epoch, Synced: chain.synced, Committed: chain.history.committed.Sequence}}})
+			View: chain.view.Epoch, Synced: chain.mark, Committed: chain.history.committed.Sequence}}})
 	}
 }
 
@@ -292,7 +297,7 @@
 		return
 	}
 	if !chain.aligned {
-		chain.aligned = true
+		chain.aligned, chain.mark = true, chain.received
 		chain.settle(now)
 		chain.hold()
 		chain.complete(now)
