--- a/config/pack.go
+++ b/config/pack.go
@@ -4,31 +4,17 @@
 	"bytes"
 	"compress/flate"
 	"io"
-	"sync"
+
+	stateless "github.com/klauspost/compress/flate"
 
 	"wardtray/process/fault"
 )
 
-// packers are kept between calls, since making one costs far more than packing an ordinary spec.
-var packers = sync.Pool{New: func() any {
-	writer, err := flate.NewWriter(nil, flate.BestSpeed)
-	if err != nil {
-		panic(err) // The level is one of the library's own.
-	}
-	return writer
-}}
-
-// Pack compresses a spec for its way to many daemons; a spec repeats itself a lot.
+// Pack compresses a spec for its way to many daemons; a spec repeats itself a lot. It keeps no state between
+// calls: a writer of the standard library takes 1.2 MB, far more than any spec, and each change packs one.
 func Pack(content []byte) []byte {
 	var packed bytes.Buffer
-	writer := packers.Get().(*flate.Writer)
-	defer packers.Put(writer)
-	writer.Reset(&packed)
-	_, err := writer.Write(content)
-	if err == nil {
-		err = writer.Close()
-	}
-	if err != nil {
+	if err := stateless.StatelessDeflate(&packed, content, true, nil); err != nil {
 		panic(err) // Writing to memory can't fail.
 	}
 	return packed.Bytes()
--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/rand"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -37,9 +36,7 @@
 const (
 	pollBound   = time.Second
 	finishBound = 2 * time.Minute
-	// comeBackElsewhere is after what time a client that is refused by a stopping daemon may try another one.
-	comeBackElsewhere = 50 * time.Millisecond
-	leastFinish       = 200 * time.Millisecond
+	leastFinish = 200 * time.Millisecond
 	// streamBound ends streams whose requester has stopped reading.
 	streamBound = 10 * time.Minute
 	maximumList = 4 << 20
@@ -66,8 +63,7 @@
 	transport *transport.Transport
 	platform  *fasthttp.Client
 	// front takes clients' connections until a planned stop closes it.
-	front   net.Listener
-	closing atomic.Bool
+	front net.Listener
 }
 
 // New makes the process with the product's own speech; nothing listens yet.
@@ -169,7 +165,8 @@
 	finish := host.startup.FinishTime(finishBound)
 	for !host.Drained(length) && time.Since(begun) < length+finish {
 		<-ticker.C
-		if time.Since(begun) >= length {
+		// What comes in the second half might have to be cut, and another daemon can still serve it.
+		if time.Since(begun) >= max(length, (length+finish)/2) {
 			host.closeFront()
 		}
 	}
@@ -184,12 +181,12 @@
 	return fault.Wrap(err, fault.Internal, "closing the HTTP side")
 }
 
-// closeFront ends the taking of requests for good once the platform has had its time to send clients elsewhere. Where
+// closeFront ends the taking of requests for good, once the platform has had its time to send clients elsewhere. Where
 // most daemons of a zone stop at once it sends clients to all of them again; what was taken so late could be left
 // unfinished when the time given is over. New connections find nobody, which their clients may repeat, and what comes
 // on open ones is refused as not run.
 func (host *Host) closeFront() {
-	if host.closing.Swap(true) {
+	if host.Yard.Stopping.Swap(true) {
 		return
 	}
 	if err := host.front.Close(); err != nil {
@@ -197,20 +194,9 @@
 	}
 }
 
-// refuseClosed answers a request that came after the clients' side had closed.
-func (host *Host) refuseClosed(context *fasthttp.RequestCtx) {
-	host.Yard.Speech.Refuse(seam.FromHTTP(context), nil, speech.Refusal{Kind: fault.NotServing, Detail: "this daemon is stopping",
-		Ran: award.DidNotRun, DidNotRun: true, Retry: comeBackElsewhere})
-	context.SetConnectionClose()
-}
-
 // handler gives who answers requesters: the product's own paths, or on a platform every path.
 func (host *Host) handler() fasthttp.RequestHandler {
 	serve := func(context *fasthttp.RequestCtx) {
-		if host.closing.Load() {
-			host.refuseClosed(context)
-			return
-		}
 		if ambiguous(context.Request.Header.RawHeaders()) {
 			host.malformed(context, errAmbiguous)
 			return
