--- a/control/core/node.go
+++ b/control/core/node.go
@@ -146,6 +146,7 @@
 	node.lastView = node.agent.Current()
 	if current := node.agent.Current(); current.Epoch > 0 {
 		// Which views ended a moment before this process began is not known.
+		node.witness.Restarted(now)
 		node.formerKeepers = []formerKeepers{{until: now.Add(node.leaseLength())}}
 		node.chain.Adopt(now, current)
 		node.initialSynced = node.chain.Synced()
--- a/coordination/lease/witness.go
+++ b/coordination/lease/witness.go
@@ -11,6 +11,8 @@
 	known     uint64
 	told      bool
 	confirmed map[string]confirmation
+	// forgotten is until when words of an earlier life of this process, which are not known any more, may be relied on.
+	forgotten time.Time
 }
 
 // confirmation is the last word that was given to one daemon.
@@ -29,6 +31,10 @@
 	return &Witness{length: length, confirmed: map[string]confirmation{}}
 }
 
+// Restarted takes in that the keeper had an earlier life, which may have given words a moment before it ended. They
+// are taken to be relied on for as long as any word is.
+func (witness *Witness) Restarted(now time.Time) { witness.forgotten = now.Add(witness.length) }
+
 // Told takes in a head's word that the history is committed up to a sequence.
 func (witness *Witness) Told(sequence uint64) {
 	witness.told = true
@@ -68,7 +74,7 @@
 
 // Outstanding gives for how long a daemon may still rely on the confirmation of something older than a sequence.
 func (witness *Witness) Outstanding(now time.Time, sequence uint64) time.Duration {
-	longest := time.Duration(0)
+	longest := max(0, witness.forgotten.Sub(now))
 	for _, last := range witness.confirmed {
 		if last.sequence < sequence {
 			longest = max(longest, last.until.Sub(now))
--- a/coordination/lease/witness_test.go
+++ b/coordination/lease/witness_test.go
@@ -75,3 +75,18 @@
 		t.Fatal("a late sequence is not clear")
 	}
 }
+
+// Found by proof/model: a keeper confirmed what a daemon had, was killed and came back, and told the head that nobody
+// relied on any word of its.
+func TestARestartedWitnessCountsForgottenWords(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	witness := NewWitness(length)
+	witness.Restarted(now)
+	witness.Told(5)
+	if got := witness.Outstanding(now.Add(length/4), 5); got != length*3/4 {
+		t.Fatalf("outstanding after a restart: %v", got)
+	}
+	if got := witness.Outstanding(now.Add(length), 5); got != 0 {
+		t.Fatalf("outstanding a lease after a restart: %v", got)
+	}
+}
