--- a/proof/sim/apart.go
+++ b/proof/sim/apart.go
@@ -97,6 +97,7 @@
 func (checker *Checker) mayIgnore(host *Host, late, bound time.Duration) bool {
 	world := checker.world
 	if late <= bound {
+		checker.worst("change ignored after the acknowledgement", late)
 		return true
 	}
 	if world.WithoutCore == 0 {
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -142,9 +142,6 @@
 			continue
 		}
 		late := world.Now.Sub(order.Got)
-		if host.separation.since.IsZero() {
-			checker.worst("change ignored after the acknowledgement", late)
-		}
 		if !checker.mayIgnore(host, late, history.SpecBound) {
 			checker.broken("%s awards under epoch %d, %v after %d was acknowledged", host.Address, snapshot.SpecEpoch, late, order.Epoch)
 		}
--- /dev/null
+++ b/proof/sim/control_days.go
@@ -0,0 +1,457 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"wardtray/wire"
+)
+
+const (
+	// cutLength is how long a control machine is cut off on the days of the first point.
+	cutLength = 20 * time.Second
+	// catchUpTime is how long after its start a repaired or new machine may still count as lost.
+	catchUpTime = 4 * time.Second
+	// wholeAckBound is within what time a change is acknowledged while the core is whole, however many daemons are dark.
+	wholeAckBound = 2500 * time.Millisecond
+	// graceTime is within what time a machine that was told to stop has to end.
+	graceTime = 5 * time.Second
+)
+
+// ControlDay is what happens to the control plane, for a length of time, while operators race. Its harm is over at its end.
+type ControlDay struct {
+	Length time.Duration
+	// RaceEvery is how often two operators race, LostAnswers the part of the answers that don't reach them.
+	RaceEvery   time.Duration
+	LostAnswers float64
+	// WithoutCore, where it is given, is the setting of the data daemons; negative stands for 0.
+	WithoutCore time.Duration
+	// Fleeting tells that more was lost than a deployment bears: nothing wrong may be done, but service may not come back.
+	Fleeting bool
+	harm     func(world *World)
+}
+
+// PlayControlDay founds a deployment, plays the day, and sees whether all that was acknowledged is there, nothing that
+// was refused is, and service and redundancy come back.
+func PlayControlDay(seed int64, shape Shape, day ControlDay) (*World, *Racers) {
+	world := Found(seed, shape, func(world *World) {
+		if day.WithoutCore != 0 {
+			world.WithoutCore = max(0, day.WithoutCore)
+		}
+	})
+	world.Run(8 * time.Second)
+	racers := world.StartRacers(day.RaceEvery, day.LostAnswers)
+	world.Run(time.Second)
+	day.harm(world)
+	world.Run(day.Length + time.Millisecond)
+	if day.Fleeting {
+		racers.Stop()
+		return world, racers
+	}
+	world.regain()
+	racers.Stop()
+	if len(world.Check.Broken) == 0 {
+		world.verifyOutcomes()
+	}
+	return world, racers
+}
+
+// regain waits until service and full redundancy are back.
+func (world *World) regain() {
+	ended := world.Now
+	took, fine := world.Recovered(returnBound)
+	world.Check.worst("service after the last fault", took)
+	if !fine && len(world.Check.Broken) == 0 {
+		world.Check.broken("not recovered %v after the last fault\n%s", returnBound, world.Describe())
+	}
+	for !world.redundant() && len(world.Check.Broken) == 0 {
+		if world.Now.Sub(ended) > repairBound {
+			world.Check.broken("not fully redundant %v after the last fault\n%s", repairBound, world.Describe())
+		}
+		world.Run(100 * time.Millisecond)
+	}
+	world.Check.worst("full redundancy after the last fault", world.Now.Sub(ended))
+}
+
+// verifyOutcomes reads back from every core machine what became of each change that was answered.
+func (world *World) verifyOutcomes() {
+	world.Run(2 * time.Second)
+	for _, host := range world.Cores() {
+		document := host.node.Chain().Committed()
+		outcomes := map[string]uint64{}
+		for _, outcome := range document.Outcomes {
+			outcomes[outcome.Operation] = outcome.SpecEpoch
+		}
+		for _, order := range world.Check.acked {
+			if epoch, found := outcomes[order.Operation]; !found || epoch != order.Epoch {
+				world.Check.broken("forgotten: %s has %s as epoch %d, which was acknowledged as %d", host.Address, order.Operation, epoch, order.Epoch)
+			}
+		}
+		for operation := range world.Check.refused {
+			if _, found := outcomes[operation]; found {
+				world.Check.broken("%s was refused and is in effect at %s", operation, host.Address)
+			}
+		}
+		read := world.Check.Send(host, &wire.OperatorAsk{Verb: "get"})
+		world.Run(2 * time.Second)
+		if read.Status != 200 || read.Epoch < world.Check.greatest() {
+			world.Check.broken("forgotten: read back at %s: status %d, epoch %d of %d", host.Address, read.Status, read.Epoch, world.Check.greatest())
+		}
+	}
+}
+
+// cutDay cuts for cutLength and lets the races go on for a while after it.
+func cutDay(cut func(world *World)) ControlDay {
+	return ControlDay{Length: cutLength + 4*time.Second, RaceEvery: 500 * time.Millisecond, LostAnswers: 0.2, harm: func(world *World) {
+		cut(world)
+		world.After(cutLength, world.Heal)
+	}}
+}
+
+// CutDays are cuts of each shape, with changes, races and reads that meet them at machines on both sides.
+var CutDays = map[string]ControlDay{
+	"leader off": cutDay(func(world *World) {
+		head := world.head()
+		world.CutOff([]*Host{head}, without(world.Hosts, head))
+	}),
+	"leader off from the core": cutDay(func(world *World) {
+		head := world.head()
+		world.CutOff([]*Host{head}, without(world.Cores(), head))
+	}),
+	"leader off, back at the worst moment": cutDay(func(world *World) {
+		head := world.head()
+		var flap func()
+		flap = func() {
+			world.CutOff([]*Host{head}, without(world.Cores(), head))
+			// It comes back about when the next leader begins to act, and goes again.
+			world.After(time.Duration(world.random.Int63n(int64(3*time.Second))), func() {
+				world.Heal()
+				world.After(time.Duration(world.random.Int63n(int64(time.Second))), flap)
+			})
+		}
+		end := world.Now.Add(cutLength)
+		flapping := flap
+		flap = func() {
+			if world.Now.Before(end.Add(-3 * time.Second)) {
+				flapping()
+			}
+		}
+		flap()
+	}),
+	"leader off and killed before it is back": cutDay(func(world *World) {
+		head := world.head()
+		world.CutOff([]*Host{head}, without(world.Hosts, head))
+		world.After(cutLength-time.Second, func() {
+			world.Kill(head)
+			world.After(1500*time.Millisecond, func() { world.Boot(head) })
+		})
+	}),
+	"leader unheard": cutDay(func(world *World) { world.cutOneWay(world.head(), true) }),
+	"leader deaf":    cutDay(func(world *World) { world.cutOneWay(world.head(), false) }),
+	"one link, one way": cutDay(func(world *World) {
+		head := world.head()
+		other := world.pick(without(world.Cores(), head))
+		pair := []*Host{head, other}
+		from := world.random.Intn(2)
+		world.Cut(pair[from], pair[1-from])
+	}),
+	"both halves": cutDay(func(world *World) {
+		left, right := world.halves()
+		world.CutOff(left, right)
+	}),
+	"both halves, one way": cutDay(func(world *World) {
+		left, right := world.halves()
+		for _, one := range left {
+			for _, other := range right {
+				world.Cut(one, other)
+			}
+		}
+	}),
+	"leader off by resets": cutDay(func(world *World) {
+		head := world.head()
+		world.CutOff([]*Host{head}, without(world.Hosts, head))
+		var reset func()
+		end := world.Now.Add(cutLength + time.Second)
+		reset = func() {
+			world.resetConnections(head)
+			if world.Now.Before(end) {
+				world.After(300*time.Millisecond, reset)
+			}
+		}
+		reset()
+	}),
+	"seeds on the wrong side": cutDay(func(world *World) {
+		head := world.head()
+		world.CutOff([]*Host{head}, without(world.Hosts, head))
+		// Whoever starts now knows no core machine but the one that is cut off.
+		for _, host := range world.Hosts {
+			host.seeds = []string{head.Address}
+		}
+		world.restart(without(world.Cores(), head))
+		world.After(5*time.Second, func() { world.restart(world.Datas()) })
+	}),
+}
+
+// shortWithoutCore is a setting that ends within a cut.
+const shortWithoutCore = 6 * time.Second
+
+// WithoutCoreDays cut daemons off from every core machine under settings that end within the cut, or allow nothing.
+var WithoutCoreDays = map[string]ControlDay{
+	"not at all":    withoutCoreDay(-1),
+	"for a while":   withoutCoreDay(shortWithoutCore),
+	"for very long": withoutCoreDay(5 * time.Minute),
+}
+
+func withoutCoreDay(setting time.Duration) ControlDay {
+	day := cutDay(func(world *World) {
+		// Without the other daemons too, or they would hear of changes by gossip.
+		datas := world.Datas()
+		lost, rest := datas[:len(datas)/3], append(world.Cores(), datas[len(datas)/3:]...)
+		world.CutOff(lost, rest)
+	})
+	day.WithoutCore = setting
+	return day
+}
+
+// cutOneWay lets a machine be heard by nobody, or hear nobody.
+func (world *World) cutOneWay(host *Host, unheard bool) {
+	for _, other := range without(world.Hosts, host) {
+		if unheard {
+			world.Cut(host, other)
+		} else {
+			world.Cut(other, host)
+		}
+	}
+}
+
+// halves parts the zones into two sides at random.
+func (world *World) halves() (left, right []*Host) {
+	first := world.pick(world.Cores()).Zone
+	for _, host := range world.Hosts {
+		if host.Zone == first || host.Zone == "d" && first != "d" {
+			left = append(left, host)
+		} else {
+			right = append(right, host)
+		}
+	}
+	return left, right
+}
+
+// resetConnections loses all that is on its way to or from a machine.
+func (world *World) resetConnections(host *Host) { host.resetAt = world.Now }
+
+// RaceDays are races with lost answers, with the core whole and with a leader that changes.
+var RaceDays = map[string]ControlDay{
+	"answers lost": {Length: 20 * time.Second, LostAnswers: 0.6, harm: func(*World) {}},
+	"answers lost, leaders killed": {Length: 20 * time.Second, LostAnswers: 0.6, harm: func(world *World) {
+		for count := range 3 {
+			world.After(time.Duration(count)*6*time.Second, func() {
+				head := world.head()
+				world.Kill(head)
+				world.After(time.Second, func() { world.Boot(head) })
+			})
+		}
+	}},
+	"answers lost, leaders frozen": {Length: 20 * time.Second, LostAnswers: 0.6, harm: func(world *World) {
+		for count := range 3 {
+			world.After(time.Duration(count)*6*time.Second, func() {
+				head := world.head()
+				world.Freeze(head)
+				world.After(2500*time.Millisecond, func() { world.Wake(head) })
+			})
+		}
+	}},
+}
+
+// firstLosses are how a machine is taken out, or mended; each gives the machine that is new, and is over by itself.
+var firstLosses = map[string]func(world *World, old *Host){
+	"repair": func(world *World, old *Host) {
+		world.Wipe(old)
+		world.After(time.Second, func() { world.Boot(old) })
+	},
+	"planned leave and return": func(world *World, old *Host) {
+		world.leaveInOrder(old, func() { world.After(time.Second, func() { world.Boot(old) }) })
+	},
+	"planned replacement": func(world *World, old *Host) {
+		world.leaveInOrder(old, func() { old.gone = true })
+		world.replacement(old)
+	},
+	"unplanned replacement": func(world *World, old *Host) {
+		world.Power(old)
+		old.gone = true
+		world.After(time.Second, func() { world.replacement(old) })
+	},
+}
+
+// leaveInOrder has a core machine stop as its process does: it says so, ends once it may, or when its time is over.
+func (world *World) leaveInOrder(host *Host, then func()) {
+	begun := world.Now
+	world.on(host, host.life, func() { host.node.Leave() })
+	var look func()
+	look = func() {
+		if host.up && !host.node.Left() && world.Now.Sub(begun) < graceTime {
+			world.After(20*time.Millisecond, look)
+			return
+		}
+		world.Kill(host)
+		then()
+	}
+	look()
+}
+
+// replacement starts a machine with an empty disk at another address.
+func (world *World) replacement(old *Host) {
+	world.replaced++
+	host := world.add(fmt.Sprintf("%s+%d", old.Address, world.replaced), old.Zone, true)
+	host.newcomer = true
+	world.shuffleSeeds()
+	world.Boot(host)
+}
+
+// SecondLossDay has a machine taken out or mended in one of the ways of FirstLossNames, and another one lost, with its disk or
+// dark for a while, so long after that began.
+func SecondLossDay(first string, wiped bool, after time.Duration) ControlDay {
+	// A repaired machine starts a second after its loss. Before it counts as whole, a second disk is one too many.
+	whole := after >= time.Second+catchUpTime
+	return ControlDay{Length: after + 8*time.Second, RaceEvery: 400 * time.Millisecond, LostAnswers: 0.2, Fleeting: wiped && !whole, harm: func(world *World) {
+		old := world.pick(world.Cores())
+		if world.random.Intn(2) == 0 {
+			old = world.head()
+		}
+		firstLosses[first](world, old)
+		world.After(after, func() {
+			var others []*Host
+			for _, host := range world.Cores() {
+				// One that has not come yet, or a new one, is no second loss.
+				if host != old && host.up && (whole || world.replaced == 0 || host != world.Hosts[len(world.Hosts)-1]) {
+					others = append(others, host)
+				}
+			}
+			second := world.pick(others)
+			world.Log = append(world.Log, fmt.Sprintf("%v second loss: %s, first %s", world.Now.Sub(world.begun), second.Address, old.Address))
+			world.Power(second)
+			if wiped {
+				world.Wipe(second)
+				second.dark = true
+			}
+			world.After(5*time.Second, func() { world.Boot(second) })
+		})
+	}}
+}
+
+// FirstLossNames gives the ways in which a machine is taken out or mended.
+func FirstLossNames() []string { return sorted(firstLosses) }
+
+// manyChanges is 500 changes, one each 100 ms.
+const manyChanges = 50 * time.Second
+
+// ManyChangeDays are hundreds of changes while members are away for long, or their disks are full, slow or stalled.
+var ManyChangeDays = map[string]ControlDay{
+	"a member away": manyChangeDay(func(world *World, host *Host) func() { world.Power(host); return reboot(world, host) }),
+	"a member cut off": manyChangeDay(func(world *World, host *Host) func() {
+		world.CutOff([]*Host{host}, without(world.Hosts, host))
+		return world.Heal
+	}),
+	"a member's disk replaced": manyChangeDay(func(world *World, host *Host) func() { world.Wipe(host); return reboot(world, host) }),
+	"a disk full": manyChangeDay(func(world *World, host *Host) func() {
+		full := host.disk
+		full.full = true
+		return func() { full.full = false }
+	}),
+	"a disk slow": manyChangeDay(func(world *World, host *Host) func() {
+		host.slow = 300 * time.Millisecond
+		return func() { host.slow = 0 }
+	}),
+	"a disk stalled": manyChangeDay(func(world *World, host *Host) func() {
+		host.stalled = true
+		return func() { host.stalled = false; world.write(host) }
+	}),
+	"restarts": manyChangeDay(func(world *World, host *Host) func() {
+		return world.restart(append(world.Cores(), world.Datas()...))
+	}),
+}
+
+// manyChangeDay harms one member after the other, each for a quarter of the changes, while changes go on.
+func manyChangeDay(harm func(world *World, host *Host) (undo func())) ControlDay {
+	const turns, pause = 3, 4 * time.Second
+	length := manyChanges/turns - pause
+	return ControlDay{Length: manyChanges, RaceEvery: 2 * time.Second, harm: func(world *World) {
+		world.changeSteadily(100*time.Millisecond, world.Now.Add(manyChanges))
+		for turn := range turns {
+			world.After(time.Duration(turn)*(length+pause), func() {
+				host := world.pick(world.Cores())
+				if turn == 0 {
+					host = world.head()
+				}
+				world.After(length, harm(world, host))
+			})
+		}
+	}}
+}
+
+// changeSteadily has one operator send a change every so often, each on what is known by then.
+func (world *World) changeSteadily(every time.Duration, until time.Time) {
+	operators := &Operators{world: world, number: 4_000_000}
+	var next func()
+	next = func() {
+		if !world.Now.Before(until) {
+			return
+		}
+		operators.base = world.Check.greatestKnown()
+		operators.apply(world.pick(world.Cores()))
+		world.After(every, next)
+	}
+	next()
+}
+
+// darkShare is the part of the data daemons that is lost on the days of the fifth kind.
+const darkShare = 0.7
+
+// DarkDays are most data daemons gone while the core is whole.
+var DarkDays = map[string]ControlDay{
+	"most daemons without power": darkDay(func(world *World, host *Host) func() { world.Power(host); return reboot(world, host) }),
+	"most daemons cut off": darkDay(func(world *World, host *Host) func() {
+		world.CutOff([]*Host{host}, without(world.Hosts, host))
+		return world.Heal
+	}),
+	"most daemons frozen":  darkDay(func(world *World, host *Host) func() { world.Freeze(host); return func() { world.Wake(host) } }),
+	"most daemons removed": darkDay(func(world *World, host *Host) func() { world.Kill(host); host.gone = true; return func() {} }),
+}
+
+func darkDay(harm func(world *World, host *Host) (undo func())) ControlDay {
+	const length = 12 * time.Second
+	return ControlDay{Length: length + 3*time.Second, RaceEvery: time.Second, harm: func(world *World) {
+		datas := world.Datas()
+		world.random.Shuffle(len(datas), func(left, right int) { datas[left], datas[right] = datas[right], datas[left] })
+		for _, host := range datas[:int(float64(len(datas))*darkShare+0.5)] {
+			world.After(length, harm(world, host))
+		}
+		world.wantAcknowledged(700*time.Millisecond, world.Now.Add(length))
+	}}
+}
+
+// wantAcknowledged sends a change every so often, on the newest version, and wants each acknowledged within the bound
+// unless another one won the race.
+func (world *World) wantAcknowledged(every time.Duration, until time.Time) {
+	operators := &Operators{world: world, number: 5_000_000}
+	var next func()
+	next = func() {
+		if !world.Now.Before(until) {
+			return
+		}
+		operators.base = world.Check.greatestKnown()
+		order := operators.apply(world.pick(world.Cores()))
+		world.After(wholeAckBound, func() {
+			took := wholeAckBound
+			if order.Outcome != "unknown" {
+				took = order.Got.Sub(order.Sent)
+			}
+			world.Check.worst("answer to a change while most daemons are gone", took)
+			if order.Outcome == "unknown" {
+				world.Check.broken("no-ack: %s had no answer within %v, though the core is whole", order.Operation, wholeAckBound)
+			}
+		})
+		world.After(every, next)
+	}
+	next()
+}
--- a/proof/sim/faults.go
+++ b/proof/sim/faults.go
@@ -9,6 +9,9 @@
 // noticed is how long the platform takes to take a dead runner off its list.
 const noticed = 1500 * time.Millisecond
 
+// anyTime is for how long a harm goes on that shows on each connection by itself, at any time: longer than any harm lasts.
+const anyTime = 10 * time.Second
+
 // runner picks a runner that is up and well.
 func (world *World) runner() *Host {
 	var well []*Host
@@ -124,6 +127,47 @@
 		engine.garble = names[world.random.Intn(len(names))]
 		return both(over, func() { engine.garble = "" })
 	},
+	"runner late":                  misbehave(silentLoss, func(engine *engine, on bool) { engine.late = map[bool]time.Duration{true: 400 * time.Millisecond}[on] }),
+	"runner gives surplus answers": misbehave(anyTime, func(engine *engine, on bool) { engine.surplus = on }),
+	"connections reset": func(world *World) func() {
+		over, going := world.touch(false, anyTime, world.Runners()...), true
+		var reset func()
+		reset = func() {
+			if !going {
+				return
+			}
+			host := world.pick(world.Datas())
+			// Both ends learn of it when it comes to them, before, while or after they write.
+			for _, conn := range append([]*conn{}, host.conns...) {
+				if world.random.Intn(2) == 0 {
+					torn := conn
+					world.After(world.wayTime(), func() { torn.fail(errReset) })
+					world.After(world.wayTime(), func() { torn.peer.fail(errReset) })
+				}
+			}
+			world.After(time.Duration(world.random.Int63n(int64(200*time.Millisecond))), reset)
+		}
+		reset()
+		return both(over, func() { going = false })
+	},
+	"daemon frozen for a moment": func(world *World) func() {
+		host, going := world.pick(world.Datas()), true
+		over := world.touch(false, 0, host)
+		// It stops wherever a course reads, waits or dials, which is as near to a write as the simulator comes.
+		var stop func()
+		stop = func() {
+			if !going {
+				return
+			}
+			world.Freeze(host)
+			world.After(time.Duration(world.random.Int63n(int64(1500*time.Millisecond))), func() {
+				world.Wake(host)
+				world.After(time.Duration(world.random.Int63n(int64(300*time.Millisecond))), stop)
+			})
+		}
+		stop()
+		return both(over, func() { going = false })
+	},
 	"all put back": func(world *World) func() {
 		var overs []func()
 		for _, host := range world.Runners() {
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -8,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"wardtray/edge/director"
+	"wardtray/edge/plane"
 	"wardtray/proof/history"
 	"wardtray/proof/load"
 	"wardtray/wire"
@@ -44,16 +45,29 @@
 }
 
 func (platform *platform) poll(host *Host, life int) {
-	listed := append([]*wire.Runner{}, platform.runners...)
+	content, read := platform.served(), !platform.silent
 	world := platform.world
-	failed := platform.silent || platform.empty || len(listed) == 0
 	world.After(5*time.Millisecond, func() {
-		world.on(host, life, func() {
-			host.plane.Step(func(now time.Time, director *director.Director) { director.Polled(now, listed, failed) })
-		})
+		world.on(host, life, func() { host.plane.Listed(content, read) })
 	})
 }
 
+// served is the list as the platform gives it now.
+func (platform *platform) served() []byte {
+	lines := []plane.ListLine{}
+	for _, runner := range platform.runners {
+		lines = append(lines, plane.ListLine{RunnerID: runner.RunnerId, Address: runner.Address, Zone: runner.Zone, Service: runner.Service, State: runner.State})
+	}
+	if platform.empty {
+		lines = lines[:0]
+	}
+	content, err := json.Marshal(lines)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
+
 // Shape is the size of a simulated deployment.
 type Shape struct {
 	Zones    []string
--- /dev/null
+++ b/proof/sim/racers.go
@@ -0,0 +1,118 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wardtray/wire"
+)
+
+const (
+	// racersMost is how many orders may be under way at once.
+	racersMost = 8
+	racerEvery = 100 * time.Millisecond
+	// answerPatience is how long an operator waits for an answer before it sends the same order again, to another core
+	// machine, and retryGrowth by how much more at each further try.
+	answerPatience = time.Second
+	retryGrowth    = 200 * time.Millisecond
+	retriesMost    = 12
+)
+
+// Racers are operators who build on the same versions at once, read, and send the same order again, unchanged, where
+// they got no answer. They ask any core machine that is not gone, whatever stands between it and the others.
+type Racers struct {
+	world    *World
+	underway []*racedOrder
+	number   int
+	stopped  bool
+	// LostAnswers is the part of the answers that never reach the operator.
+	LostAnswers float64
+	// Every is after what time a new race begins; 0: as soon as there is room for two more orders.
+	Every time.Duration
+	begun time.Time
+	// Sent and Resent count orders and their repeats.
+	Sent, Resent int
+}
+
+// racedOrder is an order whose operator waits for its answer.
+type racedOrder struct {
+	ask   *wire.OperatorAsk
+	order *Order
+	tries int
+}
+
+// StartRacers begins.
+func (world *World) StartRacers(every time.Duration, lostAnswers float64) *Racers {
+	racers := &Racers{world: world, number: 3_000_000, Every: every, LostAnswers: lostAnswers}
+	racers.step()
+	return racers
+}
+
+// Stop ends new races and repeats.
+func (racers *Racers) Stop() { racers.stopped = true }
+
+func (racers *Racers) step() {
+	if racers.stopped {
+		return
+	}
+	racers.followUp()
+	world := racers.world
+	if len(racers.underway) <= racersMost-2 && world.Now.Sub(racers.begun) >= racers.Every {
+		racers.begun = world.Now
+		racers.race()
+	}
+	if world.random.Intn(3) == 0 {
+		world.Check.Send(world.pick(world.Cores()), &wire.OperatorAsk{Verb: "get"})
+	}
+	world.After(racerEvery, racers.step)
+}
+
+// race sends two changes that build on one version.
+func (racers *Racers) race() {
+	base := racers.world.Check.greatestKnown()
+	epoch := base + 1 + uint64(racers.world.random.Intn(3))
+	for range 2 {
+		racers.number++
+		racers.Sent++
+		ask := &wire.OperatorAsk{Verb: "apply", Spec: SpecText(racers.number), Operation: fmt.Sprintf("o%d", racers.number), Base: base, HasBase: true,
+			Epoch: epoch, HasEpoch: true}
+		order := racers.world.Check.Send(racers.world.pick(racers.world.Cores()), proto.Clone(ask).(*wire.OperatorAsk))
+		racers.underway = append(racers.underway, &racedOrder{ask: ask, order: order})
+	}
+}
+
+// followUp drops the orders whose answer came, and sends again those whose operator has heard nothing.
+func (racers *Racers) followUp() {
+	var waiting []*racedOrder
+	for _, raced := range racers.underway {
+		if !racers.over(raced) {
+			waiting = append(waiting, raced)
+		}
+	}
+	racers.underway = waiting
+}
+
+// over tells whether nothing more is done about an order.
+func (racers *Racers) over(raced *racedOrder) bool {
+	world := racers.world
+	clear := raced.order.Outcome != "unknown"
+	if clear && world.random.Float64() >= racers.LostAnswers {
+		return true
+	}
+	if clear {
+		// The answer is lost: the operator hears nothing, now or later, of this try.
+		raced.order = &Order{Operation: raced.order.Operation, Outcome: "unknown", Sent: raced.order.Sent}
+	}
+	if world.Now.Sub(raced.order.Sent) < answerPatience+time.Duration(raced.tries)*retryGrowth {
+		return false
+	}
+	if raced.tries >= retriesMost {
+		return true
+	}
+	raced.tries++
+	racers.Resent++
+	raced.order = world.Check.Resend(world.pick(world.Cores()), raced.order, raced.ask)
+	return false
+}
--- a/proof/sim/rules.go
+++ b/proof/sim/rules.go
@@ -69,5 +69,7 @@
 	}},
 	"deadline": {Faults: []string{"runner mute", "runner dark", "runner deaf", "runner slow", "all put back", "pool killed", "data cut from control", "control cut from data", "address taken"},
 		change: func(trial *Trial) { trial.AtOnce, trial.Mix = 2, load.Mix.Hurried }},
+	"answers astray": {Faults: []string{"runner garbles", "runner late", "runner gives surplus answers", "connections reset", "daemon frozen for a moment", "runner partial"},
+		change: func(trial *Trial) { trial.AtOnce, trial.Repeats = 3, 0.1 }},
 	"answer at once": {Faults: []string{"runner dark", "runner mute", "runner unheard", "address taken"}},
 }
--- a/proof/sim/runner.go
+++ b/proof/sim/runner.go
@@ -36,8 +36,11 @@
 	// The ways in which it may misbehave: it answers nothing, breaks streams off in the middle, puts
 	// everything back, fails after it began, or tells its events wrongly.
 	mute, partial, putsBack, fails bool
-	garble                         string
-	slow                           int
+	// surplus has it send another answer behind each one, which nobody asked for; late has each answer of its own wait.
+	surplus bool
+	late    time.Duration
+	garble  string
+	slow    int
 }
 
 // AddRunner brings in a runner's machine.
@@ -111,9 +114,15 @@
 			}
 			engine.world.until(func() bool { return false })
 		}
+		if engine.late > 0 {
+			engine.world.sleep(engine.late)
+		}
 		if path := paths[request.URL.Path]; path == nil || !path(connection, request, reached) {
 			return
 		}
+		if engine.surplus && !answer(connection, 200, map[string]any{"runner_id": engine.id, "surplus": true}) {
+			return
+		}
 	}
 }
 
--- a/proof/sim/world.go
+++ b/proof/sim/world.go
@@ -91,6 +91,8 @@
 	// The greatest epoch under which this address awarded work.
 	epoch      uint64
 	separation separation
+	// resetAt is when the machine's connections were last reset: what was on its way then is lost.
+	resetAt time.Time
 	// sureUntil is up to when a data daemon was last seen to be sure of its spec, by its own clock; sureSince is since
 	// when it has been so without a break.
 	sureUntil, sureSince time.Time
@@ -360,9 +362,12 @@
 		if target == nil || world.random.Float64() < world.Loss {
 			continue
 		}
-		from, tried := host, world.local(host)
+		from, tried, sent := host, world.local(host), world.Now
 		world.links[[2]string{host.Address, parcel.To}] = world.Now
 		world.After(world.lag()+target.late, func() {
+			if !sent.After(from.resetAt) || !sent.After(target.resetAt) {
+				return
+			}
 			world.deliver(from, target, content)
 			world.refuse(from, target, tried)
 		})
