--- a/config/pack.go
+++ b/config/pack.go
@@ -5,21 +5,17 @@
 	"compress/flate"
 	"io"
 
+	stateless "github.com/klauspost/compress/flate"
+
 	"wardtray/process/fault"
 )
 
-// Pack compresses a spec for its way to many daemons; a spec repeats itself a lot.
+// Pack compresses a spec for its way to many daemons; a spec repeats itself a lot. It keeps no state between
+// calls: a writer of the standard library takes 1.2 MB, far more than any spec, and each change packs one.
 func Pack(content []byte) []byte {
 	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err == nil {
-		_, err = writer.Write(content)
-	}
-	if err == nil {
-		err = writer.Close()
-	}
-	if err != nil {
-		panic(err) // Writing to memory at a level of the library's own can't fail.
+	if err := stateless.StatelessDeflate(&packed, content, true, nil); err != nil {
+		panic(err) // Writing to memory can't fail.
 	}
 	return packed.Bytes()
 }
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -36,6 +36,8 @@
 	Faults int
 	// Staleness is for how long a data daemon may rely on a tick; 0 stands for the usual.
 	Staleness time.Duration
+	// Limits are the times that the platform grants; zero ones stand for the usual.
+	Limits Limits
 }
 
 // Counters are what a machine counts of its own work.
@@ -63,6 +65,7 @@
 	// formerKeepers are those of the views that ended within the last lease.
 	formerKeepers []formerKeepers
 	lastView      *wire.View
+	directorySet  addressSet
 	cohort        *peersampling.Cohort
 
 	peers      map[string]*peer
@@ -84,8 +87,12 @@
 	lastCall   time.Time
 	diskFailed bool
 	retryDisk  time.Time
-	leaving    bool
-	counters   Counters
+	// leavingSince is when this machine was told to leave; zero: it stays.
+	leavingSince time.Time
+	// initialSynced is how far this machine had synced when the present view began here.
+	initialSynced uint64
+	bounds        Bounds
+	counters      Counters
 	// The committed spec as it travels, and the epoch it is of.
 	packedSpec  []byte
 	packedEpoch uint64
@@ -96,9 +103,10 @@
 	// received is when the last message of another process came.
 	received time.Time
 
-	head  headState
-	asks  map[string]*ask
-	nonce uint64
+	head headState
+	asks map[string]*ask
+	// life is drawn anew by each process, and nonce numbers its questions.
+	life, nonce uint64
 }
 
 // New restores a machine from its memory; memory.Id must be set.
@@ -111,14 +119,15 @@
 	for _, record := range records {
 		Replay(memory, record)
 	}
-	node := &Node{nonce: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
+	node := &Node{life: random.Uint64(), holder: lease.NewHolder(random.Uint64()), startup: startup, bounds: BoundsFor(startup.Limits), random: random, outbox: machine.NewOutbox(), begun: now, lastTick: now,
 		self:  &wire.Member{Id: memory.Id, Address: startup.Address, Zone: startup.Zone, Http: startup.HTTP},
 		peers: map[string]*peer{}, brokenFrom: map[string]time.Time{}, asks: map[string]*ask{}}
-	node.head.daemons, node.head.refused, node.head.commits = map[string]*daemon{}, map[string]bool{}, map[uint64]time.Time{}
+	node.head.daemons, node.head.commits = map[string]*daemon{}, map[uint64]time.Time{}
 	node.head.ledger = lease.NewLedger()
 	node.witness = lease.NewWitness(node.leaseLength())
 	node.heldAtStart = newestOf(memory.Document, memory.Pending)
 	node.chain = chain.New(memory.Id, memory.Document, memory.Pending, node.outbox, node.addressOf, node.onCommit)
+	node.chain.RestoreIncomplete(memory.Incomplete)
 	node.agent = view.NewAgent(now, memory.Id, memory.View, memory.Vote, node.outbox, node.resolve, node.onView)
 	node.cohort = peersampling.New(&wire.CohortLine{Address: startup.Address, Zone: startup.Zone, Core: true}, startup.Seeds, node.outbox, random)
 	node.rumors = gossip.New(startup.Zone, node.outbox, random, node.partners, func(time.Time, *wire.Register) {})
@@ -127,7 +136,7 @@
 	if memory.Document != nil && memory.Document.Sequence > 0 {
 		node.publish(now)
 	}
-	node.founding, node.cleared = memory.Founding, memory.Cleared
+	node.founding, node.cleared, node.logged = memory.Founding, memory.Cleared, recordBytes(records)
 	node.keeper = lease.Restore(now, node.agent.Current(), memory.Cleared)
 	if startup.Founding && !memory.Founding && node.agent.Current().Epoch == 0 {
 		// A founder that is killed before there is a view must still be one when it starts again.
@@ -139,6 +148,7 @@
 		// Which views ended a moment before this process began is not known.
 		node.formerKeepers = []formerKeepers{{until: now.Add(node.leaseLength())}}
 		node.chain.Adopt(now, current)
+		node.initialSynced = node.chain.Synced()
 	}
 	return node
 }
@@ -203,7 +213,7 @@
 // Tick does what is due.
 func (node *Node) Tick(now time.Time) {
 	// Whoever was frozen has heard nobody, which says nothing about them.
-	if now.Sub(node.lastTick) > frozenAfter {
+	if now.Sub(node.lastTick) > node.bounds.Frozen {
 		for _, peer := range node.peers {
 			if !peer.gone {
 				peer.heard = now
--- a/edge/datahost/stop_test.go
+++ b/edge/datahost/stop_test.go
@@ -47,7 +47,7 @@
 // zone stopped at once, clients were sent to them again, and requests taken six seconds after the order to stop were cut.
 func TestAStoppingDaemonClosesItsFront(t *testing.T) {
 	settings := &startup.Startup{Address: freeAddress(t), HTTP: freeAddress(t), Fitness: freeAddress(t), Zone: "a", Registered: true,
-		Seeds: []string{"127.0.0.1:1"}, Drain: "100ms", Finish: "10s"}
+		Seeds: []string{"127.0.0.1:1"}, Drain: "100ms", Finish: "4s"}
 	host, err := New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -60,13 +60,15 @@
 	host.Yard.InFlight.Add(1)
 	stop()
 	connect(t, settings.HTTP, false)
-	fmt.Fprintf(open, "POST /v1/stream HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")
+	fmt.Fprint(open, "POST /v1/stream HTTP/1.1\r\nHost: x\r\nWardtray-Lane: l\r\nWardtray-Model: m\r\nWardtray-Request: r\r\n"+
+		"Wardtray-Prompt-Tokens: 4\r\nWardtray-Answer-Tokens: 4\r\nPrompt-Prefix: a=4\r\nContent-Length: 14\r\n\r\n{\"prompt\":\"x\"}")
 	answer, err := http.ReadResponse(bufio.NewReader(open), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if answer.StatusCode != 503 || !answer.Close || answer.Header.Get("Retry-After") == "" {
-		t.Fatalf("%d %v", answer.StatusCode, answer.Header)
+		body, _ := io.ReadAll(answer.Body)
+		t.Fatalf("%d %v %s", answer.StatusCode, answer.Header, body)
 	}
 	select {
 	case err := <-ended:
--- a/proof/hollow/lines.go
+++ b/proof/hollow/lines.go
@@ -40,17 +40,19 @@
 
 // Series are the files of results, and what their sizes are.
 var series = map[string]func(run Run) float64{
-	"daemons":  func(run Run) float64 { return float64(run.Daemons) },
-	"late":     func(run Run) float64 { return float64(run.Daemons) },
-	"faults":   func(run Run) float64 { return float64(run.Daemons) },
-	"storm":    func(run Run) float64 { return float64(run.Daemons) },
-	"runners":  func(run Run) float64 { return float64(run.Runners) },
-	"listed":   func(run Run) float64 { return float64(run.Runners) },
-	"lanes":    func(run Run) float64 { return float64(run.Lanes) },
-	"award":    func(run Run) float64 { return float64(run.Runners) },
-	"index":    func(run Run) float64 { return float64(run.Prefixes) },
-	"spread":   func(run Run) float64 { return float64(run.Daemons) },
-	"requests": func(run Run) float64 { return run.Rate },
+	"daemons": func(run Run) float64 { return float64(run.Daemons) },
+	"late":    func(run Run) float64 { return float64(run.Daemons) },
+	// Head and half of the daemons lost at once while an operator makes a change each second.
+	"silent-head": func(run Run) float64 { return float64(run.Daemons) },
+	"faults":      func(run Run) float64 { return float64(run.Daemons) },
+	"storm":       func(run Run) float64 { return float64(run.Daemons) },
+	"runners":     func(run Run) float64 { return float64(run.Runners) },
+	"listed":      func(run Run) float64 { return float64(run.Runners) },
+	"lanes":       func(run Run) float64 { return float64(run.Lanes) },
+	"award":       func(run Run) float64 { return float64(run.Runners) },
+	"index":       func(run Run) float64 { return float64(run.Prefixes) },
+	"spread":      func(run Run) float64 { return float64(run.Daemons) },
+	"requests":    func(run Run) float64 { return run.Rate },
 }
 
 // file gives the file that holds a series: measurements of the request path are in one.
@@ -114,16 +116,89 @@
 	}
 }
 
-// whole gives a figure over the length of a phase instead of for each second.
-func whole(phase, name string, scale float64) func(run Run) (float64, bool) {
+// withoutRumors gives a daemon's bytes, sent and from cores, but for documents and what else rumors carry, in KiB.
+func withoutRumors(phase string) func(run Run) (float64, bool) {
 	return func(run Run) (float64, bool) {
-		value, found := run.figure(phase, name)
+		all, found := run.figure(phase, "daemon.bytes_all")
+		rumors, _ := run.figure(phase, "kind.Rumor.bytes")
+		return (all - rumors) / 1024, found
+	}
+}
+
+// headBytesEach gives what the head sends for each daemon in a second of changes without faults, in KiB. An upset
+// phase counts: the documents that the head sends are what upsets it.
+func headBytesEach(run Run) (float64, bool) {
+	for _, phase := range run.Phases {
+		if sent, found := phase.Figures["head.bytes_out"]; found && phase.Name == stageBefore {
+			return sent / 1024 / float64(run.Daemons), true
+		}
+	}
+	return 0, false
+}
+
+// snapshotTime gives the processor time of one look that the request path takes after a step.
+func snapshotTime(run Run) (float64, bool) {
+	for _, phase := range run.Phases {
+		if steps, found := phase.Steps["snapshot"]; phase.Name == "quiet" && found {
+			return steps.Microseconds, true
+		}
+	}
+	return 0, false
+}
+
+// atFullSpeed leaves out runs whose daemons' clocks were slowed: what passes between the cores' clocks and theirs
+// is no result then.
+func atFullSpeed(value func(run Run) (float64, bool)) func(run Run) (float64, bool) {
+	return func(run Run) (float64, bool) {
+		if run.Slow > 1 {
+			return 0, false
+		}
+		return value(run)
+	}
+}
+
+// withChanges leaves out runs in which no operator made a change each second.
+func withChanges(value func(run Run) (float64, bool)) func(run Run) (float64, bool) {
+	return func(run Run) (float64, bool) {
+		if run.ChangeEvery != 1 {
+			return 0, false
+		}
+		return value(run)
+	}
+}
+
+// longestUnacknowledged gives for how long, from the loss of head and daemons on, an operator went without an
+// acknowledgement: from sending a change to the next answer that acknowledges one, this or a later one.
+func longestUnacknowledged(run Run) (float64, bool) {
+	longest, since, waiting, found := 0.0, 0.0, false, false
+	for _, phase := range run.Phases {
+		if phase.Name != stageSilent && phase.Name != stageDegraded && phase.Name != stageAfter {
+			continue
+		}
+		for _, change := range phase.Changes {
+			if !waiting {
+				since, waiting = change.At, true
+			}
+			longest, found = max(longest, change.At+change.Seconds-since), true
+			waiting = change.Outcome != "accepted"
+		}
+	}
+	return longest, found
+}
+
+// busiestCore gives the greatest figure of any core machine in a phase.
+func busiestCore(phase string, of func(core Core) float64) func(run Run) (float64, bool) {
+	return func(run Run) (float64, bool) {
+		most, found := 0.0, false
 		for _, held := range run.Phases {
-			if held.Name == phase {
-				return value * held.Seconds / max(1, run.Slow) * scale, found
+			if held.Name != phase || held.Upset {
+				continue
+			}
+			for _, core := range held.Cores {
+				most, found = max(most, of(core)), true
 			}
 		}
-		return 0, false
+		return most, found
 	}
 }
 
@@ -159,25 +234,34 @@
 		design: designDocument, mechanism: "each daemon decodes the directory and parses the spec anew for each change"},
 	{role: "data daemon", what: "processor time for 37,000 changes a day, by lanes (60 daemons)", unit: "% of a core", series: "lanes", phase: "change", value: added("change", "daemon.processor", "acknowledged.count", 100*aimChanges), aim: aimTenants, bound: boundProcessor * 100,
 		design: designDocument, mechanism: "whole specs sent and parsed for a change of one item; changes of named items would be level"},
-	{role: "data daemon", what: "contacts asked and answered around one loss of the head", unit: "messages", series: "faults", phase: "head",
-		value: func(run Run) (float64, bool) {
-			asked, found := whole("head", "kind.ContactAsk.messages", 1)(run)
-			answered, also := whole("head", "kind.ContactAnswer.messages", 1)(run)
-			return asked + answered, found && also
-		}, aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "each daemon asks the whole directory every 0.3 s while the head is silent: with the square over the fleet; vouching by zones' daemons would bound it"},
-	{role: "data daemon", what: "bytes around one loss of the head, over the two seconds of silence", unit: "KiB/s", series: "faults", phase: "head", value: whole("head", "daemon.bytes", 1.0/1024/2), aim: aimDaemons, today: today, bound: boundBytes / 1024,
-		design: designVouching, mechanism: "as above"},
-	{role: "data daemon", what: "a step's look at the directory with the head silent or not (snapshot)", unit: "µs", series: "daemons", phase: "quiet",
-		value: func(run Run) (float64, bool) {
-			for _, held := range run.Phases {
-				if steps, found := held.Steps["snapshot"]; held.Name == "quiet" && found {
-					return steps.Microseconds, true
-				}
-			}
-			return 0, false
-		}, aim: aimDaemons, today: today,
-		design: designVouching, mechanism: "the contacts of the whole directory are walked at each step; kept sorted or only when the tick has run out it would be level"},
+	{role: "data daemon", what: "messages sent while no head acts, in the busiest half second", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.messages_busiest", 1)), aim: aimDaemons, today: today,
+		mechanism: "questions for a lease to the keepers and the rest of the chain: by their number, not by the fleet's"},
+	{role: "data daemon", what: "messages sent while no head acts", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.messages", 1)), aim: aimDaemons, today: today,
+		mechanism: "as above, the first 0.4 s included, in which the head is still waited for"},
+	{role: "data daemon", what: "bytes of it without documents, sent and from cores", unit: "KiB/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(withoutRumors(stageSilent)), aim: aimDaemons, today: today, bound: boundBytes / 1024,
+		mechanism: "as above"},
+	{role: "data daemon", what: "bytes with a change each second and half of the daemons dark, sent and from cores", unit: "KiB/s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(withChanges(figure(stageDegraded, "daemon.bytes_all", 1.0/1024))), aim: aimDaemons, today: today, bound: boundBytes / 1024,
+		design: designDocument, mechanism: "the whole document, directory included, two times a change; a change each second is 2.3 times what is aimed at"},
+	{role: "data daemon", what: "processor time while no head acts", unit: "% of a core", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "daemon.processor", 100)), aim: aimDaemons, today: today, bound: boundProcessor * 100,
+		mechanism: "as the messages"},
+	{role: "data daemon", what: "longest time without a lease while no head acts", unit: "s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "lease.without_longest", 1)), aim: aimDaemons, today: today,
+		mechanism: "a keeper that has voted for the next view confirms nothing until its head acts"},
+	{role: "data daemon", what: "all live daemons serve at once after head and half were lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(figure(stageDegraded, "serves.seconds", 1)), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "the next head's view, and its first lease to each; with all daemons on one machine it is also that machine's time"},
+	{role: "head", what: "another acts after the head lost its power", unit: "s", series: "silent-head", phase: stageSilent, value: atFullSpeed(figure(stageSilent, "head.seconds", 1)), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "0.7 s without a heartbeat, a view by Paxos, the old claim's term: among the cores alone"},
+	{role: "head", what: "longest without an acknowledgement once head and half are lost", unit: "s", series: "silent-head", phase: stageDegraded, value: atFullSpeed(longestUnacknowledged), aim: aimDaemons, today: today, bound: boundRecovery,
+		mechanism: "a new head, then the leases of the one before it, however many daemons are dark; judged as a recovery"},
+	{role: "core machine", what: "messages received while no head acts, the busiest", unit: "/s", series: "silent-head", phase: stageSilent, value: atFullSpeed(busiestCore(stageSilent, func(core Core) float64 { return core.Received })), aim: aimDaemons, today: today,
+		design: designTicks, mechanism: "each live daemon asks each keeper"},
+	{role: "core machine", what: "processor time while no head acts, the busiest", unit: "cores", series: "silent-head", phase: stageSilent, value: atFullSpeed(busiestCore(stageSilent, func(core Core) float64 { return core.Processor })), aim: aimDaemons, today: today, bound: boundCoreProcessor,
+		design: designTicks, mechanism: "as above"},
+	{role: "core machine", what: "memory with head and half of the daemons lost, the greatest", unit: "MiB", series: "silent-head", phase: stageDegraded, value: atFullSpeed(busiestCore(stageDegraded, func(core Core) float64 { return float64(core.Resident) / mebibyte })), aim: aimDaemons, today: today, bound: boundCoreMemory / mebibyte,
+		design: designTicks, mechanism: "two connections with their buffers for each daemon"},
+	{role: "head", what: "bytes sent with a change each second, for each daemon", unit: "KiB/s", series: "silent-head", phase: stageBefore, value: atFullSpeed(withChanges(headBytesEach)), aim: aimDaemons, today: today,
+		design: designDocument, mechanism: "the head calls who lacks a change after 40 ms, before rumors made their first round, and so sends the document, which names every daemon, to nearly every daemon: with the square over the fleet"},
+	{role: "data daemon", what: "a look at the lease and the runners (snapshot)", unit: "µs", series: "silent-head", phase: "quiet", value: snapshotTime, aim: aimDaemons, today: today,
+		mechanism: "the keepers' confirmations: by their number"},
 	{role: "head", what: "processor time in quiet", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "head.processor", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor,
 		design: designTicks, mechanism: "one machine answers every daemon's tick; heads of zones that hold one tick for all their daemons would divide it"},
 	{role: "head", what: "of it what does not grow with how often daemons ask", unit: "cores", series: "daemons", phase: "quiet", value: figure("quiet", "head.processor.own", 1), aim: aimDaemons, today: today, bound: boundCoreProcessor, design: designTicks,
@@ -266,7 +350,6 @@
 // The designs that would carry what does not hold; each is a section of the page.
 const (
 	designCut       = "Regions that serve apart"
-	designVouching  = "Vouching by a sample"
 	designTicks     = "Ticks for a zone at once"
 	designDocument  = "News of one item"
 	designLists     = "Changes in place of lists"
--- a/proof/hollow/page.go
+++ b/proof/hollow/page.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 
@@ -33,7 +34,7 @@
 		fmt.Fprintf(text, " %d daemons, %d runners |", run.Daemons, run.Runners)
 	}
 	fmt.Fprintf(text, "\n| --- | --- |%s\n", strings.Repeat(" --- |", len(results.Runs)))
-	for _, phase := range append([]string{"founding", "quiet"}, PhaseNames()...) {
+	for _, phase := range slices.Concat([]string{"founding", "quiet"}, stageNames, PhaseNames()) {
 		names := map[string]bool{}
 		for _, run := range results.Runs {
 			for _, held := range run.Phases {
@@ -410,7 +411,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "again": AgainTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "aim": describe() + "\n"}, nil
+	return map[string]string{"lines": LinesTable(now, before), "limits": LimitsTable(), "worst": WorstTable(now), "again": AgainTable(now), "budgets": BudgetsTable(now), "kinds": KindsTable(now), "runs": RunsTable(now, before), "silence": SilenceTable(now, before), "aim": describe() + "\n"}, nil
 }
 
 // Fill puts the tables into a page, each between its marks.
--- a/proof/sim/control_days.go
+++ b/proof/sim/control_days.go
@@ -286,10 +286,10 @@
 // leaveInOrder has a core machine stop as its process does: it says so, ends once it may, or when its time is over.
 func (world *World) leaveInOrder(host *Host, then func()) {
 	begun := world.Now
-	world.on(host, host.life, func() { host.node.Leave() })
+	world.on(host, host.life, func() { host.node.Leave(world.local(host)) })
 	var look func()
 	look = func() {
-		if host.up && !host.node.Left() && world.Now.Sub(begun) < graceTime {
+		if host.up && !host.node.Left(world.local(host)) && world.Now.Sub(begun) < graceTime {
 			world.After(20*time.Millisecond, look)
 			return
 		}
