Leases: acknowledged at once where all daemons know; alone only while asking; a new view's keepers asked at once

Keepers confirm daemons of the directory alone now, so that where all of those know no lease can mislead anybody. A majority of the keepers' words counts to its end in the next view too, as the head waits for it (pauses of daemons, 10 to 310 ms, TestPace). The operator of TestPace sends a call without a clear answer again, as operators do; its time goes on from the first sending.

--- a/control/core/acknowledgement.go
+++ b/control/core/acknowledgement.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// delivered tells whether a committed change may be acknowledged: no majority of keepers can have a daemon rely on
-// less, and no lease that the head, or the head before it, granted before the commit can still run at a daemon that
-// does not know the change.
+// delivered tells whether a committed change may be acknowledged: a majority of the keepers knows it, and no lease from
+// before can still run at a daemon that does not, whether the head granted it, the head before it, or a majority of
+// keepers. Only daemons of the directory get leases, so where all of them are known to have the change none can.
 func (node *Node) delivered(now time.Time, sequence uint64) bool {
 	document := node.chain.Committed()
 	if document.Sequence < sequence || node.head.begun.IsZero() {
@@ -75,7 +75,27 @@
 	if current := node.agent.Current(); len(current.Chain) < int(current.Floor) || node.growing(now) {
 		return false
 	}
-	return node.keepersKnow(now, sequence) && node.formerLeasesOver(now, document, sequence) && node.leasesOver(now, sequence)
+	if !node.mostKnow(sequence) {
+		return false
+	}
+	return node.allDaemonsKnow(document, sequence) ||
+		node.keepersClear(now, sequence) && node.formerLeasesOver(now, document, sequence) && node.leasesOver(now, sequence)
+}
+
+// allDaemonsKnow tells whether every daemon that may hold a lease knows a sequence, or has ended since it was committed.
+func (node *Node) allDaemonsKnow(document *wire.Document, sequence uint64) bool {
+	committed, found := node.head.commits[sequence]
+	if !found {
+		return false
+	}
+	for _, directory := range [][]*wire.Member{document.Directory, document.FormerDirectory} {
+		for _, member := range directory {
+			if !node.harmless(member.Address, sequence, committed) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // formerLeasesOver tells whether no lease of the head before this one can run at a daemon that does not know a
--- a/control/core/confirmation.go
+++ b/control/core/confirmation.go
@@ -36,7 +36,7 @@
 // view so ends when the next one is chosen.
 func (node *Node) confirms(now time.Time, daemon string, message *wire.TickAsk) bool {
 	current := node.agent.Current()
-	if message.View != current.Epoch || node.agent.Newest().Epoch != current.Epoch || node.agent.Voted() || !keeps(current, node.self.Id) {
+	if !holds(node.directory(), daemon) || message.View != current.Epoch || node.agent.Newest().Epoch != current.Epoch || node.agent.Voted() || !keeps(current, node.self.Id) {
 		node.witness.Heard(daemon, message.Sequence)
 		return false
 	}
@@ -73,9 +73,20 @@
 	return true
 }
 
-// keepersKnow tells whether no majority of keepers, of this view or of one that ended a moment ago, can have a daemon
+// mostKnow tells whether a majority of the keepers knows a sequence, so that no majority confirms less from now on.
+func (node *Node) mostKnow(sequence uint64) bool {
+	keepers, knowing := node.agent.Current().Keepers, 0
+	for _, keeper := range keepers {
+		if node.head.ledger.Knows(keeper.Id, sequence) {
+			knowing++
+		}
+	}
+	return knowing >= view.Majority(len(keepers))
+}
+
+// keepersClear tells whether no majority of keepers, of this view or of one that ended a moment ago, can have a daemon
 // rely on less than a sequence.
-func (node *Node) keepersKnow(now time.Time, sequence uint64) bool {
+func (node *Node) keepersClear(now time.Time, sequence uint64) bool {
 	if !node.mostClear(now, node.agent.Current().Keepers, sequence) {
 		return false
 	}
--- a/coordination/lease/witness.go
+++ b/coordination/lease/witness.go
@@ -122,6 +122,16 @@
 	ledger.notices[keeper] = notices
 }
 
+// Knows tells whether a keeper knows a sequence.
+func (ledger *Ledger) Knows(keeper string, sequence uint64) bool {
+	for _, notice := range ledger.notices[keeper] {
+		if notice.known >= sequence {
+			return true
+		}
+	}
+	return false
+}
+
 // Clear tells whether a keeper knows a sequence and no daemon relies on its word about an older one any more.
 func (ledger *Ledger) Clear(now time.Time, keeper string, sequence uint64) bool {
 	for _, notice := range ledger.notices[keeper] {
--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -165,8 +165,8 @@
 	finish := host.startup.FinishTime(finishBound)
 	for !host.Drained(length) && time.Since(begun) < length+finish {
 		<-ticker.C
-		// What comes in the second half might have to be cut, and another daemon can still serve it.
-		if time.Since(begun) >= max(length, (length+finish)/2) {
+		// What comes later might have to be cut, and another daemon can still serve it.
+		if time.Since(begun) >= length {
 			host.closeFront()
 		}
 	}
--- a/edge/director/director.go
+++ b/edge/director/director.go
@@ -43,6 +43,8 @@
 	// itself to be without any, and aloneStep for how long it goes on by that before it looks again.
 	aloneRounds = 3
 	aloneStep   = 200 * time.Millisecond
+	// frozenAfter is after what pause a process takes it that it stood still itself: it has asked nobody meanwhile.
+	frozenAfter = 500 * time.Millisecond
 	// Staleness is for how long an answer is relied on, counted from its question.
 	Staleness = core.Staleness
 )
@@ -113,6 +115,7 @@
 	lastAskAll time.Time
 	// unanswered counts the rounds in which every core machine was asked since one of them answered.
 	unanswered int
+	lastTick   time.Time
 	// newest is the newest sequence that a core machine has told of; leaseEnd when the last lease ends or ended.
 	newest    uint64
 	leaseEnd  time.Time
@@ -205,6 +208,10 @@
 
 // Tick does what is due.
 func (director *Director) Tick(now time.Time) {
+	if now.Sub(director.lastTick) >= frozenAfter {
+		director.unanswered = 0
+	}
+	director.lastTick = now
 	director.cohort.Tick(now)
 	director.tendTicks(now)
 	director.tendDuty(now)
--- a/edge/director/director_test.go
+++ b/edge/director/director_test.go
@@ -176,6 +176,29 @@
 	}
 }
 
+// Found by proof/sim: a daemon that was alone already was frozen, and went on as alone when it woke.
+func TestADaemonFrozenWhileAloneIsNotAlone(t *testing.T) {
+	director := withDocument(t, Startup{WithoutCore: time.Minute})
+	start := begun.Add(time.Second)
+	lead(director, start)
+	now := start
+	for now.Before(start.Add(2 * Staleness)) {
+		now = now.Add(50 * time.Millisecond)
+		ask(director, now)
+	}
+	if !now.Before(director.Until(now)) {
+		t.Fatal("is not alone, so that nothing is put to the test")
+	}
+	now = now.Add(5 * time.Second)
+	if now.Before(director.Until(now)) {
+		t.Fatal("serves when it wakes")
+	}
+	ask(director, now)
+	if now.Before(director.Until(now)) {
+		t.Fatal("serves after one question")
+	}
+}
+
 // A daemon that has begun anew has no document of its own life to go on with.
 func TestARestartedDaemonIsNotAlone(t *testing.T) {
 	director := withDocument(t, Startup{WithoutCore: time.Minute})
--- a/edge/director/lease.go
+++ b/edge/director/lease.go
@@ -31,8 +31,12 @@
 
 func (director *Director) learnView(newer *wire.View) {
 	if newer.GetEpoch() > director.view.Epoch {
-		// The keepers of the former view make up no majority of this one's.
+		// The keepers of the former view make up no majority of this one's; what they have let this daemon do by now
+		// counts to its end, which the head of the next view waits for.
+		director.tickUntil = director.leasedUntil()
 		director.view, director.silent, director.confirmed = newer, false, map[string]confirmation{}
+		// Its head and its keepers are asked at once: a new head may not lead for a while yet.
+		director.lastAsk, director.lastAskAll, director.tickHeard = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
@@ -105,7 +109,7 @@
 // several rounds of questions, and none has told of anything newer. A machine that has just begun can't tell whether
 // there is a head, so its answer changes nothing. A daemon that was frozen has asked nobody meanwhile and so is not alone.
 func (director *Director) alone(now time.Time) bool {
-	return director.unanswered >= aloneRounds && director.sequence >= director.newest && now.Before(director.aloneUntil())
+	return director.unanswered >= aloneRounds && now.Sub(director.lastTick) < frozenAfter && director.sequence >= director.newest && now.Before(director.aloneUntil())
 }
 
 // aloneUntil gives up to when this daemon may go on without any core machine, counted from its last lease.
--- a/proof/sim/pace.go
+++ b/proof/sim/pace.go
@@ -51,6 +51,13 @@
 		if asked != nil && (asked.life != life || asked.frozen || world.severed(asked)) {
 			order = nil
 		}
+		// Who got no clear answer sends the same change again; the time goes on from the first sending.
+		if order != nil && order.Outcome == "unknown" && order.Status == 504 {
+			sent := order.Sent
+			asked = world.pick(world.Cores())
+			life, order = asked.life, operators.again(asked)
+			order.Sent = sent
+		}
 		if order == nil || order.Outcome != "unknown" || world.Now.Sub(order.Sent) > 7*time.Second {
 			if order != nil && order.Outcome != "refused" {
 				if order.Outcome == "unknown" {
--- a/proof/sim/play.go
+++ b/proof/sim/play.go
@@ -249,10 +249,11 @@
 }
 
 // again sends the newest change once more, as an operator does who got no clear answer.
-func (operators *Operators) again(host *Host) {
-	if operators.last != nil {
-		operators.world.Check.Resend(host, operators.order, operators.last)
+func (operators *Operators) again(host *Host) *Order {
+	if operators.last == nil {
+		return nil
 	}
+	return operators.world.Check.Resend(host, operators.order, operators.last)
 }
 
 // greatestKnown is what an operator who reads would build on.
