coordination/view: the proposer of a chosen view tells its acceptors before its own disk has it

Cause: daemons without a lease for up to 170 ms where the head's disk stalls (TestPace): the head proposed the view without it, the others voted and so granted and confirmed nothing, and the head would tell them only once its own disk had the view. A chosen view is a fact, so it is told at once.

--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -235,9 +235,19 @@
 	}
 	attempt.accepts[sender] = true
 	if len(attempt.accepts) >= attempt.quorum {
-		chosen := attempt.value
 		agent.attempt = nil
-		agent.Learn(now, chosen)
+		agent.Learn(now, attempt.value)
+		agent.announce(attempt)
+	}
+}
+
+// announce tells the acceptors of a chosen view at once. They have voted, so they let nobody act until they know; this
+// machine tells everybody once its own disk has the view, but that disk may be the one that has failed.
+func (agent *Agent) announce(attempt *attempt) {
+	for _, acceptor := range attempt.acceptors {
+		if acceptor.Id != agent.self {
+			agent.outbox.Send(agent.addressOf(acceptor), &wire.Envelope{Body: &wire.Envelope_ViewNews{ViewNews: &wire.ViewNews{View: attempt.value}}})
+		}
 	}
 }
 
