--- a/config/startup/startup.go
+++ b/config/startup/startup.go
@@ -115,7 +115,12 @@
 )
 
 // checkLengths names every length of time that is none.
-func (startup *Startup) checkLengths(flaw func(format string, values ...any)) {
+func (startup *Startup) checkLengths(flaw flawWriter) {
+	if startup.Drain != "" {
+		if length, err := parseDrain(startup.Drain); err != nil || length < 0 {
+			flaw("drain: %q is no length of time from 0s to 10m", startup.Drain)
+		}
+	}
 	for _, length := range []struct {
 		name, text string
 		least      time.Duration
@@ -135,30 +140,59 @@
 
 var logLevels = map[string]bool{"": true, "debug": true, "info": true, "warn": true, "error": true}
 
+// flawWriter takes down one flaw.
+type flawWriter func(format string, values ...any)
+
+// address names a value that is no address of a process.
+func (flaw flawWriter) address(name, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
+		flaw("%s: %q is no ip:port", name, value)
+	}
+}
+
 // Check gives one BadStartup fault that names every flaw.
 func (startup *Startup) Check(needs Needs) error {
 	var flaws []string
-	flaw := func(format string, values ...any) { flaws = append(flaws, fmt.Sprintf(format, values...)) }
-	place := func(name, value string) {
-		host, port, err := net.SplitHostPort(value)
-		if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
-			flaw("%s: %q is no ip:port", name, value)
-		}
+	flaw := flawWriter(func(format string, values ...any) { flaws = append(flaws, fmt.Sprintf(format, values...)) })
+	startup.checkPlace(flaw)
+	startup.checkOthers(flaw)
+	startup.checkFolder(needs, flaw)
+	startup.checkPlatform(needs, flaw)
+	startup.checkLengths(flaw)
+	if startup.Fitness != "" {
+		flaw.address("fitness", startup.Fitness)
+	}
+	startup.checkNumbers(flaw)
+	if !logLevels[startup.Log] {
+		flaw("log: %q is none of debug, info, warn, error", startup.Log)
 	}
-	place("address", startup.Address)
-	place("http", startup.HTTP)
+	if len(flaws) > 0 {
+		return fault.New(fault.BadStartup, "%s", strings.Join(flaws, "; "))
+	}
+	return nil
+}
+
+// checkPlace names what is wrong with the process's own addresses and zone.
+func (startup *Startup) checkPlace(flaw flawWriter) {
+	flaw.address("address", startup.Address)
+	flaw.address("http", startup.HTTP)
 	if startup.Address != "" && startup.Address == startup.HTTP {
 		flaw("http: must differ from address")
 	}
 	if startup.Zone == "" || len(startup.Zone) > 64 || strings.ContainsAny(startup.Zone, "/ \t\n") {
 		flaw("zone: wants 1 to 64 letters without blanks or slashes")
 	}
+}
+
+// checkOthers names what is wrong with the addresses of seeds and founders.
+func (startup *Startup) checkOthers(flaw flawWriter) {
 	if len(startup.Seeds) < 1 || len(startup.Seeds) > 16 {
 		flaw("seeds: wants 1 to 16 addresses, normally three")
 	}
 	seen := map[string]bool{}
 	for number, seed := range startup.Seeds {
-		place(fmt.Sprintf("seeds[%d]", number), seed)
+		flaw.address(fmt.Sprintf("seeds[%d]", number), seed)
 		if seen[seed] {
 			flaw("seeds[%d]: %q is there twice", number, seed)
 		}
@@ -168,8 +202,12 @@
 		flaw("founders: at most 5")
 	}
 	for number, founder := range startup.Founders {
-		place(fmt.Sprintf("founders[%d]", number), founder)
+		flaw.address(fmt.Sprintf("founders[%d]", number), founder)
 	}
+}
+
+// checkFolder names a folder that is missing, needless, or none.
+func (startup *Startup) checkFolder(needs Needs, flaw flawWriter) {
 	if needs.Folder == (startup.Folder == "") && !startup.Idle {
 		flaw("folder: wtcore needs one, wtdata must have none")
 	}
@@ -178,22 +216,23 @@
 			flaw("folder: %q is no folder", startup.Folder)
 		}
 	}
-	if needs.Platform && !(startup.Registered && startup.Platform == "") {
-		if parsed, err := url.Parse(startup.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
-			flaw("platform: %q is no http URL", startup.Platform)
+}
+
+// checkPlatform names a platform's URL that is missing, needless, or none.
+func (startup *Startup) checkPlatform(needs Needs, flaw flawWriter) {
+	if !needs.Platform || startup.Registered && startup.Platform == "" {
+		if startup.Platform != "" {
+			flaw("platform: only wtdata has one")
 		}
-	} else if startup.Platform != "" {
-		flaw("platform: only wtdata has one")
+		return
 	}
-	if startup.Drain != "" {
-		if length, err := parseDrain(startup.Drain); err != nil || length < 0 {
-			flaw("drain: %q is no length of time from 0s to 10m", startup.Drain)
-		}
-	}
-	startup.checkLengths(flaw)
-	if startup.Fitness != "" {
-		place("fitness", startup.Fitness)
+	if parsed, err := url.Parse(startup.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		flaw("platform: %q is no http URL", startup.Platform)
 	}
+}
+
+// checkNumbers names every number that is out of its range.
+func (startup *Startup) checkNumbers(flaw flawWriter) {
 	if startup.MemoryMegabytes < 0 || startup.MemoryMegabytes > 0 && startup.MemoryMegabytes < leastMegabytes {
 		flaw("memory_megabytes: wants at least %d", leastMegabytes)
 	}
@@ -203,11 +242,4 @@
 	if startup.Repeats.Share < 0 || startup.Repeats.Share > 1 || startup.Repeats.Slack < 0 {
 		flaw("repeats: wants a share from 0 to 1 and a slack of 0 or more")
 	}
-	if !logLevels[startup.Log] {
-		flaw("log: %q is none of debug, info, warn, error", startup.Log)
-	}
-	if len(flaws) > 0 {
-		return fault.New(fault.BadStartup, "%s", strings.Join(flaws, "; "))
-	}
-	return nil
 }
--- a/control/core/acknowledgement.go
+++ b/control/core/acknowledgement.go
@@ -57,7 +57,7 @@
 
 // failWaiters drops those who wait here once another machine is head. Why: where the question came in it is still
 // open and goes to the new head, which finds the change in its history or takes it anew.
-func (node *Node) failWaiters(now time.Time) {
+func (node *Node) failWaiters(_ time.Time) {
 	if !node.chain.Head() {
 		node.head.waiters = nil
 	}
--- a/control/core/bounds_test.go
+++ b/control/core/bounds_test.go
@@ -1,31 +1,44 @@
 package core
 
 import (
+	"iter"
 	"testing"
 	"time"
 
 	"wardtray/coordination/lease"
 )
 
+// drawnLimits gives settings of many kinds in every combination.
+func drawnLimits() iter.Seq[Limits] {
+	chosen := [][]float64{{1, 2, 3, 10}, {1, 2, 3, 4, 5, 30}, {0.5, 1, 2, 10}, {1, 2.5, 3, 4, 10}, {1, 5, 8, 60}}
+	count := 1
+	for _, values := range chosen {
+		count *= len(values)
+	}
+	return func(yield func(Limits) bool) {
+		for number := range count {
+			var lengths [5]time.Duration
+			for place, values := range chosen {
+				lengths[place] = time.Duration(values[number%len(values)] * float64(time.Second))
+				number /= len(values)
+			}
+			if !yield(Limits{Contact: lengths[0], Acknowledge: lengths[1], Apply: lengths[2], CatchUp: lengths[3], Grace: lengths[4]}) {
+				return
+			}
+		}
+	}
+}
+
 // The bounds that are derived from the settings must fit into these, whatever these are as long as they pass the check.
 func TestDerivedBoundsFitTheSettings(t *testing.T) {
-	seconds := func(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+	t.Parallel()
 	fitting := 0
-	for _, contact := range []float64{1, 2, 3, 10} {
-		for _, acknowledge := range []float64{1, 2, 3, 4, 5, 30} {
-			for _, apply := range []float64{0.5, 1, 2, 10} {
-				for _, catchUp := range []float64{1, 2.5, 3, 4, 10} {
-					for _, grace := range []float64{1, 5, 8, 60} {
-						limits := Limits{Contact: seconds(contact), Acknowledge: seconds(acknowledge), Apply: seconds(apply), CatchUp: seconds(catchUp), Grace: seconds(grace)}
-						bounds := BoundsFor(limits)
-						requireOrder(t, limits, bounds)
-						if limits.Check() == nil {
-							fitting++
-							requireFit(t, limits, bounds)
-						}
-					}
-				}
-			}
+	for limits := range drawnLimits() {
+		bounds := BoundsFor(limits)
+		requireOrder(t, limits, bounds)
+		if limits.Check() == nil {
+			fitting++
+			requireFit(t, limits, bounds)
 		}
 	}
 	if fitting < 100 {
--- a/control/core/calls_test.go
+++ b/control/core/calls_test.go
@@ -15,6 +15,7 @@
 // on, heads die, and messages are lost. Of all copies of an order either none is refused, or the order is never in
 // effect; and of orders built on one epoch one at most is confirmed.
 func TestOneNumberOneChange(t *testing.T) {
+	t.Parallel()
 	seeds := int64(40)
 	if testing.Short() {
 		seeds = 8
@@ -24,40 +25,11 @@
 		fleet := newTestFleet(t, seed, 3)
 		loss := fleet.random.Float64() * 0.2
 		fleet.lost = func(machine.Parcel) bool { return fleet.random.Float64() < loss }
-		var calls []*repeatedCall
-		epoch := uint64(0)
+		trial := &callTrial{testFleet: fleet}
 		for round := range 12 {
-			// Two to four orders are built on the same epoch and name the same next one.
-			for number := range 2 + fleet.random.Intn(3) {
-				name := fmt.Sprintf("o%d.%d", round, number)
-				calls = append(calls, &repeatedCall{order: apply(name, epoch, epoch+1, "lane"+name)})
-			}
-			dead := (*testMember)(nil)
-			for range 400 {
-				if fleet.random.Intn(150) == 0 && dead == nil {
-					if dead = fleet.leader(); dead != nil {
-						fleet.kill(dead)
-					}
-				}
-				if dead != nil && fleet.random.Intn(100) == 0 {
-					fleet.start(dead)
-					dead = nil
-				}
-				// Orders of earlier rounds come again too, though their callers have their answers.
-				if fleet.random.Intn(8) == 0 {
-					call := calls[max(0, len(calls)-1-fleet.random.Intn(8))]
-					call.copies = append(call.copies, fleet.send(fleet.members[fleet.random.Intn(3)], call.order))
-				}
-				fleet.step()
-				fleet.wantOneOutcome(calls)
-			}
-			if dead != nil {
-				fleet.start(dead)
-			}
-			fleet.until("a leader", 20*time.Second, func() bool { return fleet.leader() != nil })
-			epoch = fleet.leader().node.Chain().Committed().SpecEpoch
+			trial.round(round)
 		}
-		for _, call := range calls {
+		for _, call := range trial.calls {
 			accepted, turnedAway := call.answers()
 			confirmed += min(1, accepted)
 			refused += min(1, turnedAway)
@@ -70,6 +42,56 @@
 	}
 }
 
+// callTrial plays callers that send their orders again while heads die.
+type callTrial struct {
+	*testFleet
+	calls []*repeatedCall
+	// epoch is the one that orders are built on, dead the machine that is down.
+	epoch uint64
+	dead  *testMember
+}
+
+// round sends two to four orders that are built on the same epoch and name the same next one.
+func (trial *callTrial) round(round int) {
+	for number := range 2 + trial.random.Intn(3) {
+		name := fmt.Sprintf("o%d.%d", round, number)
+		trial.calls = append(trial.calls, &repeatedCall{order: apply(name, trial.epoch, trial.epoch+1, "lane"+name)})
+	}
+	for range 400 {
+		trial.harm()
+		// Orders of earlier rounds come again too, though their callers have their answers.
+		if trial.random.Intn(8) == 0 {
+			call := trial.calls[max(0, len(trial.calls)-1-trial.random.Intn(8))]
+			call.copies = append(call.copies, trial.send(trial.members[trial.random.Intn(3)], call.order))
+		}
+		trial.step()
+		trial.wantOneOutcome(trial.calls)
+	}
+	trial.revive()
+	trial.until("a leader", 20*time.Second, func() bool { return trial.leader() != nil })
+	trial.epoch = trial.leader().node.Chain().Committed().SpecEpoch
+}
+
+// harm kills the leader now and then, and starts it again later.
+func (trial *callTrial) harm() {
+	if trial.random.Intn(150) == 0 && trial.dead == nil {
+		if trial.dead = trial.leader(); trial.dead != nil {
+			trial.kill(trial.dead)
+		}
+	}
+	if trial.dead != nil && trial.random.Intn(100) == 0 {
+		trial.revive()
+	}
+}
+
+// revive starts the machine that is down, if one is.
+func (trial *callTrial) revive() {
+	if trial.dead != nil {
+		trial.start(trial.dead)
+		trial.dead = nil
+	}
+}
+
 // repeatedCall is an order with the answers to its copies.
 type repeatedCall struct {
 	order  *wire.OperatorAsk
@@ -77,11 +99,11 @@
 }
 
 func (call *repeatedCall) answers() (accepted, refused int) {
-	for _, copy := range call.copies {
+	for _, answer := range call.copies {
 		switch {
-		case copy.status == 200:
+		case answer.status == 200:
 			accepted++
-		case copy.status >= 400 && copy.status < 500:
+		case answer.status >= 400 && answer.status < 500:
 			refused++
 		}
 	}
@@ -117,6 +139,7 @@
 // An order that was acknowledged is acknowledged again after every machine of the core was replaced by another, with
 // an empty disk at another address, and after other changes.
 func TestOutcomesOutliveTheWholeCore(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(t, 7, 3)
 	first := apply("first", 0, 7, "a")
 	fleet.wantAccepted(fleet.members[0], first, 7)
@@ -141,21 +164,22 @@
 // wantAccepted sends an order until it is acknowledged; no copy may be refused.
 func (fleet *testFleet) wantAccepted(member *testMember, order *wire.OperatorAsk, epoch uint64) {
 	fleet.t.Helper()
-	copy := fleet.send(member, order)
+	answer := fleet.send(member, order)
 	fleet.until("an acknowledgement", 20*time.Second, func() bool {
-		if copy.status >= 500 {
-			copy = fleet.send(member, order)
+		if answer.status >= 500 {
+			answer = fleet.send(member, order)
 		}
-		return copy.status != 0 && copy.status < 500
+		return answer.status != 0 && answer.status < 500
 	})
-	if copy.status != 200 || copy.reply.Epoch != epoch {
-		fleet.t.Fatalf("%s: %d %+v", order.Operation, copy.status, copy.reply)
+	if answer.status != 200 || answer.reply.Epoch != epoch {
+		fleet.t.Fatalf("%s: %d %+v", order.Operation, answer.status, answer.reply)
 	}
 }
 
 // A copy that comes in elsewhere while the first is on its way is acknowledged with the first one's outcome, also
 // where only a later head commits it.
 func TestCopyMeetsTheFirstOnItsWay(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(t, 8, 3)
 	head := fleet.leader()
 	others := []*testMember{}
@@ -193,6 +217,7 @@
 
 // What is forgotten is refused, and never taken a second time: its base is gone for good.
 func TestForgottenIsNotTakenTwice(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	first := apply("first", 0, 1, "a")
 	if got := lone.send(first); got.status != 200 {
@@ -222,6 +247,7 @@
 // A late copy of an order that was refused is never taken, however many were refused meanwhile, also where what made
 // it wrong is mended by then. The order names no base, so that nothing else holds it back.
 func TestLateCopyOfARefusedOrder(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	lone.send(apply("first", 0, 1, "a"))
 	refused := &wire.OperatorAsk{Verb: "change", Operation: "refused", Spec: []byte(`{"upsert":{"lanes":[{"name":"b","pool":"q","patience":"1s"}]}}`)}
@@ -259,6 +285,7 @@
 
 // A refusal whose answer was lost is told again.
 func TestRefusalIsToldAgain(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	lone.send(apply("first", 0, 1, "a"))
 	stale := apply("stale", 0, 2, "b")
@@ -275,6 +302,7 @@
 
 // The window of each life of a machine is its own, and what is remembered stays bounded.
 func TestRefusalWindows(t *testing.T) {
+	t.Parallel()
 	refusals := &refusals{}
 	for number := 1; number <= 3*refusalWindow; number++ {
 		token := fmt.Sprintf("a/1/%d", number)
--- a/control/core/catchup_test.go
+++ b/control/core/catchup_test.go
@@ -17,6 +17,7 @@
 // Changes go on, one each 100 ms, while members are away for hundreds of them, restart, and have disks that are
 // full or stalled. Every leader has all that was acknowledged, no order is refused, and in the end all hold the same.
 func TestMembersCatchUpWhileChangesGoOn(t *testing.T) {
+	t.Parallel()
 	changes := uint64(500)
 	if testing.Short() {
 		changes = 150
@@ -24,41 +25,12 @@
 	for seed := int64(1); seed <= 3; seed++ {
 		fleet := newTestFleet(t, seed, 3)
 		operator := &testOperator{fleet: fleet, name: "o", lanes: 10}
-		trouble := map[int]func(member *testMember){
-			0: func(member *testMember) { fleet.kill(member) },
-			1: func(member *testMember) { member.disk.full = true },
-			2: func(member *testMember) { member.disk.stalled = true },
-			3: func(member *testMember) { fleet.kill(member); fleet.start(member) },
-		}
-		// Each trouble strikes one machine and lasts for a fifth of the changes; between two, all come back.
-		struck, since, turns, moved := (*testMember)(nil), uint64(0), 0, fleet.now
+		trial := &catchUpTrial{fleet: fleet, operator: operator, every: changes / 5, moved: fleet.now}
 		for operator.number < changes {
-			operator.tend(100 * time.Millisecond)
-			fleet.step()
-			if operator.number == since {
-				if fleet.now.Sub(moved) > 30*time.Second {
-					fleet.describe()
-					t.Fatalf("seed %d: %d of %d changes, and no more", seed, operator.number, changes)
-				}
-				continue
-			}
-			moved = fleet.now
-			switch since = operator.number; {
-			case since%(changes/5) == 1:
-				struck = fleet.members[fleet.random.Intn(len(fleet.members))]
-				trouble[turns%len(trouble)](struck)
-				turns++
-			case struck != nil && since%(changes/5) == changes/5-30:
-				struck.disk.full, struck.disk.stalled = false, false
-				if !struck.up() {
-					fleet.start(struck)
-				}
-				struck = nil
-				fleet.until("the member that was away to be in the chain", 10*time.Second, func() bool {
-					operator.tend(100 * time.Millisecond)
-					leader := fleet.leader()
-					return leader != nil && len(leader.node.View().Chain) == len(fleet.members)
-				})
+			trial.step()
+			if fleet.now.Sub(trial.moved) > 30*time.Second {
+				fleet.describe()
+				t.Fatalf("seed %d: %d of %d changes, and no more", seed, operator.number, changes)
 			}
 		}
 		fleet.run(3 * time.Second)
@@ -66,6 +38,64 @@
 	}
 }
 
+// catchUpTrial strikes one machine after the other while changes go on. Each trouble lasts for most of a span of changes;
+// before the next, all come back.
+type catchUpTrial struct {
+	fleet    *testFleet
+	operator *testOperator
+	// every is how many changes a span has.
+	every uint64
+	// seen is the number of the change that was looked at last, which came at moved; turns is how many troubles there were.
+	seen   uint64
+	moved  time.Time
+	turns  int
+	struck *testMember
+}
+
+// troubles are what may happen to a machine.
+var troubles = []func(fleet *testFleet, member *testMember){
+	func(fleet *testFleet, member *testMember) { fleet.kill(member) },
+	func(_ *testFleet, member *testMember) { member.disk.full = true },
+	func(_ *testFleet, member *testMember) { member.disk.stalled = true },
+	func(fleet *testFleet, member *testMember) { fleet.kill(member); fleet.start(member) },
+}
+
+// step sends the next change when it is due, and begins or ends a trouble when its change has come.
+func (trial *catchUpTrial) step() {
+	trial.operator.tend(100 * time.Millisecond)
+	trial.fleet.step()
+	if trial.operator.number == trial.seen {
+		return
+	}
+	trial.seen, trial.moved = trial.operator.number, trial.fleet.now
+	if trial.seen%trial.every == 1 {
+		trial.strike()
+	} else if trial.struck != nil && trial.seen%trial.every == trial.every-30 {
+		trial.mend()
+	}
+}
+
+func (trial *catchUpTrial) strike() {
+	trial.struck = trial.fleet.members[trial.fleet.random.Intn(len(trial.fleet.members))]
+	troubles[trial.turns%len(troubles)](trial.fleet, trial.struck)
+	trial.turns++
+}
+
+// mend brings the machine back that was struck and waits until it is in the chain.
+func (trial *catchUpTrial) mend() {
+	fleet := trial.fleet
+	trial.struck.disk.full, trial.struck.disk.stalled = false, false
+	if !trial.struck.up() {
+		fleet.start(trial.struck)
+	}
+	trial.struck = nil
+	fleet.until("the member that was away to be in the chain", 10*time.Second, func() bool {
+		trial.operator.tend(100 * time.Millisecond)
+		leader := fleet.leader()
+		return leader != nil && len(leader.node.View().Chain) == len(fleet.members)
+	})
+}
+
 // wantAlike wants all members to hold the same document of an epoch, byte for byte.
 func (fleet *testFleet) wantAlike(epoch uint64) {
 	fleet.t.Helper()
@@ -92,6 +122,7 @@
 // A disk that takes longer than the time between two questions for the document, while changes go on: each answer
 // brings a newer document, and the member still has to come in.
 func TestSlowDiskLearnsWhileChangesGoOn(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(t, 4, 3)
 	operator := &testOperator{fleet: fleet, name: "o"}
 	away := fleet.members[2]
@@ -119,6 +150,7 @@
 // A machine that restarts again and again still begins a new slot before its log is long, with any size of
 // configuration, and what its disk holds stays bounded.
 func TestLogStaysBoundedOverRestarts(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(t, 5, 3)
 	operator := &testOperator{fleet: fleet, name: "o", lanes: 800}
 	restarted := fleet.members[1]
@@ -139,6 +171,7 @@
 // All lose their power just after a member has joined the chain, before it was sent what was committed since it
 // learned the document; it comes back first, with a keeper outside the chain. It must not lead with its old state.
 func TestJoinerDoesNotLeadAlone(t *testing.T) {
+	t.Parallel()
 	for _, wiped := range []bool{false, true} {
 		fleet := &testFleet{t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(9))}
 		var lines []*wire.Member
--- a/control/core/change.go
+++ b/control/core/change.go
@@ -27,67 +27,92 @@
 		node.await(now, message, outcome.Sequence, outcome.SpecEpoch)
 		return
 	}
-	refuse := func(status int, reply Reply) {
-		// A spec that is not committed yet may be lost with this head. What is refused because of it might
-		// then be accepted from a copy that came in elsewhere. Once it is committed, no copy can ever be.
-		if status != 503 && latest.SpecEpoch != node.chain.Committed().SpecEpoch {
-			node.park(now, message)
-			return
-		}
-		if !refused {
-			node.counters.Refused++
-		}
-		node.head.refused.tell(message.Token)
-		node.reply(message, status, reply)
-	}
+	call := &changeCall{node: node, message: message, latest: latest, refused: refused}
 	if message.HasBase && message.Base != latest.SpecEpoch {
-		refuse(409, refusal(fault.StaleBase, latest.SpecEpoch, message.Operation,
-			fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)))
+		call.refuse(now, 409, call.refusal(fault.StaleBase, fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)))
 		return
 	}
-	changed, flaws, err := node.changed(message, latest)
-	if err != nil {
-		found := fault.Of(err)
-		statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413, fault.InvalidSpec: 422}
-		refuse(statuses[found.Kind], refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
-		return
-	}
-	if message.HasEpoch && message.Epoch <= latest.SpecEpoch {
-		flaws = append(flaws, config.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
-	}
-	if len(flaws) > 0 {
-		reply := refusal(fault.InvalidSpec, latest.SpecEpoch, message.Operation, fmt.Sprintf("%d faults", len(flaws)))
-		reply.Flaws = flaws
-		refuse(422, reply)
-		return
-	}
-	epoch, content := latest.SpecEpoch+1, changed.Encode()
-	if message.HasEpoch {
-		epoch = message.Epoch
-	}
-	// Named changes may grow a spec beyond what could be read again.
-	if len(content) > config.MaximumBytes {
-		refuse(413, refusal(fault.TooLarge, latest.SpecEpoch, message.Operation, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), config.MaximumBytes)))
-		return
-	}
-	if refused {
+	epoch, content, accepted := call.next(now)
+	if !accepted || refused {
 		return
 	}
 	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
 	// A sick disk would hold this change up for as long as it takes the others to notice.
 	if node.sick(now) {
-		refuse(503, refusal(fault.DiskFailed, latest.SpecEpoch, message.Operation, "the head's disk does not keep up"))
+		call.refuse(now, 503, call.refusal(fault.DiskFailed, "the head's disk does not keep up"))
 		return
 	}
 	if err := node.chain.Enter(now, entry); err != nil {
 		found := fault.Of(err)
-		refuse(503, refusal(found.Kind, latest.SpecEpoch, message.Operation, found.Detail))
+		call.refuse(now, 503, call.refusal(found.Kind, found.Detail))
 		return
 	}
 	node.counters.Accepted++
 	node.await(now, message, entry.Sequence, entry.SpecEpoch)
 }
 
+// changeCall is one call for a change, at the head.
+type changeCall struct {
+	node    *Node
+	message *wire.OperatorAsk
+	latest  *wire.Document
+	// refused tells that a copy of this call was refused before, so that it must not be taken any more.
+	refused bool
+}
+
+// refusal is a refusal that names the present epoch.
+func (call *changeCall) refusal(kind fault.Kind, detail string) Reply {
+	return refusal(kind, call.latest.SpecEpoch, call.message.Operation, detail)
+}
+
+// refuse answers with a refusal; no copy of the call that comes later is taken.
+func (call *changeCall) refuse(now time.Time, status int, reply Reply) {
+	node, message := call.node, call.message
+	// A spec that is not committed yet may be lost with this head. What is refused because of it might
+	// then be accepted from a copy that came in elsewhere. Once it is committed, no copy can ever be.
+	if status != 503 && call.latest.SpecEpoch != node.chain.Committed().SpecEpoch {
+		node.park(now, message)
+		return
+	}
+	if !call.refused {
+		node.counters.Refused++
+	}
+	node.head.refused.tell(message.Token)
+	node.reply(message, status, reply)
+}
+
+// next gives the epoch and the content of the document after the change; if it can't be accepted, that is answered.
+func (call *changeCall) next(now time.Time) (epoch uint64, content []byte, accepted bool) {
+	message, latest := call.message, call.latest
+	changed, flaws, err := call.node.changed(message, latest)
+	if err != nil {
+		found := fault.Of(err)
+		statuses := map[fault.Kind]int{fault.Malformed: 400, fault.TooLarge: 413, fault.InvalidSpec: 422}
+		call.refuse(now, statuses[found.Kind], call.refusal(found.Kind, found.Detail))
+		return 0, nil, false
+	}
+	epoch = latest.SpecEpoch + 1
+	if message.HasEpoch {
+		epoch = message.Epoch
+	}
+	if message.HasEpoch && message.Epoch <= latest.SpecEpoch {
+		flaws = append(flaws, config.Flaw{Path: "epoch", Detail: fmt.Sprintf("%d is not above the present one, %d", message.Epoch, latest.SpecEpoch)})
+	}
+	if len(flaws) > 0 {
+		reply := call.refusal(fault.InvalidSpec, fmt.Sprintf("%d faults", len(flaws)))
+		reply.Flaws = flaws
+		call.refuse(now, 422, reply)
+		return 0, nil, false
+	}
+	content = changed.Encode()
+	// Named changes may grow a spec beyond what could be read again.
+	if len(content) > config.MaximumBytes {
+		call.refuse(now, 413, call.refusal(fault.TooLarge, fmt.Sprintf("the spec would have %d bytes; at most %d", len(content), config.MaximumBytes)))
+		return 0, nil, false
+	}
+	return epoch, content, true
+}
+
 // changed gives the spec that an order asks for, and its flaws.
 func (node *Node) changed(message *wire.OperatorAsk, latest *wire.Document) (*config.Spec, []config.Flaw, error) {
 	if message.Verb == "apply" {
--- a/control/core/cluster_test.go
+++ b/control/core/cluster_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	clusterStep    = 5 * time.Millisecond
+	clusterStep  = 5 * time.Millisecond
 	fleetTick    = 50 * time.Millisecond
 	fleetGrace   = 8 * time.Second
 	fleetCatchUp = 4 * time.Second
--- a/control/core/confirmation.go
+++ b/control/core/confirmation.go
@@ -89,13 +89,13 @@
 
 // mostClear tells whether a majority of some keepers knows a sequence, with all older words of theirs over.
 func (node *Node) mostClear(now time.Time, keepers []*wire.Member, sequence uint64) bool {
-	clear := 0
+	count := 0
 	for _, keeper := range keepers {
 		if node.head.ledger.Clear(now, keeper.Id, sequence) {
-			clear++
+			count++
 		}
 	}
-	return clear >= view.Majority(len(keepers))
+	return count >= view.Majority(len(keepers))
 }
 
 // absent lists the daemons of the directory that hold no lease of this head's; only a head that has led for longer
--- a/control/core/membership_test.go
+++ b/control/core/membership_test.go
@@ -45,8 +45,23 @@
 
 func (fleet *fleet) otherKeeper() *coreMachine { return fleet.pick("other") }
 
+// keepersWithout counts the keepers that know a view without a machine.
+func (fleet *fleet) keepersWithout(id string) (count int) {
+	for _, machine := range fleet.machines {
+		if machine.node == nil {
+			continue
+		}
+		current := machine.node.View()
+		if keeps(current, machine.node.Self().Id) && !keeps(current, id) && !holds(current.Chain, id) {
+			count++
+		}
+	}
+	return count
+}
+
 // A keeper that leaves ends only once a view without it is known to those who stay.
 func TestALeavingKeeperPassesItsSeatOnBeforeItEnds(t *testing.T) {
+	t.Parallel()
 	for _, role := range []string{"head", "other"} {
 		t.Run(role, func(t *testing.T) {
 			fleet := newFleet(t, 1, 4)
@@ -66,16 +81,7 @@
 			if took >= fleetGrace-time.Second {
 				t.Fatalf("it ended only after %v", took)
 			}
-			knowing := 0
-			for _, machine := range fleet.machines {
-				if machine.node == nil {
-					continue
-				}
-				current := machine.node.View()
-				if keeps(current, machine.node.Self().Id) && !keeps(current, id) && !holds(current.Chain, id) {
-					knowing++
-				}
-			}
+			knowing := fleet.keepersWithout(id)
 			if knowing < 2*fleet.faults+1 {
 				t.Fatalf("%d keepers know a view without it: %s", knowing, fleet.state())
 			}
@@ -99,36 +105,42 @@
 		t.Run(fmt.Sprintf("%d cores, loss of %d", shape.cores, shape.first), func(t *testing.T) {
 			for moment := time.Duration(0); moment <= fleetCatchUp; moment += momentStep {
 				for _, second := range []string{"head", "other"} {
-					fleet := newFleet(t, 1, shape.cores)
-					lost := fleet.leader()
-					if shape.first > 0 {
-						lost = fleet.otherKeeper()
-					}
-					fleet.remove(lost)
-					fleet.run(time.Second)
-					fleet.add(false)
-					fleet.run(moment)
-					// What a fleet of three bears only once the successor has the seat, one of five bears once
-					// the loss is known and a view agreed.
-					bounds := BoundsFor(Limits{})
-					bears := time.Second+moment >= bounds.SeatRepair() || shape.cores > 3 && time.Second+moment >= bounds.Detection()+bounds.ViewChange()
-					fleet.wipe(fleet.pick(second), wipedFor)
-					if bears {
-						fleet.requireServing(servingBound)
-						continue
-					}
-					fleet.run(servingBound)
-					for _, machine := range fleet.machines {
-						if machine.node != nil && machine.node.Chain().Inside() {
-							fleet.requireKept(machine)
-						}
-					}
+					testSecondWipe(t, shape.cores, shape.first, moment, second)
 				}
 			}
 		})
 	}
 }
 
+// testSecondWipe wipes a second machine some time after the successor of the first has started.
+func testSecondWipe(t *testing.T, cores, first int, moment time.Duration, second string) {
+	t.Helper()
+	fleet := newFleet(t, 1, cores)
+	lost := fleet.leader()
+	if first > 0 {
+		lost = fleet.otherKeeper()
+	}
+	fleet.remove(lost)
+	fleet.run(time.Second)
+	fleet.add(false)
+	fleet.run(moment)
+	// What a fleet of three bears only once the successor has the seat, one of five bears once
+	// the loss is known and a view agreed.
+	bounds := BoundsFor(Limits{})
+	bears := time.Second+moment >= bounds.SeatRepair() || cores > 3 && time.Second+moment >= bounds.Detection()+bounds.ViewChange()
+	fleet.wipe(fleet.pick(second), wipedFor)
+	if bears {
+		fleet.requireServing(servingBound)
+		return
+	}
+	fleet.run(servingBound)
+	for _, machine := range fleet.machines {
+		if machine.node != nil && machine.node.Chain().Inside() {
+			fleet.requireKept(machine)
+		}
+	}
+}
+
 // A successor that started well before its predecessor is told to stop must make up for it at every moment; here it
 // has half of the time that it would be given.
 func TestASecondWipeDuringAPlannedReplacement(t *testing.T) {
@@ -159,6 +171,7 @@
 
 // The only holder of a copy stays until a successor has everything, however it is called to leave.
 func TestTheOnlyHolderStaysUntilASuccessorHasItsCopy(t *testing.T) {
+	t.Parallel()
 	for moment := time.Duration(0); moment <= time.Second; moment += momentStep {
 		fleet := newFleet(t, 0, 1)
 		leaver := fleet.leader()
@@ -181,6 +194,7 @@
 
 // A machine that leaves as the only holder, and is followed only after that, waits for its successor.
 func TestTheOnlyHolderWaitsForASuccessor(t *testing.T) {
+	t.Parallel()
 	fleet := newFleet(t, 0, 1)
 	leaver := fleet.leader()
 	fleet.stop(leaver)
@@ -192,6 +206,7 @@
 
 // A keeper that only falls silent for a moment may lose its seat to another machine; nobody stops for that.
 func TestAKeeperThatIsSilentForAMomentDoesNoHarm(t *testing.T) {
+	t.Parallel()
 	for silence := 300 * time.Millisecond; silence <= 1500*time.Millisecond; silence += momentStep {
 		fleet := newFleet(t, 1, 5)
 		fleet.gap = 0
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -156,7 +156,7 @@
 // Outbox gives what the driver has to carry out.
 func (node *Node) Outbox() *machine.Outbox { return node.outbox }
 
-// Chain, View and Counters let drivers, checkers and status pages look in.
+// Chain gives the machine's part of the chain, for drivers, checkers and status pages.
 func (node *Node) Chain() *chain.Chain { return node.chain }
 
 // View gives the present view.
--- a/control/core/node_test.go
+++ b/control/core/node_test.go
@@ -11,6 +11,7 @@
 // Found by the simulator: a machine that restarted numbered its questions from 1 again, and the head's
 // answer to a question of its earlier life was given to another operator's change.
 func TestQuestionsOfTwoLivesDiffer(t *testing.T) {
+	t.Parallel()
 	tokens := map[string]bool{}
 	for life := range 2 {
 		node := New(time.Unix(0, 0), Startup{Address: "127.0.0.1:1", Zone: "a"}, &wire.Memory{Id: "same"}, nil, rand.New(rand.NewSource(int64(life))))
@@ -33,53 +34,76 @@
 	}
 }
 
+// pair is a node under test beside another keeper that only says what a test wants.
+type pair struct {
+	node        *Node
+	self, other *wire.Member
+	now         time.Time
+	// grants counts the leases that daemons got.
+	grants int
+}
+
+// run lets time pass; otherAnswers tells whether the other member says that it has the whole history.
+func (pair *pair) run(length time.Duration, otherAnswers bool) {
+	for until := pair.now.Add(length); pair.now.Before(until); {
+		pair.now = pair.now.Add(50 * time.Millisecond)
+		pair.node.Tick(pair.now)
+		// The other lives, or a view without it would end the matter.
+		pair.hear(&wire.Envelope{Body: &wire.Envelope_Beat{Beat: &wire.Beat{Member: pair.other, View: 3, Fleet: "f", Heard: []string{"a", "b"}}}})
+		pair.node.Receive(pair.now, &wire.Envelope{From: "d", Body: &wire.Envelope_TickAsk{TickAsk: &wire.TickAsk{Nonce: 1}}})
+		if otherAnswers {
+			pair.hear(&wire.Envelope{Body: &wire.Envelope_ChainHold{ChainHold: &wire.ChainHold{View: 3, Synced: 5, Committed: 5}}})
+		}
+		for range 3 {
+			pair.drain()
+		}
+	}
+}
+
+// hear lets the node receive a message from the other.
+func (pair *pair) hear(envelope *wire.Envelope) {
+	envelope.From, envelope.Sender = pair.other.Address, pair.other.Id
+	pair.node.Receive(pair.now, envelope)
+}
+
+// drain carries out the node's writes; the other grants every claim, and what goes to the node itself comes to it.
+func (pair *pair) drain() {
+	parcels, writes := pair.node.Drain()
+	for _, write := range writes {
+		pair.node.Synced(pair.now, write.Sequence)
+	}
+	for _, parcel := range parcels {
+		if grant := parcel.Envelope.GetTickGrant(); grant != nil && grant.Granted {
+			pair.grants++
+		}
+		if asked := parcel.Envelope.GetClaimAsk(); asked != nil && parcel.To == pair.other.Address {
+			pair.hear(&wire.Envelope{Body: &wire.Envelope_ClaimGrant{ClaimGrant: &wire.ClaimGrant{View: asked.View, Nonce: asked.Nonce}}})
+		}
+		if parcel.To == pair.self.Address {
+			pair.node.Receive(pair.now, parcel.Envelope)
+		}
+	}
+}
+
 // A head that found changes in its history which it does not know to be committed promises nothing:
 // they may have been acknowledged by the head before it.
 func TestHeadPromisesNothingBeforeItsHistoryIsCommitted(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(1_700_000_000, 0)
 	self, other := &wire.Member{Id: "a", Address: "127.0.0.1:1", Zone: "a"}, &wire.Member{Id: "b", Address: "127.0.0.2:1", Zone: "b"}
 	memory := &wire.Memory{Id: "a", View: &wire.View{Epoch: 3, Fleet: "f", Floor: 1, Chain: []*wire.Member{self, other}, Keepers: []*wire.Member{self, other, {Id: "c", Address: "127.0.0.3:1", Zone: "c"}}},
 		Document: &wire.Document{Sequence: 4, SpecEpoch: 4, Directory: []*wire.Member{{Id: "d", Address: "d", Zone: "a"}}}, Pending: []*wire.Entry{{Sequence: 5, ChangesSpec: true, SpecEpoch: 5, Operation: "o"}}}
 	node := New(now, Startup{Address: self.Address, Zone: "a"}, memory, nil, rand.New(rand.NewSource(1)))
-	grants := 0
-	run := func(until time.Time, otherAnswers bool) {
-		for now.Before(until) {
-			now = now.Add(50 * time.Millisecond)
-			node.Tick(now)
-			// The other lives, or a view without it would end the matter.
-			node.Receive(now, &wire.Envelope{From: other.Address, Sender: "b", Body: &wire.Envelope_Beat{Beat: &wire.Beat{Member: other, View: 3, Fleet: "f", Heard: []string{"a", "b"}}}})
-			node.Receive(now, &wire.Envelope{From: "d", Body: &wire.Envelope_TickAsk{TickAsk: &wire.TickAsk{Nonce: 1}}})
-			if otherAnswers {
-				node.Receive(now, &wire.Envelope{From: other.Address, Sender: "b", Body: &wire.Envelope_ChainHold{ChainHold: &wire.ChainHold{View: 3, Synced: 5, Committed: 5}}})
-			}
-			for round := 0; round < 3; round++ {
-				parcels, writes := node.Drain()
-				for _, write := range writes {
-					node.Synced(now, write.Sequence)
-				}
-				for _, parcel := range parcels {
-					if grant := parcel.Envelope.GetTickGrant(); grant != nil && grant.Granted {
-						grants++
-					}
-					if asked := parcel.Envelope.GetClaimAsk(); asked != nil && parcel.To == other.Address {
-						node.Receive(now, &wire.Envelope{From: other.Address, Sender: "b", Body: &wire.Envelope_ClaimGrant{ClaimGrant: &wire.ClaimGrant{View: asked.View, Nonce: asked.Nonce}}})
-					}
-					if parcel.To == self.Address {
-						node.Receive(now, parcel.Envelope)
-					}
-				}
-			}
-		}
-	}
-	run(now.Add(4*time.Second), false)
-	if !node.holder.Valid(now, 3) {
+	pair := &pair{node: node, self: self, other: other, now: now}
+	pair.run(4*time.Second, false)
+	if !node.holder.Valid(pair.now, 3) {
 		t.Fatal("no claim, so that nothing was put to the test")
 	}
-	if node.Leading(now) || grants > 0 {
-		t.Fatalf("leads %v, granted %d ticks", node.Leading(now), grants)
+	if node.Leading(pair.now) || pair.grants > 0 {
+		t.Fatalf("leads %v, granted %d ticks", node.Leading(pair.now), pair.grants)
 	}
-	run(now.Add(time.Second), true)
-	if !node.Leading(now) || grants == 0 {
-		t.Fatalf("leads %v, granted %d ticks, once its history is committed", node.Leading(now), grants)
+	pair.run(time.Second, true)
+	if !node.Leading(pair.now) || pair.grants == 0 {
+		t.Fatalf("leads %v, granted %d ticks, once its history is committed", node.Leading(pair.now), pair.grants)
 	}
 }
--- a/control/core/operator_test.go
+++ b/control/core/operator_test.go
@@ -103,6 +103,7 @@
 }
 
 func TestEpochsMayClimbUnevenly(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	for _, step := range []struct {
 		ask    *wire.OperatorAsk
@@ -134,6 +135,7 @@
 }
 
 func TestChangesLandWholeOrNotAtAll(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a", "b", "c"))
 	for path, content := range map[string]string{
@@ -167,6 +169,7 @@
 // What is refused because of a spec that is not committed yet waits until it is: with this head that spec
 // may be lost, and a copy of the change that came in elsewhere be accepted.
 func TestRefusalsWaitForWhatTheyRestOn(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a"))
 	lone.stalled = true
@@ -190,6 +193,7 @@
 
 // A head or tail that may not answer yet answers as soon as it may, without being asked again.
 func TestQuestionsWaitForTheClaim(t *testing.T) {
+	t.Parallel()
 	lone := newLone()
 	lone.send(apply("first", 0, 0, "a"))
 	lone.now = lone.now.Add(3 * time.Second)
--- a/control/core/reserve_test.go
+++ b/control/core/reserve_test.go
@@ -9,6 +9,7 @@
 // its disk, those of the last chain that took changes hold all that was acknowledged and go on. Found by proof/model
 // (restart-loss): the fleet stood still for good though a machine with everything was back.
 func TestTheLastChainThatTookChangesGoesOn(t *testing.T) {
+	t.Parallel()
 	fleet := newFleet(t, 1, 3)
 	first, second, third := fleet.machines[0], fleet.machines[1], fleet.machines[2]
 	fleet.remove(third)
--- a/edge/director/dispatch.go
+++ b/edge/director/dispatch.go
@@ -36,7 +36,7 @@
 		reflect.TypeFor[*wire.Envelope_TickCall](): func(now time.Time, envelope *wire.Envelope) {
 			director.onTickCall(now, envelope.From, envelope.GetTickCall())
 		},
-		reflect.TypeFor[*wire.Envelope_DocumentAsk](): func(now time.Time, envelope *wire.Envelope) {
+		reflect.TypeFor[*wire.Envelope_DocumentAsk](): func(_ time.Time, envelope *wire.Envelope) {
 			register := director.rumors.Get(core.DocumentKey)
 			if register != nil && register.Epoch > envelope.GetDocumentAsk().Sequence {
 				director.outbox.Send(envelope.From, &wire.Envelope{Body: &wire.Envelope_Rumor{Rumor: &wire.Rumor{Registers: []*wire.Register{register}}}})
@@ -47,7 +47,7 @@
 				director.startup.OnTaken(now, envelope.GetTaken().Key, envelope.GetTaken().Dropped)
 			}
 		},
-		reflect.TypeFor[*wire.Envelope_ViewNews](): func(now time.Time, envelope *wire.Envelope) {
+		reflect.TypeFor[*wire.Envelope_ViewNews](): func(_ time.Time, envelope *wire.Envelope) {
 			director.learnView(envelope.GetViewNews().View)
 		},
 	}
--- a/edge/director/receive_fuzz_test.go
+++ b/edge/director/receive_fuzz_test.go
@@ -30,23 +30,26 @@
 		for _, registered := range []bool{false, true} {
 			director := New(begun, Startup{Address: "d0", Zone: "a", Seeds: []string{"127.0.0.1:1"}, Registered: registered}, rand.New(rand.NewSource(1)))
 			director.Receive(begun, document(t, 3))
-			now := begun
-			for reader := bufio.NewReader(bytes.NewReader(content)); ; {
-				envelope, _, err := frame.Decode(reader)
-				if err == nil {
-					director.Receive(now, envelope)
-				}
-				now = now.Add(100 * time.Millisecond)
-				director.Tick(now)
-				for _, parcel := range director.Drain() {
-					if _, err := frame.Encode(parcel.Envelope); err != nil {
-						t.Fatal(err)
-					}
-				}
-				if err != nil {
-					break
-				}
-			}
+			receiveAll(t, director, content)
 		}
 	})
 }
+
+// receiveAll lets a daemon receive all frames of a stream, and tick after each and at the end.
+func receiveAll(t *testing.T, director *Director, content []byte) {
+	t.Helper()
+	now, reader := begun, bufio.NewReader(bytes.NewReader(content))
+	for whole := true; whole; {
+		envelope, _, err := frame.Decode(reader)
+		if whole = err == nil; whole {
+			director.Receive(now, envelope)
+		}
+		now = now.Add(100 * time.Millisecond)
+		director.Tick(now)
+		for _, parcel := range director.Drain() {
+			if _, err := frame.Encode(parcel.Envelope); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
