request: reader of streams, prices of offers and scripted runners in named steps

Changed tests: course_test's scripted runner takes its next step by the atomic counter alone (the channel around it did nothing more); draws of stream_test come in the same order; the checks of verdicts are a table.

--- a/request/award/award_test.go
+++ b/request/award/award_test.go
@@ -200,17 +200,15 @@
 	for _, end := range []End{NotSent, PutBack, Doubt, Broken} {
 		for _, repeatable := range []bool{false, true} {
 			verdict := After(end, repeatable)
-			if verdict.Otherwise == "" || verdict.Ran == "" {
-				t.Errorf("%s, %v: no verdict", end, repeatable)
-			}
-			if verdict.Again && (end == Broken || end == Doubt && !repeatable) {
-				t.Errorf("%s, %v: passed again", end, repeatable)
-			}
-			if verdict.Again && end != NotSent && !verdict.Spends {
-				t.Errorf("%s, %v: repeats without budget", end, repeatable)
-			}
-			if (end == Doubt || end == Broken) && verdict.Ran != Unknown {
-				t.Errorf("%s, %v: told as sure", end, repeatable)
+			for flaw, found := range map[string]bool{
+				"no verdict":             verdict.Otherwise == "" || verdict.Ran == "",
+				"passed again":           verdict.Again && (end == Broken || end == Doubt && !repeatable),
+				"repeats without budget": verdict.Again && end != NotSent && !verdict.Spends,
+				"told as sure":           (end == Doubt || end == Broken) && verdict.Ran != Unknown,
+			} {
+				if found {
+					t.Errorf("%s, %v: %s", end, repeatable, flaw)
+				}
 			}
 		}
 	}
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -234,7 +234,7 @@
 
 // Comeback reckons when another try may find a place: when the first runner that this request may use is
 // no longer left alone, and the waitlist's turn has come by the learned time that places are held.
-func (desk *Desk) Comeback(now time.Time, ticket *Ticket) time.Duration {
+func (desk *Desk) Comeback(now time.Time, _ *Ticket) time.Duration {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	market := desk.market(now)
--- a/request/award/outlook.go
+++ b/request/award/outlook.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"wardtray/process/kvblock"
 	"wardtray/process/pressure"
 )
 
@@ -142,16 +143,11 @@
 
 // offers fills in what each runner means for one prompt.
 func (desk *Desk) offers(now time.Time, ticket *Ticket, market *Market) []Offer {
-	forecast, bid := desk.forecast, ticket.Bid
 	if ticket.Bid.Patience > 0 {
 		desk.patiences[ticket.Lane] = ticket.Bid.Patience
 	}
-	shared := 0
-	for _, tokens := range ticket.PartTokens[:max(0, len(ticket.PartTokens)-1)] {
-		shared += tokens
-	}
-	work := forecast.speeds.Prefill(bid.PromptTokens, shared)
-	long := desk.long(work)
+	shared := ticket.sharedTokens()
+	long := desk.long(desk.forecast.speeds.Prefill(ticket.Bid.PromptTokens, shared))
 	priced := make([]Offer, len(market.Offers))
 	copy(priced, market.Offers)
 	var group []pressure.Runner
@@ -163,63 +159,87 @@
 		}
 	}
 	held := desk.indexer.Held(ticket.Keys, set)
-	chances := map[string]float64{}
-	if shared > 0 && market.Daemons > 1 {
-		opening := home(ticket.Keys)
-		homes := 1 + int(spread*forecast.openingPart(opening)*float64(len(group)))
-		if len(group) > 0 {
-			// A daemon can't see that others send the same. Even if each sends one at once, homes have places.
-			each := market.Daemons / Places(group[0])
-			if forecast.seen < newcomer {
-				// Daemons that begin together send the first of several openings at once.
-				each = 2 * market.Daemons / Places(group[0])
-			}
-			homes = max(homes, each)
-		}
-		for place, id := range rank(group, uint64(opening)) {
-			if place < homes {
-				chances[id] = homeChance
-			} else if place == homes {
-				chances[id] = spillChance
-			}
-		}
-	}
+	chances := desk.homeChances(ticket, market, group, shared)
 	for place := range priced {
 		offer := &priced[place]
 		offer.SharedTokens = shared
 		if hold, found := held[offer.ID]; found {
-			for _, tokens := range ticket.PartTokens[:min(hold.Blocks, len(ticket.PartTokens))] {
-				offer.HeldTokens += tokens
-			}
-			offer.Chance = indexChance
-			if market.Kept > 0 {
-				offer.Chance *= math.Exp(-float64(now.Sub(hold.Used)) / float64(market.Kept))
-			}
+			offer.expect(now, hold, ticket.PartTokens, market.Kept)
 		}
 		if chance := chances[offer.ID]; chance*float64(shared) > offer.Chance*float64(offer.HeldTokens) {
 			offer.HeldTokens, offer.Chance = shared, chance
 		}
-		track := forecast.track(offer.ID)
-		slow := track.slowness(now)
-		whole, less := forecast.speeds.Prefill(bid.PromptTokens, 0), forecast.speeds.Prefill(bid.PromptTokens, offer.HeldTokens)
-		offer.Prefill = (forecast.speeds.Overhead + whole - offer.Chance*(whole-less)) * slow
-		usual, each, pace := market.Usual, market.Each, market.Pace
-		if market.Long[offer.ID] {
-			usual, each, pace = market.UsualLong, market.EachLong, 0
-		}
-		offer.Wait = forecast.own(now, offer.ID)*slow + forecast.others(now, offer.Runner, usual, each)*slow
-		offer.Coming = market.coming(desk.inFlight, offer.Runner)
-		offer.Harm = pace * offer.Prefill * offer.Prefill / 2
+		desk.predict(now, offer, ticket.Bid.PromptTokens, market)
 	}
 	return priced
 }
 
-// note takes in that a prompt goes out to a runner.
-func (desk *Desk) note(now time.Time, ticket *Ticket, step Step) {
+// sharedTokens counts the tokens of all parts of a prompt but the last, which is its own.
+func (ticket *Ticket) sharedTokens() int {
 	shared := 0
 	for _, tokens := range ticket.PartTokens[:max(0, len(ticket.PartTokens)-1)] {
 		shared += tokens
 	}
+	return shared
+}
+
+// homeChances gives for some runners of a group how likely they hold a prompt's opening because it goes there, whoever
+// sends it.
+func (desk *Desk) homeChances(ticket *Ticket, market *Market, group []pressure.Runner, shared int) map[string]float64 {
+	chances := map[string]float64{}
+	if shared == 0 || market.Daemons <= 1 {
+		return chances
+	}
+	opening := home(ticket.Keys)
+	homes := 1 + int(spread*desk.forecast.openingPart(opening)*float64(len(group)))
+	if len(group) > 0 {
+		// A daemon can't see that others send the same. Even if each sends one at once, homes have places.
+		each := market.Daemons / Places(group[0])
+		if desk.forecast.seen < newcomer {
+			// Daemons that begin together send the first of several openings at once.
+			each = 2 * market.Daemons / Places(group[0])
+		}
+		homes = max(homes, each)
+	}
+	for place, id := range rank(group, uint64(opening)) {
+		if place < homes {
+			chances[id] = homeChance
+		} else if place == homes {
+			chances[id] = spillChance
+		}
+	}
+	return chances
+}
+
+// expect fills in what the index says that a runner holds of a prompt; kept is how long runners keep a part.
+func (offer *Offer) expect(now time.Time, hold kvblock.Hold, partTokens []int, kept time.Duration) {
+	for _, tokens := range partTokens[:min(hold.Blocks, len(partTokens))] {
+		offer.HeldTokens += tokens
+	}
+	offer.Chance = indexChance
+	if kept > 0 {
+		offer.Chance *= math.Exp(-float64(now.Sub(hold.Used)) / float64(kept))
+	}
+}
+
+// predict fills in how long a runner would read a prompt and let it wait, and what that does to others.
+func (desk *Desk) predict(now time.Time, offer *Offer, promptTokens int, market *Market) {
+	forecast := desk.forecast
+	slow := forecast.track(offer.ID).slowness(now)
+	whole, less := forecast.speeds.Prefill(promptTokens, 0), forecast.speeds.Prefill(promptTokens, offer.HeldTokens)
+	offer.Prefill = (forecast.speeds.Overhead + whole - offer.Chance*(whole-less)) * slow
+	usual, each, pace := market.Usual, market.Each, market.Pace
+	if market.Long[offer.ID] {
+		usual, each, pace = market.UsualLong, market.EachLong, 0
+	}
+	offer.Wait = forecast.own(now, offer.ID)*slow + forecast.others(now, offer.Runner, usual, each)*slow
+	offer.Coming = market.coming(desk.inFlight, offer.Runner)
+	offer.Harm = pace * offer.Prefill * offer.Prefill / 2
+}
+
+// note takes in that a prompt goes out to a runner.
+func (desk *Desk) note(now time.Time, ticket *Ticket, step Step) {
+	shared := ticket.sharedTokens()
 	work := desk.forecast.speeds.Prefill(ticket.Bid.PromptTokens, min(step.HeldTokens, ticket.Bid.PromptTokens))
 	if !ticket.counted {
 		ticket.counted = true
--- a/request/course/answers_test.go
+++ b/request/course/answers_test.go
@@ -23,8 +23,8 @@
 // zone of a request that must run at most once.
 func frozen(house *house, length time.Duration, meanwhile func()) {
 	var slept atomic.Int64
-	real := house.World.Now
-	house.World.Now = func() time.Time { return real().Add(time.Duration(slept.Load())) }
+	clock := house.World.Now
+	house.World.Now = func() time.Time { return clock().Add(time.Duration(slept.Load())) }
 	house.Tell = func(_ once.Key, dropped bool) {
 		if !dropped && slept.Load() == 0 {
 			slept.Store(int64(length))
--- a/request/course/course_test.go
+++ b/request/course/course_test.go
@@ -56,7 +56,7 @@
 
 // events begins a stream and sends so many events; last is written as it is.
 func events(count int, last string, whole bool) func(connection net.Conn, request *http.Request) {
-	return func(connection net.Conn, request *http.Request) {
+	return func(connection net.Conn, _ *http.Request) {
 		text := ""
 		for number := 1; number <= count; number++ {
 			text += fmt.Sprintf("id: %d\nevent: token\ndata: {\"run\":\"x\"}\n\n", number)
@@ -75,11 +75,11 @@
 	return fmt.Sprintf("id: %d\nevent: done\ndata: {\"events\":%d}\n\n", count+1, count)
 }
 
-func putsBack(connection net.Conn, request *http.Request) {
+func putsBack(connection net.Conn, _ *http.Request) {
 	respond(connection, 503, `{"started":false}`)
 }
-func fails(connection net.Conn, request *http.Request)   { respond(connection, 500, `{"oh":"no"}`) }
-func hangsUp(connection net.Conn, request *http.Request) { _ = connection.Close() }
+func fails(connection net.Conn, _ *http.Request)   { respond(connection, 500, `{"oh":"no"}`) }
+func hangsUp(connection net.Conn, _ *http.Request) { _ = connection.Close() }
 
 func start(t *testing.T, id string, script ...func(net.Conn, *http.Request)) *scripted {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -88,38 +88,37 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	runner := &scripted{id: id, address: listener.Addr().String(), script: script}
-	turns := make(chan struct{}, 1)
-	turns <- struct{}{}
 	go func() {
 		for {
 			connection, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer connection.Close()
-				reader := bufio.NewReader(connection)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if request.URL.Path == "/identity" {
-						respond(connection, 200, fmt.Sprintf(`{"runner_id":%q,"service":"s","model":"m","weights":"w"}`, id))
-						continue
-					}
-					<-turns
-					step := runner.script[min(int(runner.reached.Add(1))-1, len(runner.script)-1)]
-					turns <- struct{}{}
-					step(connection, request)
-				}
-			}()
+			go runner.serve(connection)
 		}
 	}()
 	return runner
 }
 
+// serve answers what comes over one connection: the identity as it is, all else by the script.
+func (runner *scripted) serve(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if request.URL.Path == "/identity" {
+			respond(connection, 200, fmt.Sprintf(`{"runner_id":%q,"service":"s","model":"m","weights":"w"}`, runner.id))
+			continue
+		}
+		step := runner.script[min(int(runner.reached.Add(1))-1, len(runner.script)-1)]
+		step(connection, request)
+	}
+}
+
 // house is a daemon's request side over scripted runners.
 type house struct {
 	*Yard
@@ -153,7 +152,7 @@
 	desk := award.NewDesk(func(now time.Time) award.Field { return award.Field{Runners: book.All(now, daemons()), Daemons: 1} }, book, indexer, rand.New(rand.NewSource(1)))
 	made.Yard = &Yard{Name: "d", Zone: "a", Snapshot: func() *director.Snapshot { return made.snapshot }, Daemons: daemons, Book: book,
 		World: seam.Real(nil), Renewed: func() <-chan struct{} { return nil }, Await: func(steps <-chan award.Step) award.Step { return <-steps },
-		Once: once.New(), Tell: func(key once.Key, dropped bool) { made.told = append(made.told, dropped) },
+		Once: once.New(), Tell: func(_ once.Key, dropped bool) { made.told = append(made.told, dropped) },
 		Indexer: indexer, Links: link.New(seam.Real(nil), speech.Own{}.Identity()), Speech: speech.Own{}, Tally: tally.New(), Desk: func(string) *award.Desk { return desk }}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -305,7 +304,7 @@
 		}
 	}
 	text := `{"zones":[{"name":"a","closed":%v}],"pools":[{"name":"p","model":"m","weights":%q,"services":[%q]}],"lanes":[{"name":"once","pool":"p","worth":1,"patience":"2s","purse":1,"repeatable":false}]}`
-	for name, break_ := range map[string]func(house *house){
+	for name, disturb := range map[string]func(house *house){
 		"stale spec":   func(house *house) { house.snapshot = &director.Snapshot{SpecEpoch: 1, Book: house.snapshot.Book} },
 		"closed zone":  change(fmt.Sprintf(text, true, "w", "s")),
 		"other serves": change(fmt.Sprintf(text, false, "w", "t")),
@@ -321,7 +320,7 @@
 			request: &intake.Request{Lane: "once", Model: "m"}, desk: house.Desk("p"), ticket: &award.Ticket{Lane: "once"}}
 		course.step = award.Step{Kind: award.Pass, Runner: pressure.Runner{ID: "r1", Address: runner.address}}
 		course.to(passing)
-		break_(house)
+		disturb(house)
 		if end := course.pass(); end != award.NotSent || runner.reached.Load() != 0 {
 			t.Errorf("%s: %q, the runner saw %d", name, end, runner.reached.Load())
 		}
--- a/request/course/resume_test.go
+++ b/request/course/resume_test.go
@@ -41,7 +41,7 @@
 }
 
 // plainly answers with a success that is no stream.
-func plainly(connection net.Conn, request *http.Request) { respond(connection, 200, "all of it") }
+func plainly(connection net.Conn, _ *http.Request) { respond(connection, 200, "all of it") }
 
 // ids gives the ids of a stream's events in order.
 func ids(body string) string {
@@ -130,8 +130,8 @@
 
 // The lane's deadline and the requester's, the sooner of the two, end whatever is waited for.
 func TestDeadlineEndsEveryWait(t *testing.T) {
-	silent := func(connection net.Conn, request *http.Request) { _, _ = io.Copy(io.Discard, connection) }
-	stalls := func(connection net.Conn, request *http.Request) {
+	silent := func(connection net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, connection) }
+	stalls := func(connection net.Conn, _ *http.Request) {
 		text := "id: 1\nevent: token\ndata: {}\n\n"
 		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
 		_, _ = io.Copy(io.Discard, connection)
@@ -206,7 +206,7 @@
 	house.snapshot = sure
 	var terms []seam.Terms
 	world := seam.Real(nil)
-	world.Dial = func(address string, given seam.Terms) (seam.Conn, error) {
+	world.Dial = func(_ string, given seam.Terms) (seam.Conn, error) {
 		terms = append(terms, given)
 		return nil, io.ErrClosedPipe
 	}
--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -94,50 +94,78 @@
 		}
 		return Event{}, io.EOF
 	}
+	event, err := reader.read()
+	if err != nil {
+		return Event{}, err
+	}
+	// A comment, or a line of the runner's own, is passed on and counts for nothing. What follows the last blank line
+	// belongs to the body and is passed on with it, in its order.
+	if !reader.rules.Counted && (event.id == nil || !reader.ended && event.empty()) {
+		event.ID = reader.last
+		return event, nil
+	}
+	return reader.numbered(event)
+}
+
+// read takes lines up to the blank one that ends an event, or to the end of a body that may end so.
+func (reader *Reader) read() (Event, error) {
 	event := Event{}
 	for {
-		begun := len(event.Raw)
-		raw, err := reader.line(event.Raw)
-		event.Raw = raw
-		if err == io.EOF && !reader.rules.Counted {
-			reader.ended = true
-			if len(event.Raw) == 0 {
-				return Event{}, io.EOF
-			}
-			// What follows the last blank line belongs to the body and is passed on with it, in its order.
-			break
+		line, err := reader.takeLine(&event)
+		if err != nil || reader.ended {
+			return event, err
 		}
-		if err != nil {
-			return Event{}, fault.Wrap(err, fault.RunFailed, "the stream broke off after event %d", reader.last)
+		if len(line) > 0 {
+			event.add(line)
+			continue
 		}
-		if len(event.Raw) > MaximumEvent {
-			return Event{}, fault.New(fault.RunFailed, "an event of more than %d bytes", MaximumEvent)
+		if !reader.rules.Counted || !event.empty() {
+			return event, nil
 		}
-		line := bytes.TrimRight(raw[begun:], "\r\n")
-		if len(line) == 0 {
-			if len(event.id) == 0 && event.Name == "" && event.Data == nil {
-				if reader.rules.Counted {
-					event.Raw = nil
-					continue
-				}
-				// A comment, or a line of the runner's own, is passed on and counts for nothing.
-				event.ID = reader.last
-				return event, nil
-			}
-			break
-		}
-		name, value, told := bytes.Cut(line, colon)
-		if !told {
-			value = []byte{}
-		}
-		if take := fields[string(name)]; take != nil {
-			take(&event, bytes.TrimPrefix(value, blank))
+		event.Raw = nil
+	}
+}
+
+// takeLine adds the next line to an event's own bytes and gives it without its end. Where the end of the body is the end
+// of the run, it marks the reader as ended, and gives io.EOF if the event has no bytes.
+func (reader *Reader) takeLine(event *Event) ([]byte, error) {
+	begun := len(event.Raw)
+	raw, err := reader.line(event.Raw)
+	event.Raw = raw
+	if err == io.EOF && !reader.rules.Counted {
+		reader.ended = true
+		if len(event.Raw) == 0 {
+			return nil, io.EOF
 		}
+		return nil, nil
 	}
-	if event.id == nil && !reader.rules.Counted {
-		event.ID = reader.last
-		return event, nil
+	if err != nil {
+		return nil, fault.Wrap(err, fault.RunFailed, "the stream broke off after event %d", reader.last)
+	}
+	if len(event.Raw) > MaximumEvent {
+		return nil, fault.New(fault.RunFailed, "an event of more than %d bytes", MaximumEvent)
+	}
+	return bytes.TrimRight(raw[begun:], "\r\n"), nil
+}
+
+// add takes in one line of an event.
+func (event *Event) add(line []byte) {
+	name, value, told := bytes.Cut(line, colon)
+	if !told {
+		value = []byte{}
 	}
+	if take := fields[string(name)]; take != nil {
+		take(event, bytes.TrimPrefix(value, blank))
+	}
+}
+
+// empty tells whether no line of an event has said anything.
+func (event *Event) empty() bool {
+	return len(event.id) == 0 && event.Name == "" && event.Data == nil
+}
+
+// numbered holds an event to the order of ids.
+func (reader *Reader) numbered(event Event) (Event, error) {
 	number, err := strconv.Atoi(string(event.id))
 	if err != nil || number <= reader.last || reader.rules.Counted && number != reader.last+1 {
 		return Event{}, fault.New(fault.RunFailed, "event %q follows event %d", event.id, reader.last)
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -69,6 +69,38 @@
 	return true
 }
 
+// properLines draws the lines of a proper event.
+func properLines(random *rand.Rand, counted bool, id int) []string {
+	lines := []string{fmt.Sprint("id: ", id), "data: " + strings.Repeat("x", random.Intn(40))}
+	if counted || random.Intn(2) == 0 {
+		lines = append(lines, "event: token")
+	}
+	if random.Intn(20) == 0 {
+		lines = append(lines, "data: "+strings.Repeat("long ", 4000))
+	}
+	if !counted && random.Intn(5) == 0 {
+		lines = append(lines, ": a comment", "weight-versions: 3")
+	}
+	return lines
+}
+
+// spoilt draws what may be wrong with an event's lines.
+func spoilt(random *rand.Rand, id int, lines []string) []string {
+	odd := []func() []string{
+		func() []string { return nil },
+		func() []string { return lines[1:] },
+		func() []string { return []string{": nothing"} },
+		func() []string { return append([]string{fmt.Sprint("id: ", id-random.Intn(4))}, lines[1:]...) },
+		func() []string {
+			first := []string{"id: x", "id:", "id", "id: -1", "id: 99999999999999999999"}[random.Intn(5)]
+			return append([]string{first}, lines[1:]...)
+		},
+		func() []string { return append(lines, "event: other") },
+		func() []string { return append(lines, "\x00\xff") },
+	}
+	return odd[random.Intn(len(odd))]()
+}
+
 // written draws the text of a run: mostly proper events with rising ids, and now and then whatever else may come.
 func written(random *rand.Rand, counted, proper bool) string {
 	text, id := &strings.Builder{}, 0
@@ -79,29 +111,9 @@
 		if !counted {
 			id += random.Intn(3)
 		}
-		lines := []string{fmt.Sprint("id: ", id), "data: " + strings.Repeat("x", random.Intn(40))}
-		if counted || random.Intn(2) == 0 {
-			lines = append(lines, "event: token")
-		}
-		if random.Intn(20) == 0 {
-			lines = append(lines, "data: "+strings.Repeat("long ", 4000))
-		}
-		if !counted && random.Intn(5) == 0 {
-			lines = append(lines, ": a comment", "weight-versions: 3")
-		}
-		odd := []func(){
-			func() { lines = nil },
-			func() { lines = lines[1:] },
-			func() { lines = []string{": nothing"} },
-			func() { lines[0] = fmt.Sprint("id: ", id-random.Intn(4)) },
-			func() {
-				lines[0] = []string{"id: x", "id:", "id", "id: -1", "id: 99999999999999999999"}[random.Intn(5)]
-			},
-			func() { lines = append(lines, "event: other") },
-			func() { lines = append(lines, "\x00\xff") },
-		}
+		lines := properLines(random, counted, id)
 		if !proper && random.Intn(4) == 0 {
-			odd[random.Intn(len(odd))]()
+			lines = spoilt(random, id, lines)
 		}
 		text.WriteString(strings.Join(lines, ending))
 		text.WriteString(ending + ending)
