--- a/transport/frame/frame_fuzz_test.go
+++ b/transport/frame/frame_fuzz_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wardtray/process/fault"
+	"wardtray/wire"
 	"wardtray/wire/wiretest"
 )
 
@@ -39,14 +40,20 @@
 			if taken += size; size < header || taken > len(content) {
 				t.Fatalf("%d bytes were read of %d", taken, len(content))
 			}
-			again, err := Encode(envelope)
-			if err != nil {
-				t.Fatal(err)
-			}
-			second, _, err := Decode(bufio.NewReader(bytes.NewReader(again)))
-			if err != nil || !proto.Equal(envelope, second) {
-				t.Fatalf("%v is read back as %v: %v", envelope, second, err)
-			}
+			requireReadBack(t, envelope)
 		}
 	})
 }
+
+// requireReadBack wants a message to be read again from its own encoding.
+func requireReadBack(t *testing.T, envelope *wire.Envelope) {
+	t.Helper()
+	again, err := Encode(envelope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, _, err := Decode(bufio.NewReader(bytes.NewReader(again)))
+	if err != nil || !proto.Equal(envelope, second) {
+		t.Fatalf("%v is read back as %v: %v", envelope, second, err)
+	}
+}
