--- a/proof/sim/control_days.go
+++ b/proof/sim/control_days.go
@@ -353,12 +353,12 @@
 		return world.Heal
 	}),
 	"a member's disk replaced": manyChangeDay(func(world *World, host *Host) func() { world.Wipe(host); return reboot(world, host) }),
-	"a disk full": manyChangeDay(func(world *World, host *Host) func() {
+	"a disk full": manyChangeDay(func(_ *World, host *Host) func() {
 		full := host.disk
 		full.full = true
 		return func() { full.full = false }
 	}),
-	"a disk slow": manyChangeDay(func(world *World, host *Host) func() {
+	"a disk slow": manyChangeDay(func(_ *World, host *Host) func() {
 		host.slow = 300 * time.Millisecond
 		return func() { host.slow = 0 }
 	}),
@@ -366,7 +366,7 @@
 		host.stalled = true
 		return func() { host.stalled = false; world.write(host) }
 	}),
-	"restarts": manyChangeDay(func(world *World, host *Host) func() {
+	"restarts": manyChangeDay(func(world *World, _ *Host) func() {
 		return world.restart(append(world.Cores(), world.Datas()...))
 	}),
 }
--- a/proof/sim/racers.go
+++ b/proof/sim/racers.go
@@ -97,11 +97,11 @@
 // over tells whether nothing more is done about an order.
 func (racers *Racers) over(raced *racedOrder) bool {
 	world := racers.world
-	clear := raced.order.Outcome != "unknown"
-	if clear && world.random.Float64() >= racers.LostAnswers {
+	answered := raced.order.Outcome != "unknown"
+	if answered && world.random.Float64() >= racers.LostAnswers {
 		return true
 	}
-	if clear {
+	if answered {
 		// The answer is lost: the operator hears nothing, now or later, of this try.
 		raced.order = &Order{Operation: raced.order.Operation, Outcome: "unknown", Sent: raced.order.Sent}
 	}
