--- a/control/registry/book.go
+++ b/control/registry/book.go
@@ -191,8 +191,9 @@
 	}
 	for _, id := range book.ids() {
 		held, version := book.entries[id], theirs[id]
-		// Of runners that are gone nobody needs to learn who never knew them.
-		if version == nil && live[held.line.State] || version != nil && order(held.line.State, held.line.Call, version.State, version.Call) > 0 {
+		// Of runners that are gone nobody needs to learn who never knew them, but for a process that begins: it could
+		// be told of them as live by one that missed their end.
+		if version == nil && (live[held.line.State] || len(digest.Versions) == 0) || version != nil && order(held.line.State, held.line.Call, version.State, version.Call) > 0 {
 			news = append(news, book.told(now, held))
 		}
 	}
