--- a/control/core/acknowledgement.go
+++ b/control/core/acknowledgement.go
@@ -85,28 +85,20 @@
 // allDaemonsKnow tells whether every daemon that may hold a lease knows a sequence, or has ended since it was committed.
 func (node *Node) allDaemonsKnow(document *wire.Document, sequence uint64) bool {
 	committed, found := node.head.commits[sequence]
-	if !found {
-		return false
-	}
-	for _, directory := range [][]*wire.Member{document.Directory, document.FormerDirectory} {
-		for _, member := range directory {
-			if !node.harmless(member.Address, sequence, committed) {
-				return false
-			}
-		}
-	}
-	return true
+	return found && node.allHarmless(document, sequence, committed)
 }
 
 // formerLeasesOver tells whether no lease of the head before this one can run at a daemon that does not know a
 // sequence. It may have granted one to anybody in the directory, or in the one before, until this reign began.
 func (node *Node) formerLeasesOver(now time.Time, document *wire.Document, sequence uint64) bool {
-	if now.Sub(node.head.begun) >= node.leaseLength() {
-		return true
-	}
+	return now.Sub(node.head.begun) >= node.leaseLength() || node.allHarmless(document, sequence, node.head.begun)
+}
+
+// allHarmless tells whether every daemon of a document's directory, and of the one before, is harmless.
+func (node *Node) allHarmless(document *wire.Document, sequence uint64, since time.Time) bool {
 	for _, directory := range [][]*wire.Member{document.Directory, document.FormerDirectory} {
 		for _, member := range directory {
-			if !node.harmless(member.Address, sequence, node.head.begun) {
+			if !node.harmless(member.Address, sequence, since) {
 				return false
 			}
 		}
--- a/control/core/confirmation.go
+++ b/control/core/confirmation.go
@@ -36,7 +36,7 @@
 // view so ends when the next one is chosen.
 func (node *Node) confirms(now time.Time, daemon string, message *wire.TickAsk) bool {
 	current := node.agent.Current()
-	if !holds(node.directory(), daemon) || message.View != current.Epoch || node.agent.Newest().Epoch != current.Epoch || node.agent.Voted() || !keeps(current, node.self.Id) {
+	if !node.inDirectory(node.newestDirectory(), daemon) || message.View != current.Epoch || node.agent.Newest().Epoch != current.Epoch || node.agent.Voted() || !keeps(current, node.self.Id) {
 		node.witness.Heard(daemon, message.Sequence)
 		return false
 	}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -34,7 +34,7 @@
 	Founding bool
 	// Faults is how many machines may lose their disks at the same time; 1 if not told.
 	Faults int
-	// Staleness is for how long a data daemon may rely on a tick; 0 stands for the usual.
+	// Staleness is for how long a data daemon may rely on a lease; 0 stands for what the limits allow.
 	Staleness time.Duration
 	// Limits are the times that the platform grants; zero ones stand for the usual.
 	Limits Limits
@@ -114,7 +114,7 @@
 	memory = proto.Clone(memory).(*wire.Memory)
 	startup.Faults = max(1, startup.Faults)
 	if startup.Staleness == 0 {
-		startup.Staleness = Staleness
+		startup.Staleness = BoundsFor(startup.Limits).DaemonLease
 	}
 	for _, record := range records {
 		Replay(memory, record)
--- a/control/core/registry.go
+++ b/control/core/registry.go
@@ -59,21 +59,25 @@
 	return addresses
 }
 
-// directory gives the newest directory that this machine knows, from its own history or from a rumor.
-func (node *Node) directory() []*wire.Member {
+// directory gives the daemons of the newest directory that this machine knows.
+func (node *Node) directory() []*wire.Member { return node.newestDirectory().Directory }
+
+// newestDirectory gives the newest document that this machine knows of, from its own history or from a rumor; of one that
+// a rumor brought it holds the sequence and the directory alone.
+func (node *Node) newestDirectory() *wire.Document {
 	document := node.chain.Committed()
 	register := node.rumors.Get(DocumentKey)
 	if register == nil || register.Epoch <= document.Sequence {
-		return document.Directory
+		return document
 	}
 	if node.rumored.Sequence != register.Epoch {
 		carried := &wire.Document{}
 		if proto.Unmarshal(register.Value, carried) != nil {
-			return document.Directory
+			return document
 		}
 		node.rumored = &wire.Document{Sequence: register.Epoch, Directory: carried.Directory}
 	}
-	return node.rumored.Directory
+	return node.rumored
 }
 
 // joined tells whether this machine hears most of the chain and the keepers, itself among them.
--- a/control/corehost/host.go
+++ b/control/corehost/host.go
@@ -83,7 +83,7 @@
 		log.Warn("the time limits are too short to be kept after every loss", "cause", err.Error())
 	}
 	host.node = core.New(time.Now(), core.Startup{Limits: limits, Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone,
-		Seeds: startup.Seeds, Founders: startup.Founders, Founding: !startup.Joins, Faults: startup.Faults, Beat: startup.BeatTime(), Staleness: core.StalenessFor(startup.ApplyTime())}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
+		Seeds: startup.Seeds, Founders: startup.Founders, Founding: !startup.Joins, Faults: startup.Faults, Beat: startup.BeatTime()}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
 		host.step(func(now time.Time) { host.node.Receive(now, envelope) })
 	}, func(address string, tried time.Time) {
--- a/edge/director/lease.go
+++ b/edge/director/lease.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -139,12 +141,7 @@
 		director.unanswered++
 		director.addCores(targets)
 	}
-	addresses := make([]string, 0, len(targets))
-	for address := range targets {
-		addresses = append(addresses, address)
-	}
-	sort.Strings(addresses)
-	director.askTicks(now, addresses)
+	director.askTicks(now, slices.Sorted(maps.Keys(targets)))
 }
 
 // askPace is how often the head, or all who may know it, are asked.
