Calls whose callers have left: dropped where read behind the close, reads forgotten when nobody waits

A call of an operator or a runner that a core machine read behind its caller's close, as after a freeze, was carried out; a runner that had called elsewhere and crashed seemed heard of anew. A read of the configuration kept one of the 256 places that all operators' questions share for up to 6 s after its operator had left or had been told 504.

Ruled out: dropping changes that wait. Their operators send them again, and are helped by what came of them. Dropping word that a runner leaves: it is true whenever it is read.

Change: control/corehost looks at the caller's connection before it acts, ends the wait of a read with its operator, and core.Node forgets a read that is abandoned. Status tells how many questions wait.

--- a/control/core/operator.go
+++ b/control/core/operator.go
@@ -41,7 +41,8 @@
 	Spec      json.RawMessage `json:"spec,omitempty"`
 }
 
-func (reply Reply) encode() []byte {
+// Encode gives a reply as it is written.
+func (reply Reply) Encode() []byte {
 	content, err := json.Marshal(reply)
 	if err != nil {
 		panic(err) // Only a spec that is no JSON could fail here, and none is ever stored.
@@ -54,17 +55,26 @@
 		Remedy: (&fault.Fault{Kind: kind}).Remedy()}
 }
 
-// Ask takes an operator's question; answer is called once.
-func (node *Node) Ask(now time.Time, message *wire.OperatorAsk, answer func(status int, body []byte)) {
+// Ask takes an operator's question; answer is called once. The token is that of Abandon; empty: it was answered at once.
+func (node *Node) Ask(now time.Time, message *wire.OperatorAsk, answer func(status int, body []byte)) (token string) {
 	if len(node.asks) >= maximumAsks {
-		answer(503, refusal(fault.Busy, 0, message.Operation, "too many questions wait here").encode())
-		return
+		answer(503, refusal(fault.Busy, 0, message.Operation, "too many questions wait here").Encode())
+		return ""
 	}
 	node.nonce++
 	message.Token = fmt.Sprintf("%s/%x/%d", node.self.Id, node.life, node.nonce)
 	message.Origin = node.self.Address
 	node.asks[message.Token] = &ask{message: message, answer: answer, until: now.Add(askBound), passed: map[string]bool{}}
 	node.tendAsks(now)
+	return message.Token
+}
+
+// Abandon forgets a question whose operator waits no more, without an answer, so that it takes no place from others'. A
+// change goes on: its operator sends it again, here or elsewhere, and is helped by whatever has come of it meanwhile.
+func (node *Node) Abandon(token string) {
+	if open := node.asks[token]; open != nil && !writes(open.message) {
+		delete(node.asks, token)
+	}
 }
 
 // tendAsks sends each open question to whoever must answer it, again where that may have failed.
@@ -109,10 +119,10 @@
 		node.counters.Unknown++
 		reply := refusal(fault.OutcomeUnknown, 0, open.message.Operation, "no answer in time; ask with: wtctl operation "+open.message.Operation)
 		reply.Outcome = "unknown"
-		node.finish(open.message.Token, 504, reply.encode())
+		node.finish(open.message.Token, 504, reply.Encode())
 		return
 	}
-	node.finish(open.message.Token, 503, refusal(fault.NoMajority, 0, open.message.Operation, "the chain gave no answer in time").encode())
+	node.finish(open.message.Token, 503, refusal(fault.NoMajority, 0, open.message.Operation, "the chain gave no answer in time").Encode())
 }
 
 func (node *Node) finish(token string, status int, body []byte) {
@@ -148,11 +158,11 @@
 // reply sends an answer to where the question came in.
 func (node *Node) reply(message *wire.OperatorAsk, status int, reply Reply) {
 	if message.Origin == node.self.Address {
-		node.finish(message.Token, status, reply.encode())
+		node.finish(message.Token, status, reply.Encode())
 		return
 	}
 	node.outbox.Send(message.Origin, &wire.Envelope{Body: &wire.Envelope_OperatorAnswer{OperatorAnswer: &wire.OperatorAnswer{
-		Token: message.Token, Status: uint32(status), Body: reply.encode()}}})
+		Token: message.Token, Status: uint32(status), Body: reply.Encode()}}})
 }
 
 // serve answers as head or tail; whoever is neither stays silent, and the asker tries again.
--- a/control/core/status.go
+++ b/control/core/status.go
@@ -20,9 +20,11 @@
 	Committed uint64         `json:"committed"`
 	Epoch     uint64         `json:"epoch"`
 	Pending   int            `json:"pending"`
-	Claim     bool           `json:"claim"`
-	Leading   bool           `json:"leading"`
-	Sick      bool           `json:"sick"`
+	// Asks is how many questions of operators wait for an answer here.
+	Asks    int  `json:"asks"`
+	Claim   bool `json:"claim"`
+	Leading bool `json:"leading"`
+	Sick    bool `json:"sick"`
 	// Runners counts the runners' calls.
 	Runners registry.Counters `json:"runners"`
 	// Warnings name what the fleet can no longer bear to lose.
@@ -44,7 +46,7 @@
 func (node *Node) Status(now time.Time) Status {
 	current, document := node.agent.Current(), node.chain.Committed()
 	status := Status{ID: node.self.Id, View: current.Epoch, Fleet: current.Fleet, Place: node.placeName(), Synced: node.chain.Synced(),
-		Committed: document.Sequence, Epoch: document.SpecEpoch, Pending: len(node.chain.Pending()),
+		Committed: document.Sequence, Epoch: document.SpecEpoch, Pending: len(node.chain.Pending()), Asks: len(node.asks),
 		Claim: node.holder.Valid(now, current.Epoch), Leading: node.leading(now), Sick: node.sick(now), Runners: node.registrar.Counters()}
 	for _, member := range current.Chain {
 		line := MemberStatus{ID: member.Id, Address: node.addressOf(member), HTTP: member.Http, Zone: member.Zone, Heard: node.fresh(now, member.Id)}
--- a/control/corehost/http.go
+++ b/control/corehost/http.go
@@ -13,6 +13,7 @@
 	"wardtray/config"
 	"wardtray/control/core"
 	"wardtray/process/fault"
+	"wardtray/transport/seam"
 	"wardtray/wire"
 )
 
@@ -75,17 +76,33 @@
 	body   []byte
 }
 
-// ask puts a question to the chain; its answer comes within the bound of the control plane.
-func (host *Host) ask(message *wire.OperatorAsk) <-chan answer {
+// ask puts a question to the chain; its answer comes within the bound of the control plane, unless it is abandoned.
+func (host *Host) ask(message *wire.OperatorAsk) (token string, _ <-chan answer) {
 	// Without an id of its own an operation could neither be asked for nor told from a repeat.
 	if message.Operation == "" && message.Verb != "get" {
 		message.Operation = identity()
 	}
 	answers := make(chan answer, 1)
 	host.step(func(now time.Time) {
-		host.node.Ask(now, message, func(status int, body []byte) { answers <- answer{status, body} })
+		token = host.node.Ask(now, message, func(status int, body []byte) { answers <- answer{status, body} })
 	})
-	return answers
+	return token, answers
+}
+
+// abandon tells the node that nobody waits for an answer any more.
+func (host *Host) abandon(token string) {
+	host.step(func(time.Time) { host.node.Abandon(token) })
+}
+
+// Dropped refuses a call whose caller has left: it was read behind its close, as after a freeze, and a caller that still
+// wants something has called again. It tells whether it did.
+func Dropped(context *fasthttp.RequestCtx) bool {
+	if !seam.Left(context.Conn()) {
+		return false
+	}
+	context.SetConnectionClose()
+	Answer(context, 503, core.Reply{Outcome: "refused", Kind: string(fault.RequesterGone), Detail: "the caller has closed its connection"})
+	return true
 }
 
 // Order puts an operator's question to the chain, whichever machine must answer it, and waits for at most
@@ -94,14 +111,16 @@
 func (host *Host) Order(message *wire.OperatorAsk, bound time.Duration) (int, core.Reply) {
 	timer := time.NewTimer(bound)
 	defer timer.Stop()
+	token, answers := host.ask(message)
 	select {
-	case got := <-host.ask(message):
+	case got := <-answers:
 		reply := core.Reply{}
 		if err := json.Unmarshal(got.body, &reply); err != nil {
 			return 500, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.Internal), Detail: err.Error()}
 		}
 		return got.status, reply
 	case <-timer.C:
+		host.abandon(token)
 		return 504, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.OutcomeUnknown), Detail: "no answer in time"}
 	}
 }
@@ -109,13 +128,16 @@
 // order turns a request into a question to the chain and waits for the answer.
 func (host *Host) order(verb string) fasthttp.RequestHandler {
 	return func(context *fasthttp.RequestCtx) {
+		if Dropped(context) {
+			return
+		}
 		message, err := question(verb, context)
 		if err != nil {
 			found := fault.Of(err)
 			Answer(context, 400, core.Reply{Outcome: "refused", Kind: string(found.Kind), Detail: found.Detail})
 			return
 		}
-		got := <-host.ask(message)
+		got := host.wait(context, message)
 		context.SetContentType("application/json")
 		context.SetStatusCode(got.status)
 		if got.status == 503 {
@@ -125,6 +147,23 @@
 	}
 }
 
+// wait asks a question and waits for its answer, no longer than its operator is there. Who only ended its sending side
+// looks like one that left, and is told that the outcome is not known.
+func (host *Host) wait(context *fasthttp.RequestCtx, message *wire.OperatorAsk) answer {
+	left := make(chan struct{})
+	stop := seam.FromHTTP(context).Watch(func() { close(left) })
+	defer stop()
+	token, answers := host.ask(message)
+	select {
+	case got := <-answers:
+		return got
+	case <-left:
+		host.abandon(token)
+		context.SetConnectionClose()
+		return answer{504, core.Reply{Outcome: "unknown", Operation: message.Operation, Kind: string(fault.OutcomeUnknown), Detail: "the caller has closed its connection"}.Encode()}
+	}
+}
+
 // question reads what an operator asks.
 func question(verb string, context *fasthttp.RequestCtx) (*wire.OperatorAsk, error) {
 	message := &wire.OperatorAsk{Verb: verb, Operation: string(context.QueryArgs().Peek("operation"))}
--- a/control/corehost/runners.go
+++ b/control/corehost/runners.go
@@ -43,6 +43,14 @@
 	return 200, core.Reply{}
 }
 
+// DroppedBeat refuses a runner's call whose caller has left, as Dropped does, unless it says that the runner leaves.
+//
+// Why: a runner that got no answer has called elsewhere, or crashed, and its old call would make it seem heard of now.
+// That it leaves is true whenever it is read.
+func DroppedBeat(context *fasthttp.RequestCtx, line *wire.Runner) bool {
+	return line.State != registry.Draining && Dropped(context)
+}
+
 // mountRunners opens the runners' side.
 func (host *Host) mountRunners(routes *router.Router) {
 	routes.GET("/v1/runners", host.listRunners)
@@ -53,6 +61,9 @@
 			AnswerFault(context, err)
 			return
 		}
+		if DroppedBeat(context, line) {
+			return
+		}
 		answerRunner(context, host.Register(line))
 	})
 	routes.DELETE("/v1/runners/{id}", func(context *fasthttp.RequestCtx) {
