A stopping daemon refuses what might outlast it, by the pace of the answers on their way

Streams taken in the first 2.5 s after SIGTERM lasted over 5.3 s under high load and were cut when the process ended.

Change: award.Desk learns the pace of answers from events on their way; a daemon that stops refuses as not run what might not be whole by then, and says when to come back.

--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -158,11 +158,13 @@
 func (host *Host) drain(server *fasthttp.Server) error {
 	length := host.startup.DrainTime()
 	host.log.Info("draining", "for", length.String())
+	begun := time.Now()
+	finish := host.startup.FinishTime(finishBound)
+	by := begun.Add(length + finish)
+	host.Yard.StopBy.Store(&by)
 	host.Drain()
 	ticker := time.NewTicker(plane.SettleEvery)
 	defer ticker.Stop()
-	begun := time.Now()
-	finish := host.startup.FinishTime(finishBound)
 	for !host.Drained(length) && time.Since(begun) < length+finish {
 		<-ticker.C
 		// What comes later might have to be cut, and another daemon can still serve it.
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -81,7 +81,9 @@
 	// patiences are the lanes' own, which tell what counts as a long prompt.
 	patiences map[string]time.Duration
 	// doubts multiply the predicted wait of each lane's newcomers; see learnWait.
-	doubts   map[string]float64
+	doubts map[string]float64
+	// pace is what is learned of how fast answers come.
+	pace     pace
 	Counters DeskCounters
 }
 
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -38,6 +38,8 @@
 	writeBound      = 2 * time.Second
 	// sureBound is how long a request waits for its daemon to be sure of its spec again.
 	sureBound = time.Second
+	// elsewhereAfter is when a request that a stopping daemon does not take may come to another.
+	elsewhereAfter = 20 * time.Millisecond
 	// usualStart is within what time of its start a daemon is sure of its spec.
 	usualStart     = 800 * time.Millisecond
 	longestSilence = 10 * time.Second
@@ -85,8 +87,10 @@
 	// Begun is when the process began.
 	Begun    time.Time
 	InFlight atomic.Int64
-	// Draining says that a planned stop has begun, Stopping that nothing more is taken.
+	// Draining says that a planned stop has begun, Stopping that nothing more is taken; StopBy is when the process ends,
+	// where that is known.
 	Draining, Stopping atomic.Bool
+	StopBy             atomic.Pointer[time.Time]
 	budgets            sync.Map
 }
 
@@ -155,6 +159,9 @@
 	// after is the id of the last event that the requester has, relayed that any of the answer was passed on.
 	after   int
 	relayed bool
+	// events counts those that were relayed, of which paced are taken in as to their pace, the last of them at pacedAt.
+	events, paced int
+	pacedAt       time.Time
 	// until is the moment at which nobody waits for the answer any more; zero: not told.
 	until time.Time
 	// epoch is the spec's, as last looked at before the request went out.
@@ -249,6 +256,10 @@
 	reckons := map[fault.Kind]func() time.Duration{
 		// A silence lasts, as far as can be known, about as long again as it has lasted.
 		fault.NotServing: func() time.Duration {
+			// Another daemon is there at once for what comes to one that stops.
+			if course.yard.Draining.Load() {
+				return elsewhereAfter
+			}
 			until := course.yard.Snapshot().Until
 			// One that has just begun is sure of its spec within a moment; there is no silence to reckon by yet.
 			if until.Before(course.yard.Begun) {
@@ -411,7 +422,20 @@
 	if known := course.take(); known != "" {
 		return fault.New(fault.AlreadyTaken, "the request with this id %s", known)
 	}
-	return course.proper()
+	if err := course.proper(); err != nil {
+		return err
+	}
+	if course.outlastsStop() {
+		return fault.New(fault.NotServing, "this daemon is about to stop, and the answer might not be whole by then")
+	}
+	return nil
+}
+
+// outlastsStop tells whether the answer might well last longer than this process. Cut in its middle it would be lost, and
+// another daemon can take it now.
+func (course *Course) outlastsStop() bool {
+	by := course.yard.StopBy.Load()
+	return by != nil && course.now().Add(course.desk.Longest(course.ticket)).After(*by)
 }
 
 // draw enters the request with the desk of its pool.
--- a/request/course/relay.go
+++ b/request/course/relay.go
@@ -88,6 +88,7 @@
 		}
 		relay.pending = append(relay.pending, event.Raw...)
 		course.after = event.ID
+		course.pace()
 		course.across += len(event.Raw)
 		if event.Done() && course.yard.Speech.Rules().Counted {
 			relay.whole()
@@ -157,3 +158,23 @@
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(kind)]++ })
 	course.close()
 }
+
+// pacedEvents is after how many events the pace of an answer is taken in.
+const pacedEvents = 4
+
+// pace counts an event that is relayed, and takes in how long the last few took.
+func (course *Course) pace() {
+	course.events++
+	if course.pacedAt.IsZero() {
+		course.paced, course.pacedAt = course.events, course.now()
+		return
+	}
+	if fresh := course.events - course.paced; fresh >= pacedEvents {
+		now := course.now()
+		course.desk.Paced(fresh*course.eventTokens(), now.Sub(course.pacedAt))
+		course.paced, course.pacedAt = course.events, now
+	}
+}
+
+// eventTokens is how many tokens an event stands for.
+func (course *Course) eventTokens() int { return max(1, course.pool.Engine.EventTokens) }
--- /dev/null
+++ b/request/course/stop_test.go
@@ -0,0 +1,49 @@
+package course
+
+import (
+	"testing"
+	"time"
+)
+
+// A daemon that stops takes what is surely over by then, and refuses as not run what might not be.
+func TestStoppingDaemonRefusesWhatMightOutlastIt(t *testing.T) {
+	const answer = 10 // tokens, of every request of these tests
+	for name, trial := range map[string]struct {
+		draining bool
+		// token is the pace of answers, 0 where nothing is known of it; left is how long the daemon still has.
+		token, left time.Duration
+		status      int
+	}{
+		"it does not stop":              {false, time.Second, time.Millisecond, 200},
+		"time enough":                   {true, 10 * time.Millisecond, 2*time.Second + answer*20*time.Millisecond, 200},
+		"too long":                      {true, 100 * time.Millisecond, 2*time.Second + answer*20*time.Millisecond, 503},
+		"no pace is known":              {true, 0, 2 * time.Second, 200},
+		"the first event may be late":   {true, time.Millisecond, time.Second, 503},
+		"nothing is known of its end":   {true, time.Second, 0, 200},
+		"the daemon should be gone now": {true, time.Millisecond, -time.Second, 503},
+	} {
+		runner := start(t, "r1", events(3, done(3), true))
+		house := build(t, runner)
+		house.Desk("p").Paced(answer, answer*trial.token)
+		house.Draining.Store(trial.draining)
+		if by := time.Now().Add(trial.left); trial.draining && trial.left != 0 {
+			house.StopBy.Store(&by)
+		}
+		// The lane's patience is 2 s, within which the first event may come.
+		status, body := house.post(t, "once")
+		if status != trial.status || (runner.reached.Load() > 0) != (status == 200) {
+			t.Errorf("%s: %d %s, the runner saw %d", name, status, body, runner.reached.Load())
+		}
+	}
+}
+
+// The pace is learned from the events of answers on their way.
+func TestPaceIsLearnedFromEvents(t *testing.T) {
+	house := build(t, start(t, "r1", events(3*pacedEvents, done(3*pacedEvents), true)))
+	house.post(t, "once")
+	by := time.Now()
+	house.StopBy.Store(&by)
+	if status, body := house.post(t, "once"); status != 503 {
+		t.Errorf("%d %s", status, body)
+	}
+}
