request/course: one file each for attempts, answers, deadlines, refusals, taken requests and the yard

Functions and constants were moved as they stood; the two ends of the wait for a sure spec became one condition, and constants that had none got a comment. Behaviour and tests stay as they are.

--- /dev/null
+++ b/request/course/refusal.go
@@ -0,0 +1,104 @@
+package course
+
+import (
+	"time"
+
+	"wardtray/edge/director"
+	"wardtray/process/fault"
+	"wardtray/process/once"
+	"wardtray/process/tally"
+	"wardtray/request/award"
+	"wardtray/request/speech"
+)
+
+const (
+	// elsewhereAfter is when a request that a stopping daemon does not take may come to another.
+	elsewhereAfter = 20 * time.Millisecond
+	// usualStart is within what time of its start a daemon is sure of its spec.
+	usualStart     = 800 * time.Millisecond
+	longestSilence = 10 * time.Second
+)
+
+// comeback reckons when another try may help.
+func (course *Course) comeback(kind fault.Kind) time.Duration {
+	reckons := map[fault.Kind]func() time.Duration{
+		// A silence lasts, as far as can be known, about as long again as it has lasted.
+		fault.NotServing: func() time.Duration {
+			// Another daemon is there at once for what comes to one that stops.
+			if course.yard.Draining.Load() {
+				return elsewhereAfter
+			}
+			until := course.yard.Snapshot().Until
+			// One that has just begun is sure of its spec within a moment; there is no silence to reckon by yet.
+			if until.Before(course.yard.Begun) {
+				return max(director.AskEvery, usualStart-course.now().Sub(course.yard.Begun))
+			}
+			return min(longestSilence, max(director.AskEvery, course.now().Sub(until)))
+		},
+		fault.NoRunner:       func() time.Duration { return course.desk.Comeback(course.now(), course.ticket) },
+		fault.OutcomeUnknown: func() time.Duration { return course.desk.Comeback(course.now(), course.ticket) },
+	}
+	reckon := reckons[kind]
+	if reckon == nil || kind == fault.OutcomeUnknown && !course.lane.Repeatable {
+		return 0
+	}
+	return reckon()
+}
+
+// ran keeps a doubt once there is one, and what is known of the request from before.
+func (course *Course) ran(said string) string {
+	if word := ranWords[course.said]; word != "" {
+		return word
+	}
+	// What was relayed did run.
+	if course.doubted || course.relayed {
+		return award.Unknown
+	}
+	return said
+}
+
+// refusedStep counts and tells what the desk decided.
+func (course *Course) refusedStep() *speech.Refusal {
+	late := course.now().Sub(course.begun) > 50*time.Millisecond
+	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
+		if late {
+			lane.Late++
+		} else {
+			lane.Early++
+		}
+	})
+	return course.refusal(course.step.Fault, course.step.Reason, award.DidNotRun, course.step.RetryAfter)
+}
+
+// refusalOf tells what a fault means for the requester.
+func (course *Course) refusalOf(err error) *speech.Refusal {
+	found := fault.Of(err)
+	return course.refusal(found.Kind, found.Detail, award.DidNotRun, course.comeback(found.Kind))
+}
+
+// refusal gives what to tell of a request that gets no stream, or no more of one.
+func (course *Course) refusal(kind fault.Kind, detail, ran string, retry time.Duration) *speech.Refusal {
+	ran = course.ran(ran)
+	// Whatever ended this attempt, an earlier one may have run, and that is what the requester must know.
+	if course.doubted && kind != fault.RequesterGone {
+		kind = fault.OutcomeUnknown
+	}
+	if course.relayed && kind != fault.RequesterGone {
+		kind, retry = fault.RunFailed, 0
+	}
+	return &speech.Refusal{Kind: kind, Detail: detail, Ran: ran, Retry: retry, DidNotRun: ran == award.DidNotRun, Late: course.over()}
+}
+
+// refuse ends a course without a stream.
+func (course *Course) refuse(refusal speech.Refusal) {
+	course.to(ended)
+	course.settle(map[bool]once.State{true: "", false: once.Unknown}[refusal.DidNotRun])
+	if course.desk != nil {
+		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(refusal.Kind)]++ })
+	}
+	if course.left() {
+		course.requester.Last()
+	}
+	course.yard.Speech.Refuse(course.requester, course.request, refusal)
+	course.close()
+}
--- a/request/course/relay.go
+++ b/request/course/relay.go
@@ -178,3 +178,71 @@
 
 // eventTokens is how many tokens an event stands for.
 func (course *Course) eventTokens() int { return max(1, course.pool.Engine.EventTokens) }
+
+// relay passes the run on, beginning with the event that showed that it runs.
+func (course *Course) relay() {
+	course.firstSeen()
+	if course.yard.Draining.Load() {
+		course.requester.Last()
+	}
+	status, headers := course.yard.Speech.Head(course.response, course.request, course.run())
+	if course.reader == nil {
+		course.requester.Answer(status, headers, course.body)
+		course.finish(endDone, true)
+		return
+	}
+	course.relayed = true
+	course.requester.Stream(status, headers, &relay{course: course})
+}
+
+func (course *Course) firstSeen() {
+	if course.connection != nil {
+		course.connection.Answered()
+	}
+	took, runner := course.now().Sub(course.sentAt), course.step.Runner
+	// A failure of the runner's own is passed on, and is no reason to send it more at once.
+	if course.word.Said != speech.Failed {
+		course.yard.Book.Served(runner.ID)
+	}
+	course.desk.First(course.ticket, course.step, took)
+	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
+		lane.First(course.now().Sub(course.begun))
+		lane.HeldTokens += uint64(course.step.HeldTokens)
+		lane.PromptTokens += uint64(course.request.PromptTokens)
+		if runner.Zone != course.yard.Zone {
+			lane.OtherZone++
+			lane.BytesAcross += uint64(len(course.request.Body))
+		}
+	})
+}
+
+// outcomes is what is remembered of a request that was relayed, by whether its run went to its end.
+var outcomes = map[bool]once.State{true: once.Ran, false: once.Unknown}
+
+// finish ends a course that was relayed.
+func (course *Course) finish(end string, ran bool) {
+	course.to(ended)
+	if whole := ran; whole {
+		if course.reader != nil && course.yard.Speech.Rules().Counted {
+			_ = course.connection.SetDeadline(course.now().Add(tailBound))
+			whole = course.reader.End()
+		}
+		if whole && !course.word.Closes {
+			course.yard.Links.Keep(course.connection, course.word.Keep)
+			course.connection = nil
+		}
+		course.desk.Learn(0, 0, course.now().Sub(course.sentAt))
+	}
+	course.settle(outcomes[ran])
+	course.drop()
+	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) {
+		lane.Ends[end]++
+		if end == endDone {
+			lane.Done++
+		}
+		if course.step.Runner.Zone != course.yard.Zone {
+			lane.BytesAcross += uint64(course.across)
+		}
+	})
+	course.close()
+}
