proof/fleet: requesters-leave, real processes whose requesters leave early beside a crowd, a dark runner and freezes

Load cancels part of its requests at any moment; stand-in runners note when a run's connection ends and drop the run. left-requester compares machines, since requesters know a daemon by another port than runners do: without that the rule could not fail on real fleets.

--- a/proof/fleet/scenario.go
+++ b/proof/fleet/scenario.go
@@ -41,9 +41,9 @@
 // Scenario is a named course of faults during the load.
 type Scenario struct {
 	Help string
-	// Hot is the part of the requests that carry one and the same opening.
-	Hot float64
-	Run func(stage *Stage) error
+	// Hot is the part of the requests that carry one and the same opening, Leaves that whose requesters leave early.
+	Hot, Leaves float64
+	Run         func(stage *Stage) error
 }
 
 // At waits until so many seconds of the load have passed.
@@ -142,7 +142,7 @@
 		return value
 	}
 	sender := load.New(fleet.Shape.Mix, fleet.Shape.Zones, fleet.Platform.Pick, fleet.Record, options.Seed)
-	sender.Hot = max(options.Hot, scenario.Hot)
+	sender.Hot, sender.Leaves = max(options.Hot, scenario.Hot), scenario.Leaves
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go fleet.Sample(running)
--- a/proof/fleet/scenarios.go
+++ b/proof/fleet/scenarios.go
@@ -34,6 +34,7 @@
 	"many-routes":      {Help: "thousands of lanes are added at once", Run: manyRoutes},
 	"zones-closed":     {Help: "zones are closed and opened again", Run: zonesClosed},
 	"rolling-restart":  {Help: "every wtdata and wtcore is restarted by SIGTERM, one after the other", Run: rollingRestart},
+	"requesters-leave": {Help: "half of the requesters leave early, while a crowd comes, a runner is dark and daemons are frozen", Leaves: 0.5, Run: requestersLeave},
 	"fault-at-the-end": {Help: "power is lost everywhere directly after an acknowledgement, at the very end", Run: faultAtTheEnd},
 }
 
@@ -171,6 +172,18 @@
 	return nil
 }
 
+func requestersLeave(stage *Stage) error {
+	const dark = 2
+	stage.span(0.1)
+	stage.Harm(fmt.Sprintf("runner %d goes dark", dark), stage.Runners[dark], time.Duration(stage.Options.Seconds)*time.Second, silentLoss)
+	stage.Runners[dark].Dark.Store(true)
+	stage.span(0.2)
+	stage.Scale(4)
+	stage.span(0.5)
+	stage.Scale(1)
+	return daemonFrozen(stage)
+}
+
 func daemonKilled(stage *Stage) error {
 	for place, number := range []int{2, 5, 8} {
 		stage.span(0.1 + 0.25*float64(place))
--- a/proof/history/departure.go
+++ b/proof/history/departure.go
@@ -1,6 +1,9 @@
 package history
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // sentAfterLeaving gives how long after its requester had left a request was sent to its runner.
 //
@@ -12,7 +15,7 @@
 	if sent.IsZero() {
 		sent = run.At
 	}
-	if answer.Left.IsZero() || answer.Daemon != run.Daemon || sent.Before(answer.Left) || judge.askedAgain(answer) {
+	if answer.Left.IsZero() || !sameMachine(answer.Daemon, run.Daemon) || sent.Before(answer.Left) || judge.askedAgain(answer) {
 		return 0
 	}
 	late := sent.Sub(answer.Left)
@@ -22,6 +25,13 @@
 	return late
 }
 
+// sameMachine tells whether two addresses are one daemon's: requesters know it by another port than runners do.
+func sameMachine(left, right string) bool {
+	leftMachine, _, _ := strings.Cut(left, ":")
+	rightMachine, _, _ := strings.Cut(right, ":")
+	return leftMachine == rightMachine
+}
+
 // askedAgain tells whether the same request came to the same daemon more than once, so that runs can't be told apart.
 func (judge *Judge) askedAgain(answer *Answer) bool {
 	count := 0
@@ -44,7 +54,7 @@
 		return
 	}
 	for _, run := range judge.runs[answer.Request] {
-		if run.Daemon == answer.Daemon && run.At.Before(until) && !run.overBy(until) {
+		if sameMachine(run.Daemon, answer.Daemon) && run.At.Before(until) && !run.overBy(until) {
 			judge.Violations = append(judge.Violations, Violation{Rule: "left-requester",
 				Detail: answer.Request + " was still worked on at " + run.Runner + " " + LeftBound.String() + " after its requester had left " + run.Daemon})
 		}
--- a/proof/history/departure_test.go
+++ b/proof/history/departure_test.go
@@ -20,8 +20,11 @@
 		"not over yet":        {func(_ *History, run *Run, _ *Answer) { run.Ended = time.Time{} }, true},
 		"must run to its end": {func(_ *History, run *Run, answer *Answer) { run.Ended, answer.Cancels = at(9), false }, false},
 		"by another daemon":   {func(_ *History, run *Run, _ *Answer) { run.Ended, run.Daemon = at(9), "d2" }, false},
-		"sent in time":        {func(_ *History, run *Run, answer *Answer) { answer.Left, run.Ended = at(2.6), at(3.05) }, false},
-		"sent too late":       {func(_ *History, _ *Run, answer *Answer) { answer.Left = at(2.4) }, true},
+		"by its daemon at another port": {func(_ *History, run *Run, answer *Answer) {
+			run.Ended, run.Daemon, answer.Daemon = at(9), "127.40.1.4:7200", "127.40.1.4:8200"
+		}, true},
+		"sent in time":  {func(_ *History, run *Run, answer *Answer) { answer.Left, run.Ended = at(2.6), at(3.05) }, false},
+		"sent too late": {func(_ *History, _ *Run, answer *Answer) { answer.Left = at(2.4) }, true},
 		"a daemon in trouble": {func(history *History, run *Run, _ *Answer) {
 			run.Ended = at(9)
 			history.Faults = []Fault{{At: at(2.9), Until: at(3.2), Daemon: run.Daemon}}
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -27,6 +27,8 @@
 	Record *history.History
 	// Hot is the part of requests that carry one and the same opening.
 	Hot float64
+	// Leaves is the part of the requesters that close their connections at some moment, whatever they have got by then.
+	Leaves float64
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -65,31 +67,48 @@
 	load.waiting.Wait()
 }
 
-// draw gives the next request and the zone that it comes from.
-func (load *Load) draw() (Drawn, string) {
+// latestLeave is how long after sending its request a requester that leaves does so at the latest.
+const latestLeave = time.Second
+
+// draw gives the next request, the zone that it comes from, and when its requester leaves; 0: it stays.
+func (load *Load) draw() (Drawn, string, time.Duration) {
 	load.mutex.Lock()
 	defer load.mutex.Unlock()
 	load.number++
 	zone := load.Zones[load.random.Intn(len(load.Zones))]
 	drawn := load.Mix.Draw(load.random, load.Hot)
 	drawn.ID = fmt.Sprintf("%s-%d", load.prefix, load.number)
-	return drawn, zone
+	if load.Leaves > 0 && load.random.Float64() < load.Leaves {
+		return drawn, zone, 1 + time.Duration(load.random.Int63n(int64(latestLeave)))
+	}
+	return drawn, zone, 0
 }
 
 func (load *Load) one() {
-	drawn, zone := load.draw()
-	record := &history.Answer{Request: drawn.ID, Lane: drawn.Kind.Lane, Once: drawn.Kind.Once, Patience: drawn.Kind.Patience, Zone: zone, Sent: time.Now(), Resumable: drawn.Kind.Resumable, Bound: drawn.Bound()}
+	drawn, zone, leaves := load.draw()
+	record := &history.Answer{Request: drawn.ID, Lane: drawn.Kind.Lane, Once: drawn.Kind.Once, Patience: drawn.Kind.Patience, Zone: zone, Sent: time.Now(), Resumable: drawn.Kind.Resumable,
+		Cancels: drawn.Kind.Cancel || !drawn.Kind.Once, Bound: drawn.Bound()}
+	staying, leave := context.WithCancel(context.Background())
+	defer leave()
+	if leaves > 0 {
+		timer := time.AfterFunc(leaves, leave)
+		defer timer.Stop()
+	}
 	// A requester whose connection was never made may go to another daemon: nothing of it was read.
 	for range 5 {
 		record.Daemon = load.Pick(zone)
 		if record.Daemon == "" {
 			break
 		}
-		if load.send(drawn, record) {
+		if load.send(staying, drawn, record) {
 			break
 		}
 	}
 	record.Got = time.Now()
+	// The request returns as soon as its connection is closed, and on one machine the close is there at once.
+	if staying.Err() != nil && !record.Done {
+		record.Gone, record.Left = true, record.Got
+	}
 	if record.Status == 0 {
 		record.Lost = true
 	}
@@ -97,8 +116,8 @@
 }
 
 // send tells whether the request is over with; false means that it was surely not read.
-func (load *Load) send(drawn Drawn, record *history.Answer) bool {
-	request, err := http.NewRequest("POST", "http://"+record.Daemon+"/v1/stream", bytes.NewReader(drawn.Body()))
+func (load *Load) send(staying context.Context, drawn Drawn, record *history.Answer) bool {
+	request, err := http.NewRequestWithContext(staying, "POST", "http://"+record.Daemon+"/v1/stream", bytes.NewReader(drawn.Body()))
 	if err != nil {
 		return true
 	}
--- a/proof/standin/runner.go
+++ b/proof/standin/runner.go
@@ -17,6 +17,7 @@
 
 	"wardtray/proof/history"
 	"wardtray/request/intake"
+	"wardtray/transport/seam"
 )
 
 // Nature is how a runner works.
@@ -155,8 +156,10 @@
 	if runner.Dark.Load() {
 		if string(context.Path()) == "/run" {
 			runner.mutex.Lock()
-			runner.note(context, true)
+			run := runner.note(context, true)
 			runner.mutex.Unlock()
+			_, stop := runner.watch(context, run)
+			defer stop()
 		}
 		<-runner.stopped
 		return
@@ -236,10 +239,22 @@
 	prompt, _ := strconv.Atoi(string(context.Request.Header.Peek(intake.HeaderPrompt)))
 	length, _ := strconv.Atoi(string(context.Request.Header.Peek(intake.HeaderAnswer)))
 	partial := runner.Partial.Load()
+	cut, stop := runner.watch(context, run)
 	context.SetContentType("text/event-stream")
 	context.SetBodyStreamWriter(func(writer *bufio.Writer) {
 		defer runner.end(run)
-		runner.work(writer, run, name, parts, tokens, prompt, length, partial)
+		// Nothing else may read from the connection before the watch has ended.
+		defer stop()
+		runner.work(writer, run, cut, name, parts, tokens, prompt, length, partial)
+	})
+}
+
+// watch notes when the connection of a run ends, and closes a channel then.
+func (runner *Runner) watch(context *fasthttp.RequestCtx, run *history.Run) (ended <-chan struct{}, stop func()) {
+	cut := make(chan struct{})
+	return cut, seam.FromHTTP(context).Watch(func() {
+		runner.record.Change(func(*history.History) { run.Cut = time.Now() })
+		close(cut)
 	})
 }
 
@@ -250,8 +265,8 @@
 	runner.record.Change(func(*history.History) { run.Ended = time.Now() })
 }
 
-// wait lets time pass as an engine's work does, unless the runner is stopped.
-func (runner *Runner) wait(length time.Duration) bool {
+// wait lets time pass as an engine's work does, unless the runner is stopped or the run's connection ends.
+func (runner *Runner) wait(length time.Duration, cut <-chan struct{}) bool {
 	if slow := runner.Slow.Load(); slow > 1 {
 		length *= time.Duration(slow)
 	}
@@ -262,14 +277,18 @@
 		return true
 	case <-runner.stopped:
 		return false
+	case <-cut:
+		return false
 	}
 }
 
-func (runner *Runner) work(writer *bufio.Writer, run *history.Run, name string, parts []string, tokens []int, prompt, length int, partial bool) {
+func (runner *Runner) work(writer *bufio.Writer, run *history.Run, cut <-chan struct{}, name string, parts []string, tokens []int, prompt, length int, partial bool) {
 	select {
 	case runner.slots <- struct{}{}:
 	case <-runner.stopped:
 		return
+	case <-cut:
+		return
 	}
 	defer func() { <-runner.slots }()
 	runner.engine.Lock()
@@ -280,7 +299,7 @@
 	if time.Since(runner.begun) < runner.nature.ColdTime {
 		prefill *= time.Duration(runner.nature.ColdFactor)
 	}
-	going := runner.wait(prefill)
+	going := runner.wait(prefill, cut)
 	runner.engine.Unlock()
 	events := min(12, 2+length/24)
 	for number := 1; going && number <= events; number++ {
@@ -299,7 +318,7 @@
 		if writer.Flush() != nil {
 			return
 		}
-		going = runner.wait(time.Duration(length) * runner.nature.AnswerTime / time.Duration(events))
+		going = runner.wait(time.Duration(length)*runner.nature.AnswerTime/time.Duration(events), cut)
 	}
 	if !going {
 		return
