transport/link: a dial that nobody waits for any more is not counted as an unreachable runner

The counter is what operators look at for runners that can't be reached; clients that leave while a connection is being made would have raised it.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -196,7 +196,7 @@
 	begun := links.world.Now()
 	raw, err := links.world.Dial(ctx, address, seam.Terms{Dial: dialing, Untaken: untakenBound})
 	if err != nil {
-		links.Counters.Unreachable.Add(1)
+		links.countUnreachable(ctx)
 		return nil, fault.Wrap(err, fault.Unreachable, "runner %s at %s", runner, address)
 	}
 	connection := &Connection{Conn: raw, links: links, address: address}
@@ -218,7 +218,7 @@
 		err = fault.Wrap(json.Unmarshal(content, &connection.Identity), fault.WrongIdentity, "the identity is no JSON")
 	}
 	if err != nil {
-		links.Counters.Unreachable.Add(1)
+		links.countUnreachable(ctx)
 		_ = raw.Close()
 		return nil, fault.Wrap(err, fault.Unreachable, "asking runner %s at %s who it is", runner, address)
 	}
@@ -230,6 +230,13 @@
 	return connection, nil
 }
 
+// countUnreachable counts a runner that could not be reached, unless nobody wanted to reach it any more.
+func (links *Links) countUnreachable(ctx context.Context) {
+	if ctx.Err() == nil {
+		links.Counters.Unreachable.Add(1)
+	}
+}
+
 // Keep puts a connection back whose last answer has been read whole; the runner lets it stay idle for so
 // long (0: that answer did not tell, and what an earlier one told holds).
 func (links *Links) Keep(connection *Connection, idle time.Duration) {
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -322,12 +322,15 @@
 		leave()
 		_, _ = io.Copy(io.Discard, silent)
 	}()
-	begun := time.Now()
-	if _, err := New(seam.Real(nil), "/identity").TakeWithin(ctx, "r1", listener.Addr().String(), 0); err == nil {
+	begun, links := time.Now(), New(seam.Real(nil), "/identity")
+	if _, err := links.TakeWithin(ctx, "r1", listener.Addr().String(), 0); err == nil {
 		t.Error("a connection to nobody known was given")
 	}
 	if took := time.Since(begun); took > identityBound/2 {
 		t.Errorf("it took %v", took)
 	}
+	if unreachable := links.Counters.Unreachable.Load(); unreachable != 0 {
+		t.Errorf("the runner is counted as unreachable %d times", unreachable)
+	}
 	<-ended
 }
