--- a/config/book.go
+++ b/config/book.go
@@ -10,6 +10,7 @@
 	Zones  map[string]*Zone
 	routes map[string]*routes
 	pools  map[string]*destination
+	keys   keyring
 }
 
 // routes are the lanes of one host by their prefix.
@@ -30,7 +31,7 @@
 // NewBook indexes a checked spec.
 func NewBook(spec *Spec) *Book {
 	book := &Book{Spec: spec, Lanes: make(map[string]*Lane, len(spec.Lanes)), Pools: make(map[string]*Pool, len(spec.Pools)), Zones: map[string]*Zone{},
-		routes: map[string]*routes{}, pools: make(map[string]*destination, len(spec.Lanes))}
+		routes: map[string]*routes{}, pools: make(map[string]*destination, len(spec.Lanes)), keys: newKeyring(spec)}
 	for place := range spec.Zones {
 		book.Zones[spec.Zones[place].Name] = &spec.Zones[place]
 	}
@@ -74,6 +75,13 @@
 	return made
 }
 
+// TenantOf gives the tenant that holds a key, nil where none does. known tells whether the key opens a lane: every key
+// does where there are no tenants, and none is needed for a public lane.
+func (book *Book) TenantOf(key string, lane *Lane) (tenant *Tenant, known bool) {
+	tenant = book.keys.owner(key)
+	return tenant, tenant != nil || lane.Public || len(book.Spec.Tenants) == 0
+}
+
 // Open tells whether a zone may get work: it is named and not closed, or the spec names no zones at all.
 func (book *Book) Open(zone string) bool {
 	if len(book.Zones) == 0 {
--- a/config/change.go
+++ b/config/change.go
@@ -43,6 +43,7 @@
 	next.Zones = merge(checker, origins, "zones", present.Zones, change.Upsert.Zones, change.Remove.Zones, func(zone *Zone) string { return zone.Name })
 	next.Pools = merge(checker, origins, "pools", present.Pools, change.Upsert.Pools, change.Remove.Pools, func(pool *Pool) string { return pool.Name })
 	next.Lanes = merge(checker, origins, "lanes", present.Lanes, change.Upsert.Lanes, change.Remove.Lanes, func(lane *Lane) string { return lane.Name })
+	next.Tenants = merge(checker, origins, "tenants", present.Tenants, change.Upsert.Tenants, change.Remove.Tenants, func(tenant *Tenant) string { return tenant.Name })
 	if change.Limits != nil {
 		next.Limits = *change.Limits
 	}
--- a/config/check.go
+++ b/config/check.go
@@ -24,6 +24,10 @@
 	maximumAdapters    = 1024
 	maximumShares      = 64
 	maximumPath        = 1024
+	maximumKeys        = 10000
+	maximumKey         = 1024
+	// MaximumQuota bounds the rate and the burst of a quota.
+	MaximumQuota = 1e15
 	// maximumAnnotations bounds what one entry may carry for the operators' tools.
 	maximumAnnotations = 256 << 10
 )
@@ -123,6 +127,7 @@
 	for place := range spec.Lanes {
 		checker.lane(fmt.Sprintf("lanes[%d]", place), &spec.Lanes[place], pools, lanes, routes)
 	}
+	checker.tenants(spec)
 	checker.within("limits.header_bytes", spec.Limits.HeaderBytes, 0, MaximumHeaderBytes)
 	checker.within("limits.body_bytes", spec.Limits.BodyBytes, 0, MaximumBodyBytes)
 	checker.span("limits.header_time", spec.Limits.HeaderTime, 0, MaximumSpan)
@@ -169,6 +174,52 @@
 	checker.annotations(path+".annotations", lane.Annotations)
 }
 
+// tenants checks the tenants, and that none has another's key.
+func (checker *checker) tenants(spec *Spec) {
+	checker.count("tenants", len(spec.Tenants), 0, MaximumTenants)
+	if len(spec.KeySalt) > 0 {
+		checker.flaw("key_salt", "is wardtray's own to write; leave it out")
+	}
+	names, owners := map[string]bool{}, map[string]int{}
+	for place := range spec.Tenants {
+		path, tenant := fmt.Sprintf("tenants[%d]", place), &spec.Tenants[place]
+		checker.name(path, tenant.Name, names)
+		checker.count(path+".keys", len(tenant.Keys), 0, maximumKeys)
+		if len(tenant.KeyHashes) > 0 {
+			checker.flaw(path+".key_hashes", "are wardtray's own to write; give keys")
+		}
+		for number, key := range tenant.Keys {
+			checker.key(fmt.Sprintf("%s.keys[%d]", path, number), key, place, owners)
+		}
+		checker.within(path+".rank", tenant.Rank, 0, MaximumRank)
+		checker.quota(path+".quota", tenant.Quota)
+		checker.annotations(path+".annotations", tenant.Annotations)
+	}
+}
+
+// key checks one key of the tenant at a place. Its text is a secret and stands in no flaw.
+func (checker *checker) key(path, key string, tenant int, owners map[string]int) {
+	if key == "" || len(key) > maximumKey || !visible(key) {
+		checker.flaw(path, "wants 1 to %d visible bytes without blanks", maximumKey)
+	}
+	if owner, found := owners[key]; found && owner != tenant {
+		checker.flaw(path, "tenants[%d] has the same key", owner)
+	}
+	owners[key] = tenant
+}
+
+func (checker *checker) quota(path string, quota Quota) {
+	for _, amount := range []struct {
+		name  string
+		value float64
+	}{{"rate", quota.Rate}, {"burst", quota.Burst}} {
+		if !(amount.value >= 0 && amount.value <= MaximumQuota) {
+			checker.flaw(path+"."+amount.name, "wants 0 to %g", MaximumQuota)
+		}
+	}
+	checker.within(path+".uncounted_tokens", quota.UncountedTokens, 0, MaximumTokens)
+}
+
 // destination checks that a lane's requests have somewhere to go.
 func (checker *checker) destination(path string, lane *Lane, pools map[string]bool) {
 	if lane.Split == nil {
--- a/config/diff.go
+++ b/config/diff.go
@@ -54,6 +54,11 @@
 	for place := range spec.Lanes {
 		add("lane "+spec.Lanes[place].Name, &spec.Lanes[place])
 	}
+	for place := range spec.Tenants {
+		shown := spec.Tenants[place]
+		shown.KeyHashes, shown.Keys = hashes(diffSalt, shown.Keys), nil
+		add("tenant "+shown.Name, &shown)
+	}
 	// What a spec does not bound or annotate is no entry, or an empty spec would have one.
 	if spec.Limits != (Limits{}) {
 		add("limits", &spec.Limits)
--- a/config/spec.go
+++ b/config/spec.go
@@ -25,6 +25,8 @@
 	MaximumPools = 10000
 	// MaximumZones bounds a spec's zones.
 	MaximumZones = 64
+	// MaximumTenants bounds a spec's tenants.
+	MaximumTenants = 10000
 )
 
 // Span is a length of time, written as in "1.5s".
@@ -54,6 +56,10 @@
 	Zones []Zone `json:"zones"`
 	Pools []Pool `json:"pools"`
 	Lanes Lanes  `json:"lanes"`
+	// Tenants are whose keys open the lanes that are not public; without any, every lane is open to all.
+	Tenants []Tenant `json:"tenants,omitempty"`
+	// KeySalt is the secret under which the tenants' keys were hashed; see Seal. Operators leave it out.
+	KeySalt []byte `json:"key_salt,omitempty"`
 	// Limits hold for every requester.
 	Limits Limits `json:"limits,omitempty"`
 	// Annotations are what the operators' tools keep beside the spec.
@@ -133,6 +139,8 @@
 	// CancelOnDisconnect has a run cancelled when its requester closes the connection, also where it runs at most once;
 	// without it such a run goes on to its end, so that its outcome is known. Repeatable lanes always cancel.
 	CancelOnDisconnect bool `json:"cancel_on_disconnect,omitempty"`
+	// Public says that requests of the lane need no tenant's key.
+	Public bool `json:"public,omitempty"`
 	// Annotations are what the operators' tools keep beside a lane; wardtray stores and gives them back unchanged.
 	Annotations Annotations `json:"annotations,omitempty"`
 }
@@ -140,6 +148,50 @@
 // Cancels tells whether a run of the lane ends when its requester closes the connection.
 func (lane *Lane) Cancels() bool { return lane.Repeatable || lane.CancelOnDisconnect }
 
+// Tenant is a party whose requests carry its keys and count against its quota.
+//
+//easyjson:json
+type Tenant struct {
+	Name string `json:"name"`
+	// Keys are the secrets that its requests may carry. The control plane alone keeps them, since operators read back
+	// what they wrote; daemons get their hashes.
+	Keys []string `json:"keys,omitempty"`
+	// KeyHashes stand in the place of Keys in what the daemons get; see Seal.
+	KeyHashes []KeyHash `json:"key_hashes,omitempty"`
+	// Rank orders tenants under pressure, 0 first; within a tenant its lanes' ranks do.
+	Rank  int   `json:"rank,omitempty"`
+	Quota Quota `json:"quota,omitempty"`
+	// Annotations are what the operators' tools keep beside a tenant; wardtray stores and gives them back unchanged.
+	Annotations Annotations `json:"annotations,omitempty"`
+}
+
+// Quota bounds what a tenant may use over all daemons together.
+//
+//easyjson:json
+type Quota struct {
+	// Rate is how much may be used a second, and Burst how much on top at once; with a rate of 0 there is no limit.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
+	// Tokens says that tokens are counted, those of the prompt and the most that the answer may hold, rather than
+	// requests. UncountedTokens is what a request counts that tells no tokens.
+	Tokens          bool `json:"tokens,omitempty"`
+	UncountedTokens int  `json:"uncounted_tokens,omitempty"`
+}
+
+// Limits tells whether the quota limits anything.
+func (quota Quota) Limits() bool { return quota.Rate > 0 }
+
+// Cost gives what a request counts that tells so many tokens; told is false for one that tells none.
+func (quota Quota) Cost(tokens int, told bool) float64 {
+	if !quota.Tokens {
+		return 1
+	}
+	if !told {
+		return float64(quota.UncountedTokens)
+	}
+	return float64(tokens)
+}
+
 // Share is one pool's part of a lane.
 //
 //easyjson:json
@@ -173,18 +225,20 @@
 //
 //easyjson:json
 type Entries struct {
-	Zones []Zone `json:"zones,omitempty"`
-	Pools []Pool `json:"pools,omitempty"`
-	Lanes Lanes  `json:"lanes,omitempty"`
+	Zones   []Zone   `json:"zones,omitempty"`
+	Pools   []Pool   `json:"pools,omitempty"`
+	Lanes   Lanes    `json:"lanes,omitempty"`
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
 // Names are what is removed. One that is not there is no flaw: it is gone, as was asked.
 //
 //easyjson:json
 type Names struct {
-	Zones []string `json:"zones,omitempty"`
-	Pools []string `json:"pools,omitempty"`
-	Lanes []string `json:"lanes,omitempty"`
+	Zones   []string `json:"zones,omitempty"`
+	Pools   []string `json:"pools,omitempty"`
+	Lanes   []string `json:"lanes,omitempty"`
+	Tenants []string `json:"tenants,omitempty"`
 }
 
 // Flaw is one fault of a spec.
--- a/config/spec_easyjson.go
+++ b/config/spec_easyjson.go
@@ -97,7 +97,191 @@
 func (v *Zone) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson4ca8a529DecodeWardtrayConfig(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig1(in *jlexer.Lexer, out *Spec) {
+func easyjson4ca8a529DecodeWardtrayConfig1(in *jlexer.Lexer, out *Tenant) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "keys":
+			if in.IsNull() {
+				in.Skip()
+				out.Keys = nil
+			} else {
+				in.Delim('[')
+				if out.Keys == nil {
+					if !in.IsDelim(']') {
+						out.Keys = make([]string, 0, 4)
+					} else {
+						out.Keys = []string{}
+					}
+				} else {
+					out.Keys = (out.Keys)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = string(in.String())
+					}
+					out.Keys = append(out.Keys, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "key_hashes":
+			if in.IsNull() {
+				in.Skip()
+				out.KeyHashes = nil
+			} else {
+				in.Delim('[')
+				if out.KeyHashes == nil {
+					if !in.IsDelim(']') {
+						out.KeyHashes = make([]KeyHash, 0, 2)
+					} else {
+						out.KeyHashes = []KeyHash{}
+					}
+				} else {
+					out.KeyHashes = (out.KeyHashes)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 KeyHash
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v2).UnmarshalEasyJSON(in)
+					}
+					out.KeyHashes = append(out.KeyHashes, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "rank":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Rank = int(in.Int())
+			}
+		case "quota":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Quota).UnmarshalEasyJSON(in)
+			}
+		case "annotations":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Annotations).UnmarshalEasyJSON(in)
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayConfig1(out *jwriter.Writer, in Tenant) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	if len(in.Keys) != 0 {
+		const prefix string = ",\"keys\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v3, v4 := range in.Keys {
+				if v3 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v4))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.KeyHashes) != 0 {
+		const prefix string = ",\"key_hashes\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.KeyHashes {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				(v6).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Rank != 0 {
+		const prefix string = ",\"rank\":"
+		out.RawString(prefix)
+		out.Int(int(in.Rank))
+	}
+	if true {
+		const prefix string = ",\"quota\":"
+		out.RawString(prefix)
+		(in.Quota).MarshalEasyJSON(out)
+	}
+	if len(in.Annotations) != 0 {
+		const prefix string = ",\"annotations\":"
+		out.RawString(prefix)
+		(in.Annotations).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Tenant) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayConfig1(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Tenant) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayConfig1(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Tenant) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayConfig1(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Tenant) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayConfig1(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayConfig2(in *jlexer.Lexer, out *Spec) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -127,13 +311,13 @@
 					out.Zones = (out.Zones)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 Zone
+					var v7 Zone
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v1).UnmarshalEasyJSON(in)
+						(v7).UnmarshalEasyJSON(in)
 					}
-					out.Zones = append(out.Zones, v1)
+					out.Zones = append(out.Zones, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -154,13 +338,13 @@
 					out.Pools = (out.Pools)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v2 Pool
+					var v8 Pool
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v2).UnmarshalEasyJSON(in)
+						(v8).UnmarshalEasyJSON(in)
 					}
-					out.Pools = append(out.Pools, v2)
+					out.Pools = append(out.Pools, v8)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -171,6 +355,40 @@
 			} else {
 				(out.Lanes).UnmarshalEasyJSON(in)
 			}
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]Tenant, 0, 0)
+					} else {
+						out.Tenants = []Tenant{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v9 Tenant
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v9).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v9)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "key_salt":
+			if in.IsNull() {
+				in.Skip()
+				out.KeySalt = nil
+			} else {
+				out.KeySalt = in.Bytes()
+			}
 		case "limits":
 			if in.IsNull() {
 				in.Skip()
@@ -197,7 +415,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig1(out *jwriter.Writer, in Spec) {
+func easyjson4ca8a529EncodeWardtrayConfig2(out *jwriter.Writer, in Spec) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -208,11 +426,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v3, v4 := range in.Zones {
-				if v3 > 0 {
+			for v11, v12 := range in.Zones {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				(v4).MarshalEasyJSON(out)
+				(v12).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -224,11 +442,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Pools {
-				if v5 > 0 {
+			for v13, v14 := range in.Pools {
+				if v13 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v14).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -238,6 +456,25 @@
 		out.RawString(prefix)
 		(in.Lanes).MarshalEasyJSON(out)
 	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenants\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v15, v16 := range in.Tenants {
+				if v15 > 0 {
+					out.RawByte(',')
+				}
+				(v16).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.KeySalt) != 0 {
+		const prefix string = ",\"key_salt\":"
+		out.RawString(prefix)
+		out.Base64Bytes(in.KeySalt)
+	}
 	if true {
 		const prefix string = ",\"limits\":"
 		out.RawString(prefix)
@@ -254,27 +491,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Spec) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig1(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Spec) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig1(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Spec) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig1(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Spec) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig1(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig2(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig2(in *jlexer.Lexer, out *Share) {
+func easyjson4ca8a529DecodeWardtrayConfig3(in *jlexer.Lexer, out *Share) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -314,7 +551,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig2(out *jwriter.Writer, in Share) {
+func easyjson4ca8a529EncodeWardtrayConfig3(out *jwriter.Writer, in Share) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -334,27 +571,145 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Share) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig2(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Share) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig2(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Share) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig2(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Share) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig2(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig3(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig3(in *jlexer.Lexer, out *Pool) {
+func easyjson4ca8a529DecodeWardtrayConfig4(in *jlexer.Lexer, out *Quota) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "rate":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Rate = float64(in.Float64())
+			}
+		case "burst":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Burst = float64(in.Float64())
+			}
+		case "tokens":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Tokens = bool(in.Bool())
+			}
+		case "uncounted_tokens":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.UncountedTokens = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson4ca8a529EncodeWardtrayConfig4(out *jwriter.Writer, in Quota) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Rate != 0 {
+		const prefix string = ",\"rate\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Float64(float64(in.Rate))
+	}
+	if in.Burst != 0 {
+		const prefix string = ",\"burst\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.Burst))
+	}
+	if in.Tokens {
+		const prefix string = ",\"tokens\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Bool(bool(in.Tokens))
+	}
+	if in.UncountedTokens != 0 {
+		const prefix string = ",\"uncounted_tokens\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.UncountedTokens))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Quota) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson4ca8a529EncodeWardtrayConfig4(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Quota) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson4ca8a529EncodeWardtrayConfig4(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Quota) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson4ca8a529DecodeWardtrayConfig4(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Quota) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson4ca8a529DecodeWardtrayConfig4(l, v)
+}
+func easyjson4ca8a529DecodeWardtrayConfig5(in *jlexer.Lexer, out *Pool) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -402,13 +757,13 @@
 					out.Adapters = (out.Adapters)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 string
+					var v19 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v7 = string(in.String())
+						v19 = string(in.String())
 					}
-					out.Adapters = append(out.Adapters, v7)
+					out.Adapters = append(out.Adapters, v19)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -429,13 +784,13 @@
 					out.Services = (out.Services)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v8 string
+					var v20 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v8 = string(in.String())
+						v20 = string(in.String())
 					}
-					out.Services = append(out.Services, v8)
+					out.Services = append(out.Services, v20)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -478,7 +833,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig3(out *jwriter.Writer, in Pool) {
+func easyjson4ca8a529EncodeWardtrayConfig5(out *jwriter.Writer, in Pool) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -502,11 +857,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v9, v10 := range in.Adapters {
-				if v9 > 0 {
+			for v21, v22 := range in.Adapters {
+				if v21 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v10))
+				out.String(string(v22))
 			}
 			out.RawByte(']')
 		}
@@ -518,11 +873,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v11, v12 := range in.Services {
-				if v11 > 0 {
+			for v23, v24 := range in.Services {
+				if v23 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v12))
+				out.String(string(v24))
 			}
 			out.RawByte(']')
 		}
@@ -553,27 +908,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Pool) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig3(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Pool) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig3(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Pool) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig3(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Pool) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig3(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig5(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig4(in *jlexer.Lexer, out *Names) {
+func easyjson4ca8a529DecodeWardtrayConfig6(in *jlexer.Lexer, out *Names) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -603,13 +958,13 @@
 					out.Zones = (out.Zones)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v13 string
+					var v25 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v13 = string(in.String())
+						v25 = string(in.String())
 					}
-					out.Zones = append(out.Zones, v13)
+					out.Zones = append(out.Zones, v25)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -630,13 +985,13 @@
 					out.Pools = (out.Pools)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v14 string
+					var v26 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v14 = string(in.String())
+						v26 = string(in.String())
 					}
-					out.Pools = append(out.Pools, v14)
+					out.Pools = append(out.Pools, v26)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -657,13 +1012,40 @@
 					out.Lanes = (out.Lanes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v15 string
+					var v27 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v15 = string(in.String())
+						v27 = string(in.String())
 					}
-					out.Lanes = append(out.Lanes, v15)
+					out.Lanes = append(out.Lanes, v27)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]string, 0, 4)
+					} else {
+						out.Tenants = []string{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v28 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v28 = string(in.String())
+					}
+					out.Tenants = append(out.Tenants, v28)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -682,7 +1064,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig4(out *jwriter.Writer, in Names) {
+func easyjson4ca8a529EncodeWardtrayConfig6(out *jwriter.Writer, in Names) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -692,11 +1074,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v16, v17 := range in.Zones {
-				if v16 > 0 {
+			for v29, v30 := range in.Zones {
+				if v29 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v17))
+				out.String(string(v30))
 			}
 			out.RawByte(']')
 		}
@@ -711,11 +1093,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v18, v19 := range in.Pools {
-				if v18 > 0 {
+			for v31, v32 := range in.Pools {
+				if v31 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v19))
+				out.String(string(v32))
 			}
 			out.RawByte(']')
 		}
@@ -730,11 +1112,30 @@
 		}
 		{
 			out.RawByte('[')
-			for v20, v21 := range in.Lanes {
-				if v20 > 0 {
+			for v33, v34 := range in.Lanes {
+				if v33 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v21))
+				out.String(string(v34))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenants\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v35, v36 := range in.Tenants {
+				if v35 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v36))
 			}
 			out.RawByte(']')
 		}
@@ -745,27 +1146,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Names) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig4(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Names) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig4(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Names) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig4(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Names) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig4(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig6(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig5(in *jlexer.Lexer, out *Limits) {
+func easyjson4ca8a529DecodeWardtrayConfig7(in *jlexer.Lexer, out *Limits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -817,7 +1218,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig5(out *jwriter.Writer, in Limits) {
+func easyjson4ca8a529EncodeWardtrayConfig7(out *jwriter.Writer, in Limits) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -863,27 +1264,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Limits) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig5(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig7(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig5(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig7(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Limits) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig5(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig7(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig5(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig7(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig6(in *jlexer.Lexer, out *Lane) {
+func easyjson4ca8a529DecodeWardtrayConfig8(in *jlexer.Lexer, out *Lane) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -961,13 +1362,13 @@
 					out.Split = (out.Split)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v22 Share
+					var v37 Share
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v22).UnmarshalEasyJSON(in)
+						(v37).UnmarshalEasyJSON(in)
 					}
-					out.Split = append(out.Split, v22)
+					out.Split = append(out.Split, v37)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1008,6 +1409,12 @@
 			} else {
 				out.CancelOnDisconnect = bool(in.Bool())
 			}
+		case "public":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Public = bool(in.Bool())
+			}
 		case "annotations":
 			if in.IsNull() {
 				in.Skip()
@@ -1028,7 +1435,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig6(out *jwriter.Writer, in Lane) {
+func easyjson4ca8a529EncodeWardtrayConfig8(out *jwriter.Writer, in Lane) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1077,11 +1484,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v23, v24 := range in.Split {
-				if v23 > 0 {
+			for v38, v39 := range in.Split {
+				if v38 > 0 {
 					out.RawByte(',')
 				}
-				(v24).MarshalEasyJSON(out)
+				(v39).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1116,6 +1523,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.CancelOnDisconnect))
 	}
+	if in.Public {
+		const prefix string = ",\"public\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Public))
+	}
 	if len(in.Annotations) != 0 {
 		const prefix string = ",\"annotations\":"
 		out.RawString(prefix)
@@ -1127,27 +1539,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Lane) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig6(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig8(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Lane) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig6(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig8(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Lane) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig6(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig8(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Lane) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig6(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig8(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig7(in *jlexer.Lexer, out *Flaw) {
+func easyjson4ca8a529DecodeWardtrayConfig9(in *jlexer.Lexer, out *Flaw) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1187,7 +1599,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig7(out *jwriter.Writer, in Flaw) {
+func easyjson4ca8a529EncodeWardtrayConfig9(out *jwriter.Writer, in Flaw) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1207,27 +1619,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Flaw) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig7(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig9(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Flaw) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig7(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig9(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Flaw) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig7(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig9(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Flaw) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig7(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig9(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig8(in *jlexer.Lexer, out *Entries) {
+func easyjson4ca8a529DecodeWardtrayConfig10(in *jlexer.Lexer, out *Entries) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1257,13 +1669,13 @@
 					out.Zones = (out.Zones)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v25 Zone
+					var v40 Zone
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v25).UnmarshalEasyJSON(in)
+						(v40).UnmarshalEasyJSON(in)
 					}
-					out.Zones = append(out.Zones, v25)
+					out.Zones = append(out.Zones, v40)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1284,13 +1696,13 @@
 					out.Pools = (out.Pools)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v26 Pool
+					var v41 Pool
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v26).UnmarshalEasyJSON(in)
+						(v41).UnmarshalEasyJSON(in)
 					}
-					out.Pools = append(out.Pools, v26)
+					out.Pools = append(out.Pools, v41)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -1301,6 +1713,33 @@
 			} else {
 				(out.Lanes).UnmarshalEasyJSON(in)
 			}
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]Tenant, 0, 0)
+					} else {
+						out.Tenants = []Tenant{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v42 Tenant
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v42).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v42)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -1315,7 +1754,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig8(out *jwriter.Writer, in Entries) {
+func easyjson4ca8a529EncodeWardtrayConfig10(out *jwriter.Writer, in Entries) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1325,11 +1764,11 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('[')
-			for v27, v28 := range in.Zones {
-				if v27 > 0 {
+			for v43, v44 := range in.Zones {
+				if v43 > 0 {
 					out.RawByte(',')
 				}
-				(v28).MarshalEasyJSON(out)
+				(v44).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1344,11 +1783,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v29, v30 := range in.Pools {
-				if v29 > 0 {
+			for v45, v46 := range in.Pools {
+				if v45 > 0 {
 					out.RawByte(',')
 				}
-				(v30).MarshalEasyJSON(out)
+				(v46).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -1363,33 +1802,52 @@
 		}
 		(in.Lanes).MarshalEasyJSON(out)
 	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenants\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v47, v48 := range in.Tenants {
+				if v47 > 0 {
+					out.RawByte(',')
+				}
+				(v48).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Entries) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig8(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig10(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Entries) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig8(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig10(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Entries) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig8(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig10(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Entries) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig8(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig10(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig9(in *jlexer.Lexer, out *Engine) {
+func easyjson4ca8a529DecodeWardtrayConfig11(in *jlexer.Lexer, out *Engine) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1435,7 +1893,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig9(out *jwriter.Writer, in Engine) {
+func easyjson4ca8a529EncodeWardtrayConfig11(out *jwriter.Writer, in Engine) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1471,27 +1929,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Engine) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig9(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig11(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Engine) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig9(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig11(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Engine) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig9(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig11(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Engine) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig9(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig11(l, v)
 }
-func easyjson4ca8a529DecodeWardtrayConfig10(in *jlexer.Lexer, out *Change) {
+func easyjson4ca8a529DecodeWardtrayConfig12(in *jlexer.Lexer, out *Change) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -1551,7 +2009,7 @@
 		in.Consumed()
 	}
 }
-func easyjson4ca8a529EncodeWardtrayConfig10(out *jwriter.Writer, in Change) {
+func easyjson4ca8a529EncodeWardtrayConfig12(out *jwriter.Writer, in Change) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -1597,23 +2055,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Change) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson4ca8a529EncodeWardtrayConfig10(&w, v)
+	easyjson4ca8a529EncodeWardtrayConfig12(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Change) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson4ca8a529EncodeWardtrayConfig10(w, v)
+	easyjson4ca8a529EncodeWardtrayConfig12(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Change) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson4ca8a529DecodeWardtrayConfig10(&r, v)
+	easyjson4ca8a529DecodeWardtrayConfig12(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Change) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson4ca8a529DecodeWardtrayConfig10(l, v)
+	easyjson4ca8a529DecodeWardtrayConfig12(l, v)
 }
--- a/config/startup/flags.go
+++ b/config/startup/flags.go
@@ -83,6 +83,11 @@
 	return span(startup.Repeats.Window, 10*time.Second)
 }
 
+// QuotasWindow gives the window over which quotas are counted.
+func (startup *Startup) QuotasWindow() time.Duration {
+	return span(startup.Quotas.Window, 10*time.Second)
+}
+
 // FromCommandLine reads flags and file of a daemon, checks them, and gives the startup. On a fault
 // it prints every flaw and ends the process with ExitBadStartup.
 func FromCommandLine(name, help string, needs Needs) *Startup {
--- a/config/startup/startup.go
+++ b/config/startup/startup.go
@@ -63,6 +63,8 @@
 	WithoutCore string `json:"without_core,omitempty"`
 	// Repeats bound what is sent to a second runner, over all daemons.
 	Repeats Repeats `json:"repeats,omitempty"`
+	// Quotas say by how much the daemons together may exceed tenants' quotas.
+	Quotas Quotas `json:"quotas,omitempty"`
 	// Registered says that runners register themselves, so that there is no platform's list.
 	Registered bool `json:"registered,omitempty"`
 	// Idle says that this machine has no disk, so that a wtcore on it stands by and takes no part.
@@ -82,6 +84,16 @@
 	Slack  int     `json:"slack,omitempty"`
 }
 
+// Quotas bound what the daemons together let through beyond a tenant's quota: in every window a share of it, and so much
+// more, in the unit of the quota.
+//
+//easyjson:json
+type Quotas struct {
+	Window string  `json:"window,omitempty"`
+	Excess float64 `json:"excess,omitempty"`
+	Slack  float64 `json:"slack,omitempty"`
+}
+
 // Read reads a file strictly; an empty path gives an empty startup.
 func Read(path string) (*Startup, error) {
 	startup := &Startup{}
@@ -125,7 +137,7 @@
 		name, text string
 		least      time.Duration
 	}{
-		{"finish", startup.Finish, 1}, {"beat", startup.Beat, 1}, {"apply", startup.Apply, 1}, {"repeats.window", startup.Repeats.Window, 1},
+		{"finish", startup.Finish, 1}, {"beat", startup.Beat, 1}, {"apply", startup.Apply, 1}, {"repeats.window", startup.Repeats.Window, 1}, {"quotas.window", startup.Quotas.Window, 1},
 		{"contact", startup.Contact, 1}, {"acknowledge", startup.Acknowledge, 1}, {"catch_up", startup.CatchUp, 1},
 		{"grace", startup.Grace, 1}, {"without_core", startup.WithoutCore, 0},
 	} {
@@ -239,6 +251,9 @@
 	if startup.Faults < 0 || startup.Faults > mostFaults {
 		flaw("faults: wants 0 to %d", mostFaults)
 	}
+	if startup.Quotas.Excess < 0 || startup.Quotas.Excess > 1 || startup.Quotas.Slack < 0 {
+		flaw("quotas: wants an excess from 0 to 1 and a slack of 0 or more")
+	}
 	if startup.Repeats.Share < 0 || startup.Repeats.Share > 1 || startup.Repeats.Slack < 0 {
 		flaw("repeats: wants a share from 0 to 1 and a slack of 0 or more")
 	}
--- a/config/startup/startup_easyjson.go
+++ b/config/startup/startup_easyjson.go
@@ -199,6 +199,12 @@
 			} else {
 				(out.Repeats).UnmarshalEasyJSON(in)
 			}
+		case "quotas":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Quotas).UnmarshalEasyJSON(in)
+			}
 		case "registered":
 			if in.IsNull() {
 				in.Skip()
@@ -354,6 +360,11 @@
 		out.RawString(prefix)
 		(in.Repeats).MarshalEasyJSON(out)
 	}
+	if true {
+		const prefix string = ",\"quotas\":"
+		out.RawString(prefix)
+		(in.Quotas).MarshalEasyJSON(out)
+	}
 	if in.Registered {
 		const prefix string = ",\"registered\":"
 		out.RawString(prefix)
@@ -492,3 +503,105 @@
 func (v *Repeats) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson9e48c2f1DecodeWardtrayConfigStartup1(l, v)
 }
+func easyjson9e48c2f1DecodeWardtrayConfigStartup2(in *jlexer.Lexer, out *Quotas) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "window":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Window = string(in.String())
+			}
+		case "excess":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Excess = float64(in.Float64())
+			}
+		case "slack":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Slack = float64(in.Float64())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson9e48c2f1EncodeWardtrayConfigStartup2(out *jwriter.Writer, in Quotas) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Window != "" {
+		const prefix string = ",\"window\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.String(string(in.Window))
+	}
+	if in.Excess != 0 {
+		const prefix string = ",\"excess\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.Excess))
+	}
+	if in.Slack != 0 {
+		const prefix string = ",\"slack\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Float64(float64(in.Slack))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Quotas) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson9e48c2f1EncodeWardtrayConfigStartup2(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Quotas) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson9e48c2f1EncodeWardtrayConfigStartup2(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Quotas) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson9e48c2f1DecodeWardtrayConfigStartup2(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Quotas) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson9e48c2f1DecodeWardtrayConfigStartup2(l, v)
+}
--- a/control/core/bounds.go
+++ b/control/core/bounds.go
@@ -63,6 +63,9 @@
 	Stagger time.Duration
 	// DaemonLease is for how long a daemon may rely on a lease, counted from its question.
 	DaemonLease time.Duration
+	// QuotaTerm is for how long a daemon's share of a quota counts, counted from its question: longer than a takeover, so
+	// that daemons go on with what they hold while another head takes over.
+	QuotaTerm time.Duration
 	// Starting is for how long after its start a machine can't tell daemons yet whether there is a head.
 	Starting time.Duration
 	// Leave is how long a machine that is told to stop waits for others to take over what it holds.
@@ -89,6 +92,7 @@
 		Frozen:      suspicion - beatEvery,
 		Stagger:     max(leastStagger, min(usualStagger, repair/10)),
 		DaemonLease: StalenessFor(limits.Apply),
+		QuotaTerm:   limits.Acknowledge,
 		Starting:    min(usualStarting, limits.Contact/2),
 		// The rest of the grace is for closing what is open.
 		Leave: limits.Grace * 9 / 10,
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -47,7 +47,7 @@
 // packed gives the document's spec compressed; a change of the directory alone does not compress it anew.
 func (node *Node) packed(document *wire.Document) []byte {
 	if node.packedSpec == nil || node.packedEpoch != document.SpecEpoch {
-		node.packedEpoch, node.packedSpec = document.SpecEpoch, config.Pack(document.Spec)
+		node.packedEpoch, node.packedSpec = document.SpecEpoch, config.Pack(config.SealContent(document.Spec))
 	}
 	return node.packedSpec
 }
--- a/control/core/leadership.go
+++ b/control/core/leadership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wardtray/coordination/lease"
+	"wardtray/coordination/quota"
 	"wardtray/coordination/view"
 	"wardtray/wire"
 )
@@ -24,6 +25,9 @@
 	ledger *lease.Ledger
 	// When recent sequences were first seen committed here.
 	commits map[uint64]time.Time
+	// issuer divides the tenants' quotas, by the limits of the spec of an epoch; nil until a daemon first asks.
+	issuer      *quota.Issuer
+	limitsEpoch uint64
 }
 
 func (node *Node) tendClaim(now time.Time) {
@@ -93,6 +97,7 @@
 		node.head.begun, node.head.mark = now, node.chain.Latest().Sequence
 		node.head.daemons = map[string]*daemon{}
 		node.head.firstDaemon = time.Time{}
+		node.head.issuer = nil
 		node.head.commits = map[uint64]time.Time{}
 	}
 	return node.chain.Committed().Sequence >= node.head.mark
--- a/control/core/leases.go
+++ b/control/core/leases.go
@@ -36,6 +36,9 @@
 	// What it was granted or told since it was tried may be for a new process at its address.
 	if known != nil && known.granted.Before(tried) && known.asked.Before(tried) {
 		known.gone, known.sequence, known.asks = tried, 0, 0
+		if node.head.issuer != nil {
+			node.head.issuer.Release(now, address)
+		}
 		node.answerWaiters(now)
 	}
 }
@@ -69,6 +72,9 @@
 	if node.leading(now) {
 		node.grantLease(now, envelope.From, message, grant)
 	}
+	if grant.Granted && message.Quota != nil {
+		grant.Quota = node.shares(now, envelope.From, message.Quota)
+	}
 	if !grant.Granted {
 		grant.Confirmed = node.confirms(now, envelope.From, message)
 		grant.Sequence = node.witness.Known()
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -15,6 +15,7 @@
 	"wardtray/coordination/lease"
 	"wardtray/coordination/machine"
 	"wardtray/coordination/peersampling"
+	"wardtray/coordination/quota"
 	"wardtray/coordination/view"
 	"wardtray/wire"
 )
@@ -34,6 +35,8 @@
 	Founding bool
 	// Faults is how many machines may lose their disks at the same time; 1 if not told.
 	Faults int
+	// Quotas is by how much the daemons together may exceed tenants' quotas.
+	Quotas quota.Tolerance
 	// Staleness is for how long a data daemon may rely on a lease; 0 stands for what the limits allow.
 	Staleness time.Duration
 	// Limits are the times that the platform grants; zero ones stand for the usual.
--- a/control/corehost/host.go
+++ b/control/corehost/host.go
@@ -19,6 +19,7 @@
 	"wardtray/control/core"
 	"wardtray/control/drive"
 	"wardtray/coordination/machine"
+	"wardtray/coordination/quota"
 	"wardtray/coordination/snapshot"
 	"wardtray/process/fault"
 	"wardtray/transport"
@@ -83,7 +84,8 @@
 		log.Warn("the time limits are too short to be kept after every loss", "cause", err.Error())
 	}
 	host.node = core.New(time.Now(), core.Startup{Limits: limits, Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone,
-		Seeds: startup.Seeds, Founders: startup.Founders, Founding: !startup.Joins, Faults: startup.Faults, Beat: startup.BeatTime()}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
+		Seeds: startup.Seeds, Founders: startup.Founders, Founding: !startup.Joins, Faults: startup.Faults, Beat: startup.BeatTime(),
+		Quotas: quota.Tolerance{Window: startup.QuotasWindow(), Excess: startup.Quotas.Excess, Slack: startup.Quotas.Slack}}, restored.Memory, restored.Records, rand.New(rand.NewSource(Seed())))
 	host.transport = transport.New(startup.Address, startup.Zone, func(envelope *wire.Envelope) {
 		host.step(func(now time.Time) { host.node.Receive(now, envelope) })
 	}, func(address string, tried time.Time) {
--- a/edge/director/director.go
+++ b/edge/director/director.go
@@ -21,6 +21,7 @@
 	"wardtray/coordination/gossip"
 	"wardtray/coordination/machine"
 	"wardtray/coordination/peersampling"
+	"wardtray/coordination/quota"
 	"wardtray/wire"
 )
 
@@ -62,6 +63,8 @@
 	// WithoutCore is for how long after its last lease a daemon that reaches no core machine at all goes on serving
 	// on the configuration that it has; 0: not at all.
 	WithoutCore time.Duration
+	// Quota holds the daemon's shares of the tenants' quotas, which the director asks the head for; nil: there are none.
+	Quota *quota.Holder
 	// OnTaken hears what other daemons of the zone say of requests that run at most once.
 	OnTaken func(now time.Time, key []byte, dropped bool)
 }
--- a/edge/director/lease.go
+++ b/edge/director/lease.go
@@ -19,8 +19,9 @@
 			continue
 		}
 		director.counters.TickAsks++
+		nonce := director.ask(now)
 		director.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_TickAsk{TickAsk: &wire.TickAsk{
-			Nonce: director.ask(now), Sequence: director.sequence, Zone: director.startup.Zone, Leaving: director.leaving, Http: director.startup.HTTP,
+			Nonce: nonce, Quota: director.quotaReport(now, address, nonce), Sequence: director.sequence, Zone: director.startup.Zone, Leaving: director.leaving, Http: director.startup.HTTP,
 			View: director.view.Epoch, Life: director.life}}})
 	}
 }
@@ -190,6 +191,7 @@
 	if !found {
 		return
 	}
+	director.onQuotaGrant(now, message)
 	if message.Granted || !message.Starting {
 		director.unanswered = 0
 	}
--- a/edge/plane/plane.go
+++ b/edge/plane/plane.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"wardtray/coordination/machine"
+	"wardtray/coordination/quota"
 	"wardtray/edge/director"
 	"wardtray/process/budget"
 	"wardtray/process/fault"
@@ -102,6 +103,7 @@
 		startup.Speech = speech.Own{}
 	}
 	memory := once.New()
+	startup.Quota = quota.NewHolder()
 	startup.OnTaken = func(now time.Time, key []byte, dropped bool) {
 		if len(key) == len(once.Key{}) {
 			memory.Heard(now, once.Key(key), dropped)
@@ -117,6 +119,9 @@
 		Once: memory, Tell: func(key once.Key, dropped bool) {
 			plane.Step(func(_ time.Time, director *director.Director) { director.TellTaken(key[:], dropped) })
 		}}
+	plane.Yard.Quota, plane.Yard.AskQuota = startup.Quota, func() {
+		plane.Step(func(now time.Time, director *director.Director) { director.AskQuota(now) })
+	}
 	plane.Yard.Links.Foreign = startup.Speech.Foreign
 	return plane, nil
 }
--- a/process/fault/fault.go
+++ b/process/fault/fault.go
@@ -18,6 +18,8 @@
 	UnknownLane    Kind = "unknown_lane"
 	UnknownModel   Kind = "unknown_model"
 	UnknownAdapter Kind = "unknown_adapter"
+	UnknownKey     Kind = "unknown_key"
+	QuotaSpent     Kind = "quota_spent"
 	PurseSpent     Kind = "purse_spent"
 	PatienceShort  Kind = "patience_short"
 	WaitlistFull   Kind = "waitlist_full"
@@ -49,6 +51,8 @@
 	UnknownLane:    "name a lane of the present spec (wtctl get)",
 	UnknownModel:   "name the model of the lane's pool (wtctl get)",
 	UnknownAdapter: "name an adapter of the lane's pool (wtctl get)",
+	UnknownKey:     "send a key of a tenant of the present spec",
+	QuotaSpent:     "come back after Retry-After, or raise the tenant's quota",
 	PurseSpent:     "come back after Retry-After, or raise the lane's purse",
 	PatienceShort:  "come back after Retry-After, or give the lane more patience",
 	WaitlistFull:   "come back after Retry-After",
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -13,11 +13,13 @@
 
 // Lane is the count of one lane.
 type Lane struct {
-	Requests     uint64            `json:"requests"`
-	Done         uint64            `json:"done"`
-	Ends         map[string]uint64 `json:"ends,omitempty"`
-	Early        uint64            `json:"refused_early"`
-	Late         uint64            `json:"refused_late"`
+	Requests uint64            `json:"requests"`
+	Done     uint64            `json:"done"`
+	Ends     map[string]uint64 `json:"ends,omitempty"`
+	Early    uint64            `json:"refused_early"`
+	Late     uint64            `json:"refused_late"`
+	// QuotaSpent counts requests refused because their tenant had used up its quota.
+	QuotaSpent   uint64            `json:"refused_by_quota"`
 	Repeats      uint64            `json:"repeats"`
 	FreeAttempts uint64            `json:"attempts_not_sent"`
 	HeldTokens   uint64            `json:"held_tokens"`
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -41,6 +41,8 @@
 	AnswerTokens int
 	// Rank orders lanes under pressure, 0 first.
 	Rank int
+	// TenantRank orders tenants under pressure, 0 first; it goes before Rank.
+	TenantRank int
 	// Resumed tells that part of the answer was relayed already and the rest is wanted.
 	Resumed bool
 	Zone    string
@@ -134,12 +136,18 @@
 	return 1 + min(1, float64(bid.Waited)/float64(max(bid.Patience, time.Millisecond)))
 }
 
-// standing orders waiting prompts; the greater goes first. A lane beyond its purse comes after all
-// lanes within theirs, so that none starves.
+// The steps of standing: each is more than all that comes after it can add up to.
+const (
+	purseStep  = 10_000
+	tenantStep = 2 * purseStep
+)
+
+// standing orders waiting prompts; the greater goes first. Tenants go by their ranks first.
+// A lane beyond its purse comes after all lanes within theirs, so that none starves.
 func (bid Bid) standing() float64 {
-	rank := bid.Worth * bid.Urgency()
+	rank := bid.Worth*bid.Urgency() - tenantStep*float64(bid.TenantRank)
 	if bid.InPurse {
-		rank += 10_000
+		rank += purseStep
 	}
 	return rank
 }
--- a/request/course/attempt.go
+++ b/request/course/attempt.go
@@ -41,6 +41,9 @@
 	if !known || runner.Reason == pressure.ReasonLeaving || !Permits(snapshot.Book, pool, runner) {
 		return false
 	}
+	if !course.relayed && course.identify(snapshot.Book, lane) != nil {
+		return false
+	}
 	course.epoch = snapshot.SpecEpoch
 	// Where runners are not asked who they are, every request states whom it means, and another one turns it away.
 	if course.yard.Speech.Identity() == "" {
@@ -119,7 +122,7 @@
 // run is this attempt in the words of a speech.
 func (course *Course) run() speech.Run {
 	return speech.Run{Runner: course.step.Runner, Daemon: course.yard.Name, Epoch: course.epoch, Left: course.remaining(), After: course.after,
-		Urgency: course.step.Urgency, Weights: course.pool.Weights}
+		Urgency: course.step.Urgency, Weights: course.pool.Weights, Tenant: course.tenantName()}
 }
 
 // send writes the request out. A long one takes its time on the way, so that the last look comes again
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -69,8 +69,12 @@
 	request *intake.Request
 	lane    config.Lane
 	pool    config.Pool
-	desk    *award.Desk
-	ticket  *award.Ticket
+	// tenant is whose key the request carries, nil where none was needed; charged is what was taken of its quota.
+	tenant    *config.Tenant
+	charged   float64
+	chargedTo string
+	desk      *award.Desk
+	ticket    *award.Ticket
 
 	step       award.Step
 	attempts   int
@@ -127,6 +131,10 @@
 		return
 	}
 	course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Requests++ })
+	if refusal := course.charge(); refusal != nil {
+		course.refuse(*refusal)
+		return
+	}
 	if refusal := course.obtain(award.NotSent); refusal != nil {
 		course.refuse(*refusal)
 		return
@@ -163,6 +171,9 @@
 	if course.relayed && pool.Name != course.pool.Name {
 		return fault.New(fault.UnknownLane, "lane %q now belongs to pool %q", lane.Name, pool.Name)
 	}
+	if err := course.identify(book, lane); err != nil {
+		return err
+	}
 	moved := course.desk != nil && pool.Name != course.pool.Name
 	course.lane, course.pool = *lane, *pool
 	course.until = course.given()
@@ -217,7 +228,7 @@
 	course.ticket = &award.Ticket{Lane: lane.Name, Purse: lane.Purse, PartTokens: request.PartTokens, Steps: make(chan award.Step, 1),
 		Keys: course.yard.Indexer.Processor.BlockKeys(request.Parts, kvblock.Extra{Model: request.Model, Weights: pool.Weights, Adapter: request.Adapter}),
 		Bid: award.Bid{Worth: lane.Worth, Patience: course.patience(), Deadline: course.waits(), PromptTokens: request.PromptTokens,
-			AnswerTokens: request.AnswerTokens, Rank: lane.Rank, Resumed: course.relayed, Zone: course.yard.Zone,
+			AnswerTokens: request.AnswerTokens, Rank: lane.Rank, TenantRank: course.tenantRank(), Resumed: course.relayed, Zone: course.yard.Zone,
 			Shut: map[string]bool{}}}
 }
 
--- a/request/course/refusal.go
+++ b/request/course/refusal.go
@@ -92,6 +92,9 @@
 // refuse ends a course without a stream.
 func (course *Course) refuse(refusal speech.Refusal) {
 	course.to(ended)
+	if refusal.DidNotRun {
+		course.uncharge()
+	}
 	course.settle(map[bool]once.State{true: "", false: once.Unknown}[refusal.DidNotRun])
 	if course.desk != nil {
 		course.yard.Tally.Count(course.lane.Name, func(lane *tally.Lane) { lane.Ends[string(refusal.Kind)]++ })
--- a/request/course/yard.go
+++ b/request/course/yard.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"wardtray/coordination/quota"
 	"wardtray/edge/director"
 	"wardtray/process/budget"
 	"wardtray/process/fault"
@@ -42,6 +43,9 @@
 	// Once remembers requests that run at most once; Tell tells the zone's other daemons of them.
 	Once *once.Memory
 	Tell func(key once.Key, dropped bool)
+	// Quota holds this daemon's shares of the tenants' quotas; AskQuota asks for more at once.
+	Quota    *quota.Holder
+	AskQuota func()
 	// Repeats bounds what is sent again; the zero value stands for budget.Default.
 	Repeats budget.Settings
 
--- a/request/intake/intake.go
+++ b/request/intake/intake.go
@@ -42,8 +42,20 @@
 	HeaderDaemon  = "Wardtray-Daemon"
 	HeaderWait    = "Wardtray-Wait"
 	HeaderAfter   = "Wardtray-After"
+	HeaderTenant  = "Wardtray-Tenant"
+	// HeaderAuthorization carries a tenant's key, as in "Bearer KEY".
+	HeaderAuthorization = "Authorization"
 )
 
+const schemeBearer = "Bearer"
+
+// Credential gives the secret of an Authorization header of a scheme; found is false where it has another form.
+func Credential(value, scheme string) (secret string, found bool) {
+	named, secret, found := strings.Cut(value, " ")
+	secret = strings.TrimSpace(secret)
+	return secret, found && strings.EqualFold(named, scheme) && secret != ""
+}
+
 // Body is the JSON body of a request.
 //
 //easyjson:json
@@ -67,6 +79,10 @@
 	Wait time.Duration
 	// After is the id of the last event that the requester has of this stream already; 0: none.
 	After int
+	// Key is the secret by which a tenant is known; empty: none came. TokensTold says that the request itself told how many
+	// tokens it has.
+	Key        string
+	TokensTold bool
 	// Fresh says that the id stands for this try alone, so that nothing needs to be remembered of it.
 	Fresh bool
 }
@@ -112,6 +128,14 @@
 		}
 		*count.to = number
 	}
+	request.TokensTold = true
+	key, err := one(header, HeaderAuthorization, false)
+	if err != nil {
+		return nil, err
+	}
+	if secret, found := Credential(key, schemeBearer); found {
+		request.Key = secret
+	}
 	request.Wait = time.Duration(wait) * time.Millisecond
 	if err := request.prefix(header(HeaderPrefix)); err != nil {
 		return nil, err
--- a/request/speech/speech.go
+++ b/request/speech/speech.go
@@ -45,6 +45,8 @@
 	// Urgency is from 0, the most urgent, to 9; 5 is nothing special.
 	Urgency int
 	Weights string
+	// Tenant is whose key the request carried; empty: none was needed.
+	Tenant string
 }
 
 // Said is what the head of a runner's answer says.
@@ -111,7 +113,7 @@
 
 var statuses = map[fault.Kind]int{
 	fault.Malformed: 400, fault.TooLarge: 413, fault.UnknownLane: 404, fault.UnknownModel: 404, fault.UnknownAdapter: 404,
-	fault.PurseSpent: 429, fault.PatienceShort: 429, fault.WaitlistFull: 429, fault.NoRunner: 503, fault.NotServing: 503,
+	fault.UnknownKey: 401, fault.QuotaSpent: 429, fault.PurseSpent: 429, fault.PatienceShort: 429, fault.WaitlistFull: 429, fault.NoRunner: 503, fault.NotServing: 503,
 	fault.OutcomeUnknown: 504, fault.RunFailed: 502, fault.AlreadyTaken: 409, fault.RequesterGone: 499, fault.NotFound: 404, fault.Internal: 500,
 }
 
@@ -161,7 +163,7 @@
 		{Name: intake.HeaderAdapter, Value: request.Adapter}, {Name: intake.HeaderRequest, Value: request.ID}, {Name: intake.HeaderRunner, Value: run.Runner.ID},
 		{Name: intake.HeaderDaemon, Value: run.Daemon}, {Name: intake.HeaderEpoch, Value: strconv.FormatUint(run.Epoch, 10)},
 		{Name: intake.HeaderPrompt, Value: strconv.Itoa(request.PromptTokens)}, {Name: intake.HeaderAnswer, Value: strconv.Itoa(request.AnswerTokens)},
-		{Name: intake.HeaderWait, Value: counted(int(run.Left.Milliseconds()))}, {Name: intake.HeaderAfter, Value: counted(run.After)}} {
+		{Name: intake.HeaderTenant, Value: run.Tenant}, {Name: intake.HeaderWait, Value: counted(int(run.Left.Milliseconds()))}, {Name: intake.HeaderAfter, Value: counted(run.After)}} {
 		if header.Value != "" {
 			outgoing.Header.Set(header.Name, header.Value)
 		}
