--- /dev/null
+++ b/config/keys_test.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// The keys of these tests, none of which may be seen outside the control plane.
+const (
+	firstKey  = "nu6wsjnbanfqasnmgkcu"
+	secondKey = "yj8pjbvk9m68k7b2ex5w"
+	otherKey  = "otherotherotherother"
+)
+
+func specWithTenants(t *testing.T, tenants string) *Spec {
+	t.Helper()
+	parsed, err := Parse([]byte(`{"zones":[],"pools":[{"name":"p","services":["s"]}],"lanes":[
+{"name":"closed","pool":"p","worth":1,"patience":"1s","purse":1},
+{"name":"open","pool":"p","worth":1,"patience":"1s","purse":1,"public":true}],"tenants":` + tenants + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+const twoTenants = `[{"name":"a","keys":["` + firstKey + `","` + secondKey + `"],"quota":{"rate":100,"burst":50,"tokens":true,"uncounted_tokens":7}},{"name":"b","keys":["` + otherKey + `"],"rank":2}]`
+
+// A key opens its tenant's lanes, by the spec itself and by the copy that daemons get.
+func TestTenantOfAKey(t *testing.T) {
+	spec := specWithTenants(t, twoTenants)
+	if flaws := spec.Check(); len(flaws) > 0 {
+		t.Fatal(flaws)
+	}
+	sealed, err := Decode(SealContent(spec.Encode()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, book := range map[string]*Book{"spec": NewBook(spec), "sealed": NewBook(sealed)} {
+		for key, want := range map[string]string{firstKey: "a", secondKey: "a", otherKey: "b", "unknown": "", "": ""} {
+			tenant, known := book.TenantOf(key, book.Lanes["closed"])
+			if known != (want != "") || known && tenant.Name != want {
+				t.Errorf("%s: key of %q gives %v, %v", name, want, tenant, known)
+			}
+			if _, known := book.TenantOf(key, book.Lanes["open"]); !known {
+				t.Errorf("%s: a public lane is closed to the key of %q", name, want)
+			}
+		}
+	}
+	without := specWithTenants(t, "[]")
+	if tenant, known := NewBook(without).TenantOf("any", &without.Lanes[0]); tenant != nil || !known {
+		t.Error("without tenants a key is asked for")
+	}
+}
+
+// What daemons get, and what a diff shows, holds no key.
+func TestKeysStayWithTheControlPlane(t *testing.T) {
+	spec := specWithTenants(t, twoTenants)
+	shown := append(SealContent(spec.Encode()), strings.Join(Diff(&Spec{}, spec), "\n")...)
+	for _, key := range []string{firstKey, secondKey, otherKey} {
+		if bytes.Contains(shown, []byte(key)) {
+			t.Errorf("a key is shown in %s", shown)
+		}
+	}
+	if spec.Tenants[0].Keys[0] != firstKey || len(spec.KeySalt) > 0 {
+		t.Error("sealing a copy changed the spec")
+	}
+	if bytes.Equal(spec.Seal().KeySalt, spec.Seal().KeySalt) {
+		t.Error("two copies have the same salt")
+	}
+	if plain := []byte(`{"zones":[],"pools":[],"lanes":[]}`); !bytes.Equal(SealContent(plain), plain) {
+		t.Error("a spec without tenants is changed")
+	}
+}
+
+func TestFlawsOfTenants(t *testing.T) {
+	for tenants, path := range map[string]string{
+		`[{"name":"a","keys":["` + firstKey + `"]},{"name":"b","keys":["x","` + firstKey + `"]}]`: "tenants[1].keys[1]",
+		`[{"name":"a"},{"name":"a"}]`:                                     "tenants[1].name",
+		`[{"name":"a","keys":["with blank"]}]`:                            "tenants[0].keys[0]",
+		`[{"name":"a","keys":[""]}]`:                                      "tenants[0].keys[0]",
+		`[{"name":"a","quota":{"rate":-1}}]`:                              "tenants[0].quota.rate",
+		`[{"name":"a","quota":{"rate":1,"burst":-1}}]`:                    "tenants[0].quota.burst",
+		`[{"name":"a","rank":-1}]`:                                        "tenants[0].rank",
+		`[{"name":"a","key_hashes":["` + strings.Repeat("0", 64) + `"]}]`: "tenants[0].key_hashes",
+	} {
+		flaws := specWithTenants(t, tenants).Check()
+		if len(flaws) != 1 || flaws[0].Path != path {
+			t.Errorf("%s: %v", tenants, flaws)
+		}
+		for _, flaw := range flaws {
+			if strings.Contains(flaw.Detail, firstKey) {
+				t.Errorf("a flaw shows a key: %v", flaw)
+			}
+		}
+	}
+	if flaws := specWithTenants(t, `[{"name":"a","keys":["k","k"]}]`).Check(); len(flaws) > 0 {
+		t.Errorf("a tenant's own key twice: %v", flaws)
+	}
+	if _, err := Parse([]byte(`{"zones":[],"pools":[],"lanes":[],"tenants":[{"name":"a","key_hashes":["00"]}]}`)); err == nil {
+		t.Error("a hash of one byte is read")
+	}
+}
+
+// Tenants are replaced, added and removed by their names, and a change that gives one tenant another's key is refused.
+func TestChangesOfTenants(t *testing.T) {
+	present := specWithTenants(t, twoTenants)
+	change, err := ParseChange([]byte(`{"upsert":{"tenants":[{"name":"b","keys":["fresh"]},{"name":"c","keys":["` + otherKey + `"]}]},"remove":{"tenants":["a"]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, flaws := change.Apply(present)
+	if len(flaws) > 0 || len(next.Tenants) != 2 || next.Tenants[0].Name != "b" || next.Tenants[1].Name != "c" {
+		t.Fatalf("%v %v", flaws, next.Tenants)
+	}
+	book := NewBook(next)
+	if tenant, _ := book.TenantOf(otherKey, book.Lanes["closed"]); tenant == nil || tenant.Name != "c" {
+		t.Errorf("the key that moved belongs to %v", tenant)
+	}
+	if _, known := book.TenantOf(firstKey, book.Lanes["closed"]); known {
+		t.Error("a removed tenant's key still opens a lane")
+	}
+	stolen, err := ParseChange([]byte(`{"upsert":{"tenants":[{"name":"c","keys":["` + firstKey + `"]}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, flaws := stolen.Apply(present); len(flaws) != 1 || flaws[0].Path != "upsert.tenants[0].keys[0]" {
+		t.Errorf("another tenant's key: %v", flaws)
+	}
+}
+
+func TestCostOfARequest(t *testing.T) {
+	for name, tried := range map[string]struct {
+		quota Quota
+		told  bool
+		want  float64
+	}{
+		"tokens":          {Quota{Tokens: true, UncountedTokens: 7}, true, 120},
+		"tokens not told": {Quota{Tokens: true, UncountedTokens: 7}, false, 7},
+		"requests":        {Quota{UncountedTokens: 7}, true, 1},
+	} {
+		if cost := tried.quota.Cost(120, tried.told); cost != tried.want {
+			t.Errorf("%s: %v", name, cost)
+		}
+	}
+}
--- a/config/startup/flags.go
+++ b/config/startup/flags.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"wardtray/process/fault"
+	"wardtray/process/mechanism"
 )
 
 // ExitBadStartup is the exit code for wrong settings or flags.
@@ -88,6 +89,15 @@
 	return span(startup.Quotas.Window, 10*time.Second)
 }
 
+// WithoutMechanisms gives the mechanisms that are switched off.
+func (startup *Startup) WithoutMechanisms() mechanism.Set {
+	set, err := mechanism.Parse(startup.Without)
+	if err != nil {
+		return nil // A checked startup names none that is unknown.
+	}
+	return set
+}
+
 // FromCommandLine reads flags and file of a daemon, checks them, and gives the startup. On a fault
 // it prints every flaw and ends the process with ExitBadStartup.
 func FromCommandLine(name, help string, needs Needs) *Startup {
@@ -128,6 +138,7 @@
 	if needs.Platform {
 		application.Flag("without-core", "How long to go on serving while no wtcore is reached at all; 0s: not beyond the lease.").StringVar(&given.WithoutCore)
 		application.Flag("platform", "URL of the platform's list of runners.").StringVar(&given.Platform)
+		application.Flag("without", "Mechanisms to switch off for a measurement, separated by commas; see docs/decisions.md.").StringVar(&given.Without)
 		application.Flag("drain", "How long requests are still taken after SIGTERM.").StringVar(&given.Drain)
 	}
 	if _, err := application.Parse(arguments); err != nil {
@@ -147,6 +158,7 @@
 		{&startup.Folder, &given.Folder}, {&startup.Platform, &given.Platform}, {&startup.Drain, &given.Drain},
 		{&startup.Contact, &given.Contact}, {&startup.Acknowledge, &given.Acknowledge}, {&startup.CatchUp, &given.CatchUp},
 		{&startup.Grace, &given.Grace}, {&startup.WithoutCore, &given.WithoutCore},
+		{&startup.Without, &given.Without},
 	} {
 		if *pair.from != "" {
 			*pair.to = *pair.from
--- a/config/startup/startup.go
+++ b/config/startup/startup.go
@@ -13,6 +13,7 @@
 	"github.com/mailru/easyjson"
 
 	"wardtray/process/fault"
+	"wardtray/process/mechanism"
 	"wardtray/process/strict"
 )
 
@@ -65,6 +66,8 @@
 	Repeats Repeats `json:"repeats,omitempty"`
 	// Quotas say by how much the daemons together may exceed tenants' quotas.
 	Quotas Quotas `json:"quotas,omitempty"`
+	// Without names the mechanisms that are switched off for a measurement, separated by commas.
+	Without string `json:"without,omitempty"`
 	// Registered says that runners register themselves, so that there is no platform's list.
 	Registered bool `json:"registered,omitempty"`
 	// Idle says that this machine has no disk, so that a wtcore on it stands by and takes no part.
@@ -176,6 +179,9 @@
 		flaw.address("fitness", startup.Fitness)
 	}
 	startup.checkNumbers(flaw)
+	if _, err := mechanism.Parse(startup.Without); err != nil {
+		flaw("%s", fault.Of(err).Detail)
+	}
 	if !logLevels[startup.Log] {
 		flaw("log: %q is none of debug, info, warn, error", startup.Log)
 	}
--- a/config/startup/startup_easyjson.go
+++ b/config/startup/startup_easyjson.go
@@ -205,6 +205,12 @@
 			} else {
 				(out.Quotas).UnmarshalEasyJSON(in)
 			}
+		case "without":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Without = string(in.String())
+			}
 		case "registered":
 			if in.IsNull() {
 				in.Skip()
@@ -365,6 +371,11 @@
 		out.RawString(prefix)
 		(in.Quotas).MarshalEasyJSON(out)
 	}
+	if in.Without != "" {
+		const prefix string = ",\"without\":"
+		out.RawString(prefix)
+		out.String(string(in.Without))
+	}
 	if in.Registered {
 		const prefix string = ",\"registered\":"
 		out.RawString(prefix)
--- a/control/core/leases.go
+++ b/control/core/leases.go
@@ -72,8 +72,8 @@
 	if node.leading(now) {
 		node.grantLease(now, envelope.From, message, grant)
 	}
-	if grant.Granted && message.Quota != nil {
-		grant.Quota = node.shares(now, envelope.From, message.Quota)
+	if message.Quota != nil && node.leading(now) {
+		grant.Quota = node.shares(now, envelope.From, message.Quota, grant.Granted)
 	}
 	if !grant.Granted {
 		grant.Confirmed = node.confirms(now, envelope.From, message)
--- a/control/core/quotas.go
+++ b/control/core/quotas.go
@@ -8,9 +8,17 @@
 	"wardtray/wire"
 )
 
-// shares answers a daemon's report of the shares that it holds.
-func (node *Node) shares(now time.Time, daemon string, report *wire.QuotaReport) *wire.QuotaGrant {
+// shares answers a daemon's report of the shares that it holds; nil where there is nothing to answer. One that was
+// granted no lease is given none.
+func (node *Node) shares(now time.Time, daemon string, report *wire.QuotaReport, leased bool) *wire.QuotaGrant {
 	node.refreshIssuer(now)
+	if len(report.Claims) == 0 {
+		node.head.issuer.Release(now, daemon)
+		return nil
+	}
+	if !leased {
+		return nil
+	}
 	claims := make([]quota.Claim, 0, len(report.Claims))
 	for _, claim := range report.Claims {
 		claims = append(claims, quota.Claim{Tenant: claim.Tenant, Balance: claim.Balance, Capacity: claim.Capacity,
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -27,7 +27,9 @@
 	answerBound = 100 * time.Millisecond
 	// shortFor is for how long a tenant's requests are not held for tokens, once the issuer had too few.
 	shortFor = 200 * time.Millisecond
-	// leastReturn and mostReturn bound when a refused request may come back.
+	// usualReturn is when a refused request may come back where the daemon was lent nothing, leastReturn and mostReturn
+	// bound when a refused request may come back.
+	usualReturn = 300 * time.Millisecond
 	leastReturn = 50 * time.Millisecond
 	mostReturn  = 2 * time.Second
 )
@@ -86,6 +88,8 @@
 	answered bool
 	claimed  map[string]Claim
 	changed  chan struct{}
+	// OnDemand holds nothing ahead of the demand: each request waits for its tokens.
+	OnDemand bool
 }
 
 // NewHolder makes a holder without shares.
@@ -179,7 +183,7 @@
 	defer holder.mutex.Unlock()
 	share := holder.share(now, tenant)
 	share.usage.Refused += cost
-	wait := mostReturn
+	wait := usualReturn
 	if share.rate > 0 {
 		wait = time.Duration((cost - share.balance) / share.rate * float64(time.Second))
 	}
@@ -212,6 +216,13 @@
 	return !holder.answered && now.Sub(holder.asked) < answerBound
 }
 
+// Blank tells whether the holder has never had anything to do with any tenant.
+func (holder *Holder) Blank() bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return len(holder.shares) == 0
+}
+
 // Changed gives a channel that is closed when the next answer has come.
 func (holder *Holder) Changed() <-chan struct{} {
 	holder.mutex.Lock()
@@ -231,7 +242,7 @@
 		if share.idle() && share.balance == 0 && share.rate == 0 && share.capacity == 0 {
 			continue
 		}
-		claim := share.claim(tenant)
+		claim := share.claim(tenant, holder.OnDemand)
 		holder.claimed[tenant] = claim
 		claims = append(claims, claim)
 	}
@@ -240,15 +251,19 @@
 }
 
 // claim reports the share, and gives back what it has no use for.
-func (share *share) claim(tenant string) Claim {
-	keep := surplus * share.want()
+func (share *share) claim(tenant string, onDemand bool) Claim {
+	want := share.want()
+	if onDemand {
+		want = 0
+	}
+	keep := surplus * want
 	if share.idle() {
 		keep, share.capacity, share.rate = 0, 0, 0
 	}
 	returned := max(0, share.balance-max(keep, share.need))
 	share.balance -= returned
 	return Claim{Tenant: tenant, Balance: share.balance, Capacity: share.capacity, Rate: share.rate, Filled: share.filled, Returned: returned,
-		Demand: share.steady.value, Want: share.want(), Need: max(0, share.need-share.balance)}
+		Demand: share.steady.value, Want: want, Need: max(0, share.need-share.balance)}
 }
 
 // Granted takes the answer to the report with a number, which counts for a term from when that went out; it tells
--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -83,7 +83,7 @@
 	if adapter != nil {
 		spoken = adapter.Speech
 	}
-	made, err := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Repeats: repeats(startup), Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Staleness: core.StalenessFor(startup.ApplyTime()),
+	made, err := plane.New(seam.Real(local), plane.Startup{Speech: spoken, Repeats: repeats(startup), Without: startup.WithoutMechanisms(), Startup: director.Startup{Address: startup.Address, HTTP: startup.HTTP, Zone: startup.Zone, Seeds: startup.Seeds, Staleness: core.StalenessFor(startup.ApplyTime()),
 		WithoutCore: startup.WithoutCoreTime(), Registered: startup.Registered},
 		Workers: kvblock.DefaultWorkers, Random: rand.New(rand.NewSource(corehost.Seed())), Await: award.Await,
 		Send: func(parcels []machine.Parcel) { host.transport.Send(parcels) }, Poll: func() { go host.poll() }, Log: log})
--- a/edge/director/quotas.go
+++ b/edge/director/quotas.go
@@ -32,10 +32,14 @@
 // answers to all earlier ones void, so none goes out while one is awaited.
 func (director *Director) quotaReport(now time.Time, address string, nonce uint64) *wire.QuotaReport {
 	holder := director.startup.Quota
-	if holder == nil || len(director.view.Chain) == 0 || director.view.Chain[0].Address != address || !director.limited() || holder.Awaits(now) {
+	if holder == nil || len(director.view.Chain) == 0 || director.view.Chain[0].Address != address || holder.Awaits(now) {
 		return nil
 	}
 	report := &wire.QuotaReport{}
+	// That this daemon holds nothing is worth telling too: a new head waits to know what all hold.
+	if holder.Blank() && !director.limited() {
+		return report
+	}
 	for _, claim := range holder.Claims(now, nonce) {
 		report.Claims = append(report.Claims, claimMessage(claim))
 	}
--- a/edge/plane/plane.go
+++ b/edge/plane/plane.go
@@ -21,6 +21,7 @@
 	"wardtray/process/budget"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
+	"wardtray/process/mechanism"
 	"wardtray/process/once"
 	"wardtray/process/pressure"
 	"wardtray/process/tally"
@@ -53,6 +54,8 @@
 	Workers int
 	// Repeats bounds what is sent again, over all daemons; the zero value stands for budget.Default.
 	Repeats budget.Settings
+	// Without names the mechanisms that are switched off.
+	Without mechanism.Set
 	// Speech is how requesters and runners speak; the product's own if it is not given.
 	Speech speech.Speech
 	Random *rand.Rand
@@ -89,6 +92,7 @@
 	random    *rand.Rand
 	desks     map[string]*award.Desk
 	asking    sync.Map
+	without   mechanism.Set
 }
 
 // New makes a plane that knows nothing yet.
@@ -98,12 +102,13 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "making the index")
 	}
-	plane := &Plane{world: world, log: startup.Log, send: startup.Send, poll: startup.Poll, address: startup.Address, begun: now, random: startup.Random, desks: map[string]*award.Desk{}}
+	plane := &Plane{world: world, log: startup.Log, send: startup.Send, poll: startup.Poll, address: startup.Address, begun: now, random: startup.Random, desks: map[string]*award.Desk{}, without: startup.Without}
 	if startup.Speech == nil {
 		startup.Speech = speech.Own{}
 	}
 	memory := once.New()
 	startup.Quota = quota.NewHolder()
+	startup.Quota.OnDemand = startup.Without[mechanism.TokensAhead]
 	startup.OnTaken = func(now time.Time, key []byte, dropped bool) {
 		if len(key) == len(once.Key{}) {
 			memory.Heard(now, once.Key(key), dropped)
@@ -122,6 +127,7 @@
 	plane.Yard.Quota, plane.Yard.AskQuota = startup.Quota, func() {
 		plane.Step(func(now time.Time, director *director.Director) { director.AskQuota(now) })
 	}
+	plane.Yard.Without, plane.Yard.Book.Without = startup.Without, startup.Without
 	plane.Yard.Links.Foreign = startup.Speech.Foreign
 	return plane, nil
 }
@@ -249,7 +255,9 @@
 	plane.deskMutex.Lock()
 	defer plane.deskMutex.Unlock()
 	if plane.desks[pool] == nil {
-		plane.desks[pool] = award.NewDesk(scene, plane.Yard.Book, plane.Yard.Indexer, rand.New(rand.NewSource(plane.random.Int63())))
+		made := award.NewDesk(scene, plane.Yard.Book, plane.Yard.Indexer, rand.New(rand.NewSource(plane.random.Int63())))
+		made.Without = plane.without
+		plane.desks[pool] = made
 	}
 	return plane.desks[pool]
 }
@@ -323,6 +331,9 @@
 
 // AskPressures asks every runner for its pressure whose word is no longer fresh, none twice at once.
 func (plane *Plane) AskPressures() {
+	if plane.without[mechanism.Reports] {
+		return
+	}
 	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.freshness()) {
 		plane.askOnce(runner, pressureBound, func() {})
 	}
@@ -346,6 +357,9 @@
 //
 // Why asked: a runner that reads a long prompt is as silent as a dark one, but it answers this at once.
 func (plane *Plane) Watch() {
+	if plane.without[mechanism.Watch] {
+		return
+	}
 	for _, runner := range plane.Yard.Links.Silent(silentBound) {
 		if known, found := plane.Yard.Book.One(plane.world.Now(), runner, nil); found {
 			plane.askOnce(known, watchBound, func() { plane.Yard.Links.Hurry(runner, silentBound) })
@@ -365,13 +379,19 @@
 	if err == nil {
 		report, err = plane.Yard.Speech.Report(content)
 	}
+	if fault.Is(err, fault.NotAnswered) {
+		// Whoever refuses a question is there, and the connection is as good as before.
+		plane.Yard.Links.Keep(connection, 0)
+		plane.Yard.Book.ReportRefused(plane.world.Now(), runner.ID)
+		return true
+	}
 	if err != nil {
 		_ = connection.Close()
 		plane.missed(runner.ID, fault.Of(err))
 		return false
 	}
 	plane.Yard.Links.Keep(connection, 0)
-	plane.Yard.Book.Reported(plane.world.Now(), runner.ID, report)
+	plane.Yard.Book.ReportGiven(plane.world.Now(), runner.ID, report)
 	return true
 }
 
--- a/process/fault/fault.go
+++ b/process/fault/fault.go
@@ -41,6 +41,7 @@
 	DiskFailed     Kind = "disk_failed"
 	WrongIdentity  Kind = "wrong_identity"
 	Unreachable    Kind = "unreachable"
+	NotAnswered    Kind = "not_answered"
 	Internal       Kind = "internal"
 )
 
@@ -74,6 +75,7 @@
 	DiskFailed:     "check the data folder's disk: space, mount and speed",
 	WrongIdentity:  "another runner answers at this address; the platform list will catch up",
 	Unreachable:    "check that the other process is up and its address right",
+	NotAnswered:    "ask another process; this one is there and does not know the question",
 	Internal:       "this is a defect; please report it with the log line",
 }
 
--- /dev/null
+++ b/process/mechanism/mechanism_test.go
@@ -0,0 +1,28 @@
+package mechanism
+
+import (
+	"strings"
+	"testing"
+
+	"wardtray/process/fault"
+)
+
+func TestParse(t *testing.T) {
+	set, err := Parse("reports,homes,")
+	if err != nil || !set[Reports] || !set[Homes] || len(set) != 2 {
+		t.Fatal(set, err)
+	}
+	if set, err := Parse(""); err != nil || len(set) != 0 {
+		t.Fatal(set, err)
+	}
+	if _, err := Parse("reports,nothing"); !fault.Is(err, fault.BadStartup) || !strings.Contains(err.Error(), `"nothing"`) {
+		t.Fatal(err)
+	}
+	seen := map[Name]bool{}
+	for _, name := range All {
+		if seen[name] {
+			t.Errorf("%s is listed twice", name)
+		}
+		seen[name] = true
+	}
+}
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wardtray/process/fault"
+	"wardtray/process/mechanism"
 	"wardtray/wire"
 )
 
@@ -28,6 +29,10 @@
 	initialSlots = 4
 	// missesBound is how many reports in a row may fail before a runner counts as lost.
 	missesBound = 3
+	// refusalsBound is how many refused questions in a row show that a service's runners give no reports, and askAgain
+	// after what time one is asked again all the same.
+	refusalsBound = 2
+	askAgain      = time.Minute
 	// drainedBound is for how long a runner that drained is remembered after it was last listed so.
 	drainedBound = time.Hour
 )
@@ -106,11 +111,22 @@
 	self   string
 	begun  time.Time
 	shards [shardCount]*shard
+	// Without names the mechanisms that are switched off.
+	Without mechanism.Set
+	// refusals are the questions for a report that each service's runners refused since one last answered.
+	refusalMutex sync.Mutex
+	refusals     map[string]refusals
+}
+
+// refusals are how many questions were refused in a row, the last of them at a moment.
+type refusals struct {
+	count int
+	last  time.Time
 }
 
 // NewBook makes an empty book for the daemon at an address.
 func NewBook(now time.Time, self string) *Book {
-	book := &Book{self: self, begun: now}
+	book := &Book{self: self, begun: now, refusals: map[string]refusals{}}
 	for place := range book.shards {
 		book.shards[place] = &shard{entries: map[string]*entry{}, drained: map[string]time.Time{}}
 	}
@@ -186,6 +202,14 @@
 	return gone
 }
 
+// ReportGiven takes a runner's answer to a question for its report.
+func (book *Book) ReportGiven(now time.Time, runner string, report Report) {
+	service := ""
+	book.change(runner, func(known *entry) { service = known.line.Service })
+	book.reportGiven(service)
+	book.Reported(now, runner, report)
+}
+
 // Reported takes a runner's word of its pressure.
 func (book *Book) Reported(now time.Time, runner string, report Report) {
 	book.change(runner, func(known *entry) {
@@ -217,6 +241,34 @@
 	})
 }
 
+// ReportRefused takes in that a runner answered a question for its report with a refusal. That is no sign of its being
+// ill: a service whose runners give no reports is not asked again for a while.
+func (book *Book) ReportRefused(now time.Time, runner string) {
+	service := ""
+	book.change(runner, func(known *entry) {
+		service, known.misses = known.line.Service, 0
+		known.reported = now
+	})
+	book.refusalMutex.Lock()
+	defer book.refusalMutex.Unlock()
+	book.refusals[service] = refusals{count: book.refusals[service].count + 1, last: now}
+}
+
+// givesReports tells whether a service's runners are worth asking for a report.
+func (book *Book) givesReports(now time.Time, service string) bool {
+	book.refusalMutex.Lock()
+	defer book.refusalMutex.Unlock()
+	held := book.refusals[service]
+	return held.count < refusalsBound || now.Sub(held.last) >= askAgain
+}
+
+// reportGiven takes in that a service's runner gave a report.
+func (book *Book) reportGiven(service string) {
+	book.refusalMutex.Lock()
+	defer book.refusalMutex.Unlock()
+	delete(book.refusals, service)
+}
+
 // Stale gives the runners whose newest word, be it a report or an answer's head, is older than a bound: the listed
 // ones, and those no longer listed that still have work of ours, whose loss must be learned of as well.
 func (book *Book) Stale(now time.Time, bound time.Duration) []Runner {
@@ -224,7 +276,7 @@
 	for _, shard := range book.shards {
 		shard.mutex.Lock()
 		for _, known := range shard.entries {
-			if (known.listed || known.inFlight > 0) && now.Sub(known.reported) >= bound {
+			if (known.listed || known.inFlight > 0) && now.Sub(known.reported) >= bound && book.givesReports(now, known.line.Service) {
 				runners = append(runners, book.view(now, known, nil))
 			}
 		}
@@ -240,12 +292,13 @@
 func (book *Book) Missed(now time.Time, runner string, why fault.Kind) (lost bool) {
 	book.change(runner, func(known *entry) {
 		known.misses++
-		known.fail(now, string(why))
+		book.eject(now, known, string(why))
 		lost = why == fault.WrongIdentity || !known.listed || known.misses >= missesBound
 	})
 	return lost
 }
 
+// fail leaves a runner alone, longer each time.
 func (known *entry) fail(now time.Time, reason string) {
 	known.pause = min(mostPause, max(leastPause, 2*known.pause))
 	known.paused, known.reason = now.Add(known.pause), reason
@@ -285,7 +338,13 @@
 
 // Failed pauses the use of a runner, longer each time; Served ends that.
 func (book *Book) Failed(now time.Time, runner, reason string) {
-	book.change(runner, func(known *entry) { known.fail(now, reason) })
+	book.change(runner, func(known *entry) { book.eject(now, known, reason) })
+}
+
+func (book *Book) eject(now time.Time, known *entry, reason string) {
+	if !book.Without[mechanism.Ejection] {
+		known.fail(now, reason)
+	}
 }
 
 // Served notes that a runner did its work.
@@ -348,7 +407,7 @@
 // warming limits the work on a new runner: one daemon with one request at first, then more of both.
 func (book *Book) warming(now time.Time, known *entry, limit int, daemons []string) (bool, int) {
 	cold := known.line.State == "cold"
-	if known.settled && !cold {
+	if known.settled && !cold || book.Without[mechanism.WarmUp] {
 		return false, limit
 	}
 	steps := 0
--- a/request/award/award.go
+++ b/request/award/award.go
@@ -247,6 +247,8 @@
 	Kept time.Duration
 	// Daemons is how many share the runners.
 	Daemons int
+	// Patient lets requests wait as long as they may, whatever is predicted.
+	Patient bool
 }
 
 // slackForAll is the free part of a pool above which a lane may go beyond its purse.
@@ -334,7 +336,7 @@
 	}
 	turn := max(1, market.Doubt) * float64(market.Ahead+1) * market.Prices.PlaceSeconds / max(1, market.Slots)
 	predicted := seconds(turn + least)
-	if bid.Waited+predicted <= bid.bound() {
+	if bid.Waited+predicted <= bid.bound() || market.Patient && bid.Waited < bid.bound() {
 		return Step{Kind: Wait, Predicted: predicted, Reason: "every fit runner is full"}
 	}
 	step := Step{Kind: Refuse, Fault: fault.PatienceShort, Predicted: predicted, RetryAfter: max(time.Second, predicted-bid.bound()),
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -10,6 +10,7 @@
 	"wardtray/config"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
+	"wardtray/process/mechanism"
 	"wardtray/process/pressure"
 )
 
@@ -83,7 +84,9 @@
 	// doubts multiply the predicted wait of each lane's newcomers; see learnWait.
 	doubts map[string]float64
 	// pace is what is learned of how fast answers come.
-	pace     pace
+	pace pace
+	// Without names the mechanisms that are switched off.
+	Without  mechanism.Set
 	Counters DeskCounters
 }
 
@@ -199,7 +202,7 @@
 	defer desk.mutex.Unlock()
 	// Reports are too old to keep many daemons from filling a runner at once. What they put back is
 	// the one sign that is fresh, so it narrows what this daemon has under way, and each run that ends widens it.
-	if now.Sub(desk.narrowed) >= narrowEvery {
+	if now.Sub(desk.narrowed) >= narrowEvery && !desk.Without[mechanism.Window] {
 		desk.narrowed = now
 		desk.window = max(leastWindow, min(desk.window, float64(desk.inFlight))*narrowBy)
 	}
@@ -280,7 +283,7 @@
 func (desk *Desk) market(now time.Time) Market {
 	field := desk.scene(now)
 	runners, daemons := field.Runners, field.Daemons
-	market := Market{Now: now, Prices: desk.prices}
+	market := Market{Now: now, Prices: desk.effective(desk.prices)}
 	slots, used, places := 0.0, 0.0, 0.0
 	for _, runner := range neverEmpty(runners) {
 		if limit := field.Pool.ConnectionLimit; limit > 0 {
@@ -301,10 +304,25 @@
 		market.Slack = 1 - used/slots
 	}
 	market.Daemons = max(1, daemons)
+	market.Patient = desk.Without[mechanism.EarlyRefusal]
 	desk.survey(now, &market, field)
 	return market
 }
 
+// effective gives the prices but for those of mechanisms that are switched off.
+func (desk *Desk) effective(prices Prices) Prices {
+	if desk.Without[mechanism.RereadPrice] {
+		prices.Reread = 0
+	}
+	if desk.Without[mechanism.Harm] {
+		prices.Harm = 0
+	}
+	if desk.Without[mechanism.ZonePreference] {
+		prices.CrossZone, prices.ThousandAcross = 0, 0
+	}
+	return prices
+}
+
 // neverEmpty lets runners be used that are left alone, the soonest to come back first, where they are more
 // than a half: it is then more likely that something else is wrong, and a pool must not be emptied.
 func neverEmpty(runners []pressure.Runner) []pressure.Runner {
@@ -372,6 +390,9 @@
 			own.Doubt = desk.doubts[ticket.Lane]
 		}
 		step := Decide(ticket.Bid, own, Price(ticket.Bid, own.Offers, own.Prices), desk.Choose, desk.random)
+		if desk.Without[mechanism.Urgency] {
+			step.Urgency = Unset
+		}
 		if step.Kind == Wait {
 			kept = append(kept, ticket)
 			ticket.waited = true
--- a/request/award/outlook.go
+++ b/request/award/outlook.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wardtray/process/kvblock"
+	"wardtray/process/mechanism"
 	"wardtray/process/pressure"
 )
 
@@ -45,7 +46,9 @@
 		}
 	}
 	forecast.forget(field.Runners)
-	market.Long = longRunners(staying, desk.keep())
+	if !desk.Without[mechanism.LongRunners] {
+		market.Long = longRunners(staying, desk.keep())
+	}
 	short := len(staying) - len(market.Long)
 	wait := func(of *sizes, runners int) (usual, each float64) {
 		busy := forecast.busy(now, of, market.Daemons, runners)
@@ -158,8 +161,14 @@
 			group = append(group, offer.Runner)
 		}
 	}
-	held := desk.indexer.Held(ticket.Keys, set)
-	chances := desk.homeChances(ticket, market, group, shared)
+	held := map[string]kvblock.Hold{}
+	if !desk.Without[mechanism.PrefixIndex] {
+		held = desk.indexer.Held(ticket.Keys, set)
+	}
+	chances := map[string]float64{}
+	if !desk.Without[mechanism.Homes] {
+		chances = desk.homeChances(ticket, market, group, shared)
+	}
 	for place := range priced {
 		offer := &priced[place]
 		offer.SharedTokens = shared
@@ -226,6 +235,9 @@
 func (desk *Desk) predict(now time.Time, offer *Offer, promptTokens int, market *Market) {
 	forecast := desk.forecast
 	slow := forecast.track(offer.ID).slowness(now)
+	if desk.Without[mechanism.Slowness] {
+		slow = 1
+	}
 	whole, less := forecast.speeds.Prefill(promptTokens, 0), forecast.speeds.Prefill(promptTokens, offer.HeldTokens)
 	offer.Prefill = (forecast.speeds.Overhead + whole - offer.Chance*(whole-less)) * slow
 	usual, each, pace := market.Usual, market.Each, market.Pace
@@ -233,7 +245,9 @@
 		usual, each, pace = market.UsualLong, market.EachLong, 0
 	}
 	offer.Wait = forecast.own(now, offer.ID)*slow + forecast.others(now, offer.Runner, usual, each)*slow
-	offer.Coming = market.coming(desk.inFlight, offer.Runner)
+	if !desk.Without[mechanism.OthersEstimate] {
+		offer.Coming = market.coming(desk.inFlight, offer.Runner)
+	}
 	offer.Harm = pace * offer.Prefill * offer.Prefill / 2
 }
 
--- a/request/course/answer.go
+++ b/request/course/answer.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardtray/process/fault"
+	"wardtray/process/mechanism"
 	"wardtray/request/award"
 	"wardtray/request/speech"
 	"wardtray/request/stream"
@@ -26,7 +27,7 @@
 		course.blame("gave no answer")
 		return award.Doubt
 	}
-	if course.word.Report != nil {
+	if course.word.Report != nil && !course.yard.Without[mechanism.LoadHeader] {
 		course.yard.Book.Reported(course.now(), course.step.Runner.ID, *course.word.Report)
 	}
 	if follow := follows[course.word.Said]; follow != nil {
--- a/request/course/course.go
+++ b/request/course/course.go
@@ -15,6 +15,7 @@
 	"wardtray/config"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
+	"wardtray/process/mechanism"
 	"wardtray/process/once"
 	"wardtray/process/tally"
 	"wardtray/request/award"
@@ -303,7 +304,7 @@
 func (course *Course) following(end award.End) award.Verdict {
 	verdict := award.After(end, course.lane.Repeatable)
 	// What was relayed stands; a stream that may be resumed goes on behind it at another runner.
-	if end == award.Broken && course.lane.Resumable {
+	if end == award.Broken && course.lane.Resumable && !course.yard.Without[mechanism.Resumption] {
 		verdict.Again, verdict.Spends = true, true
 	}
 	return verdict
--- a/request/course/deadline.go
+++ b/request/course/deadline.go
@@ -1,6 +1,10 @@
 package course
 
-import "time"
+import (
+	"time"
+
+	"wardtray/process/mechanism"
+)
 
 const (
 	// sureBound is how long a request waits for its daemon to be sure of its spec again.
@@ -91,7 +95,7 @@
 	if left > 0 {
 		// A run that can't be repeated is worth something up to the requester's own deadline, and a silent runner
 		// may yet answer. One that can be is better begun anew at another runner while that is in time.
-		if !course.lane.Repeatable || !course.mayTry() {
+		if !course.lane.Repeatable || !course.mayTry() || course.yard.Without[mechanism.EarlyRetry] {
 			return left
 		}
 		return min(left, max(patience, left/2))
--- /dev/null
+++ b/request/course/tenant_test.go
@@ -0,0 +1,158 @@
+package course
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wardtray/config"
+	"wardtray/coordination/quota"
+	"wardtray/edge/director"
+	"wardtray/request/award"
+)
+
+// tenants gives a house two tenants, of which one has a quota; it answers each question for tokens by a function.
+func (house *house) tenants(t *testing.T, issue func(claims []quota.Claim) []quota.Share) {
+	t.Helper()
+	spec := *house.snapshot.Book.Spec
+	spec.Tenants = []config.Tenant{{Name: "limited", Keys: []string{"limited-key"}, Quota: config.Quota{Rate: 1000, Burst: 1000, Tokens: true}},
+		{Name: "free", Keys: []string{"free-key"}}}
+	house.snapshot = &director.Snapshot{SpecEpoch: 2, Book: config.NewBook(&spec), Until: time.Now().Add(time.Hour)}
+	var number atomic.Uint64
+	house.Quota = quota.NewHolder()
+	house.AskQuota = func() {
+		now, asked := time.Now(), number.Add(1)
+		claims := house.Quota.Claims(now, asked)
+		if issue != nil {
+			house.Quota.Granted(now, asked, time.Minute, issue(claims))
+		}
+	}
+}
+
+func withKey(key string) map[string]string {
+	return map[string]string{"Authorization": "Bearer " + key, "Wardtray-Tenant": "somebody else"}
+}
+
+// headers keeps what a runner was sent beside its answer.
+type headers struct{ seen []http.Header }
+
+func (headers *headers) answer(connection net.Conn, request *http.Request) {
+	headers.seen = append(headers.seen, request.Header.Clone())
+	events(1, done(1), true)(connection, request)
+}
+
+func TestOnlyKnownKeysOpenALane(t *testing.T) {
+	kept := &headers{}
+	runner := start(t, "r1", kept.answer)
+	house := build(t, runner)
+	house.tenants(t, nil)
+	for name, more := range map[string]map[string]string{"no key": nil, "an unknown key": withKey("nobodys"), "another scheme": {"Authorization": "Token free-key"}} {
+		status, body := house.sendWith(t, "free", "x"+name, more)
+		if status != 401 || !strings.Contains(body, award.DidNotRun) || strings.Contains(body, "nobodys") {
+			t.Errorf("%s: %d %s", name, status, body)
+		}
+	}
+	if runner.reached.Load() != 0 {
+		t.Fatal("a request without a known key reached a runner")
+	}
+	if status, body := house.sendWith(t, "free", "known", withKey("free-key")); status != 200 {
+		t.Fatalf("a known key: %d %s", status, body)
+	}
+	if sent := kept.seen[0]; sent.Get("Wardtray-Tenant") != "free" || sent.Get("Authorization") != "" {
+		t.Errorf("the runner was sent %v", sent)
+	}
+}
+
+// A key that was taken away between the decision and the write opens nothing any more, and neither does one whose daemon
+// is not sure of its spec.
+func TestARevokedKeyStopsTheLastLook(t *testing.T) {
+	runner := start(t, "r1", events(1, done(1), true))
+	house := build(t, runner)
+	house.tenants(t, nil)
+	former := house.World.Now
+	revoked := *house.snapshot.Book.Spec
+	revoked.Tenants = revoked.Tenants[:1]
+	var looks atomic.Int64
+	snapshot := house.Snapshot
+	house.Snapshot = func() *director.Snapshot {
+		// The first looks find the key, those directly before the write the newer spec.
+		if looks.Add(1) > 3 {
+			return &director.Snapshot{SpecEpoch: 3, Book: config.NewBook(&revoked), Until: former().Add(time.Hour)}
+		}
+		return snapshot()
+	}
+	if status, body := house.sendWith(t, "free", "revoked", withKey("free-key")); status != 401 || !strings.Contains(body, award.DidNotRun) {
+		t.Errorf("%d %s", status, body)
+	}
+	if runner.reached.Load() != 0 {
+		t.Error("a request with a revoked key reached a runner")
+	}
+}
+
+// What the share does not hold is asked for at once, and each request is charged once, whatever becomes of its attempts.
+func TestRequestsAreChargedOnce(t *testing.T) {
+	runner := start(t, "r1", putsBack, events(1, done(1), true))
+	second := start(t, "r2", events(1, done(1), true))
+	house := build(t, runner, second)
+	var given float64
+	house.tenants(t, func(claims []quota.Claim) []quota.Share {
+		given += claims[0].Need
+		return []quota.Share{{Tenant: "limited", Tokens: claims[0].Need, Capacity: 1000}}
+	})
+	if status, body := house.sendWith(t, "free", "charged", withKey("limited-key")); status != 200 {
+		t.Fatalf("%d %s", status, body)
+	}
+	// A request of these tests has 100 tokens and an answer of at most 10.
+	if used := house.Quota.Usage(time.Now())["limited"].Used; used != 110 || given != 110 {
+		t.Errorf("%v used, %v given", used, given)
+	}
+	if status, _ := house.sendWith(t, "free", "free", withKey("free-key")); status != 200 || given != 110 {
+		t.Errorf("a tenant without a quota: %d, %v given", status, given)
+	}
+}
+
+// A spent quota is told at once, with a promise that nothing ran and a time to come back.
+func TestASpentQuotaIsARefusal(t *testing.T) {
+	runner := start(t, "r1", events(1, done(1), true))
+	for name, issue := range map[string]func([]quota.Claim) []quota.Share{
+		"the issuer has none":  func([]quota.Claim) []quota.Share { return []quota.Share{{Tenant: "limited", Rate: 100, Capacity: 50}} },
+		"the issuer is silent": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			house := build(t, runner)
+			house.tenants(t, issue)
+			begun := time.Now()
+			status, body := house.sendWith(t, "free", "spent", withKey("limited-key"))
+			if status != 429 || !strings.Contains(body, award.DidNotRun) || !strings.Contains(body, "quota_spent") || !strings.Contains(body, "retry_after_ms") {
+				t.Errorf("%d %s", status, body)
+			}
+			if took := time.Since(begun); took > 2*quotaWait {
+				t.Errorf("the refusal took %v", took)
+			}
+			if usage := house.Quota.Usage(time.Now())["limited"]; usage.Refused != 110 || usage.Used != 0 {
+				t.Errorf("counted %+v", usage)
+			}
+		})
+	}
+	if runner.reached.Load() != 0 {
+		t.Error("a refused request reached a runner")
+	}
+}
+
+// A request that surely did not run gives back what it was charged.
+func TestWhatDidNotRunIsGivenBack(t *testing.T) {
+	runner := start(t, "r1", putsBack)
+	house := build(t, runner)
+	house.tenants(t, func(claims []quota.Claim) []quota.Share {
+		return []quota.Share{{Tenant: "limited", Tokens: claims[0].Need, Capacity: 1000}}
+	})
+	if status, body := house.sendWith(t, "free", "back", withKey("limited-key")); status != 503 || !strings.Contains(body, award.DidNotRun) {
+		t.Fatalf("%d %s", status, body)
+	}
+	if usage := house.Quota.Usage(time.Now())["limited"]; usage.Used != 0 || usage.Balance != 110 {
+		t.Errorf("counted %+v", usage)
+	}
+}
--- a/request/course/yard.go
+++ b/request/course/yard.go
@@ -12,6 +12,7 @@
 	"wardtray/process/budget"
 	"wardtray/process/fault"
 	"wardtray/process/kvblock"
+	"wardtray/process/mechanism"
 	"wardtray/process/once"
 	"wardtray/process/pressure"
 	"wardtray/process/tally"
@@ -46,6 +47,8 @@
 	// Quota holds this daemon's shares of the tenants' quotas; AskQuota asks for more at once.
 	Quota    *quota.Holder
 	AskQuota func()
+	// Without names the mechanisms that are switched off.
+	Without mechanism.Set
 	// Repeats bounds what is sent again; the zero value stands for budget.Default.
 	Repeats budget.Settings
 
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -389,13 +389,16 @@
 	if foreign := connection.links.Foreign; foreign != nil && foreign(response) {
 		return nil, fault.New(fault.Unreachable, "an answer to a request came in the place of %s", path)
 	}
-	if response.StatusCode() != 200 {
-		return nil, fault.New(fault.Unreachable, "%s answers %d", path, response.StatusCode())
-	}
 	connection.ends = connection.ends || response.ConnectionClose()
 	if keep := KeepAlive(response); keep > 0 {
 		connection.keep = keep
 	}
+	if status := response.StatusCode(); status >= 400 && status < 500 {
+		return nil, fault.New(fault.NotAnswered, "%s answers %d", path, status)
+	}
+	if response.StatusCode() != 200 {
+		return nil, fault.New(fault.Unreachable, "%s answers %d", path, response.StatusCode())
+	}
 	return append([]byte{}, response.Body()...), nil
 }
 
