--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -364,3 +364,64 @@
 		}
 	}
 }
+
+// What daemons held that were killed, cut off or frozen comes back to the others after a term, and is theirs again when
+// they are back.
+func TestWhatSilentDaemonsHeldComesBack(t *testing.T) {
+	for seed := range int64(3) {
+		fleet := newFleet(seed, 20, 200_000, 1_200_000, 5_300)
+		fleet.run(8*time.Second, nil)
+		for _, daemon := range fleet.daemons[:10] {
+			daemon.down = fleet.now.Add(time.Hour)
+		}
+		fleet.run(testTerm+2*time.Second, nil)
+		fleet.forget()
+		fleet.run(20*time.Second, nil)
+		served, _ := fleet.totals()
+		if used := served / (fleet.rate * 20); used < 0.95 {
+			t.Errorf("seed %d: with half of the daemons dead %.3f of the limit was used", seed, used)
+		}
+		if account := fleet.issuer.accounts[tenantName]; len(account.lent) > 10 {
+			t.Errorf("seed %d: %d daemons are still lent something", seed, len(account.lent))
+		}
+	}
+}
+
+// A process that is known to have ended gives back at once what it held.
+func TestReleaseGivesBackAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	issuer := NewIssuer(now, testTerm, nil)
+	issuer.SetLimits(now, map[string]Limit{tenantName: {Rate: 100, Capacity: 1000}})
+	given := issuer.Report(now, "a", []Claim{{Tenant: tenantName, Demand: 100, Need: 900}})
+	if given[0].Tokens != 900 {
+		t.Fatalf("given %+v", given)
+	}
+	held := issuer.accounts[tenantName].exposure
+	issuer.Release(now, "a")
+	if account := issuer.accounts[tenantName]; held < 900 || account.exposure != 0 || account.rate != 0 {
+		t.Errorf("held %v, then %+v", held, account)
+	}
+}
+
+// An answer counts once, and only if it is the newest report's.
+func TestOldAnswersAreVoid(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holder := NewHolder()
+	holder.Offer(now, tenantName, 10)
+	holder.Claims(now, 1)
+	holder.Claims(now, 2)
+	share := []Share{{Tenant: tenantName, Tokens: 100, Capacity: 100}}
+	if holder.Granted(now, 1, testTerm, share) || holder.Take(now, tenantName, 1) {
+		t.Error("the answer to a report that another one followed counts")
+	}
+	if !holder.Granted(now, 2, testTerm, share) || holder.Granted(now, 2, testTerm, share) {
+		t.Error("an answer does not count once")
+	}
+	if !holder.Take(now, tenantName, 100) || holder.Take(now, tenantName, 1) {
+		t.Error("what was given is not what can be used")
+	}
+	holder.Return(now, tenantName, 100)
+	if holder.Take(now.Add(testTerm+time.Millisecond), tenantName, 1) {
+		t.Error("a share is used beyond its term")
+	}
+}
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -23,8 +23,8 @@
 	sizeWeight = 0.2
 	// forgottenDemand is the part of one usual request a second below which nobody is taken to ask any more.
 	forgottenDemand = 0.02
-	// answerBound is for how long the answer to a report is waited for before another one is sent in its place.
-	answerBound = 100 * time.Millisecond
+	// AnswerBound is for how long the answer to a report is waited for before another one is sent in its place.
+	AnswerBound = 100 * time.Millisecond
 	// shortFor is for how long a tenant's requests are not held for tokens, once the issuer had too few.
 	shortFor = 200 * time.Millisecond
 	// usualReturn is when a refused request may come back where the daemon was lent nothing, leastReturn and mostReturn
@@ -213,7 +213,7 @@
 func (holder *Holder) Awaits(now time.Time) bool {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	return !holder.answered && now.Sub(holder.asked) < answerBound
+	return !holder.answered && now.Sub(holder.asked) < AnswerBound
 }
 
 // Blank tells whether the holder has never had anything to do with any tenant.
@@ -235,7 +235,7 @@
 func (holder *Holder) Claims(now time.Time, number uint64) []Claim {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	holder.number, holder.asked, holder.answered, holder.claimed = number, now, false, map[string]Claim{}
+	holder.number, holder.asked, holder.claimed = number, now, map[string]Claim{}
 	claims := make([]Claim, 0, len(holder.shares))
 	for tenant := range holder.shares {
 		share := holder.share(now, tenant)
@@ -246,6 +246,8 @@
 		holder.claimed[tenant] = claim
 		claims = append(claims, claim)
 	}
+	// A report without claims has no answer.
+	holder.answered = len(claims) == 0
 	sort.Slice(claims, func(left, right int) bool { return claims[left].Tenant < claims[right].Tenant })
 	return claims
 }
--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -99,7 +99,7 @@
 	if issuer.complete {
 		return true
 	}
-	issuer.complete = now.Sub(issuer.begun) >= issuer.term+expiryMargin || len(issuer.expected) > 0 && issuer.allReported()
+	issuer.complete = now.Sub(issuer.begun) >= issuer.term+expiryMargin || issuer.allReported()
 	return issuer.complete
 }
 
--- a/process/pressure/stale_test.go
+++ b/process/pressure/stale_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wardtray/process/fault"
+	"wardtray/process/mechanism"
 	"wardtray/wire"
 )
 
@@ -29,3 +30,49 @@
 		t.Fatal(stale)
 	}
 }
+
+// A refused question says that the runner is there. Where a service's runners refuse, they are not asked again for a
+// while, and those of another service are; one answer undoes that.
+func TestServicesWithoutReportsAreLeftAlone(t *testing.T) {
+	book := NewBook(begun, "d1")
+	book.List(begun, []*wire.Runner{{RunnerId: "a1", Zone: "a", State: "ready", Service: "a"}, {RunnerId: "a2", Zone: "a", State: "ready", Service: "a"},
+		{RunnerId: "b1", Zone: "a", State: "ready", Service: "b"}})
+	asked := func(now time.Time) (names string) {
+		for _, runner := range book.Stale(now, time.Second) {
+			names += runner.ID + " "
+		}
+		return names
+	}
+	for range missesBound + 1 {
+		book.ReportRefused(begun, "a1")
+	}
+	if found, _ := book.One(begun, "a1", nil); !found.Usable {
+		t.Errorf("a runner that refuses a question is left alone: %+v", found)
+	}
+	if names := asked(begun.Add(2 * time.Second)); names != "b1 " {
+		t.Errorf("asked: %s", names)
+	}
+	if names := asked(begun.Add(askAgain + time.Second)); names != "a1 a2 b1 " {
+		t.Errorf("asked after a while: %s", names)
+	}
+	book.ReportGiven(begun, "a2", Report{Slots: 4})
+	if names := asked(begun.Add(3 * time.Second)); names != "a1 a2 b1 " {
+		t.Errorf("asked after an answer: %s", names)
+	}
+}
+
+// A switched-off mechanism leaves failed runners and new ones to be used as any other.
+func TestEjectionAndWarmUpSwitchedOff(t *testing.T) {
+	for name, without := range map[string]mechanism.Set{"on": nil, "off": {mechanism.Ejection: true, mechanism.WarmUp: true}} {
+		book := bookOf("old")
+		book.Without = without
+		later := begun.Add(time.Hour)
+		book.List(later, []*wire.Runner{{RunnerId: "old", State: "ready"}, {RunnerId: "new", State: "ready"}})
+		book.Failed(later, "old", "x")
+		old, _ := book.One(later, "old", nil)
+		fresh, _ := book.One(later, "new", nil)
+		if old.Usable != (name == "off") || fresh.Warming != (name == "on") {
+			t.Errorf("%s: %+v %+v", name, old, fresh)
+		}
+	}
+}
--- a/request/course/tenant.go
+++ b/request/course/tenant.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wardtray/config"
+	"wardtray/coordination/quota"
 	"wardtray/process/fault"
 	"wardtray/process/tally"
 	"wardtray/request/award"
@@ -90,7 +91,8 @@
 		if left <= 0 {
 			return false
 		}
-		course.yard.World.Wait(course.ctx, left, changed)
+		// An answer may be lost, or have been under way already when the need came up.
+		course.yard.World.Wait(course.ctx, min(left, quota.AnswerBound), changed)
 	}
 	return !course.left() && holder.Take(course.now(), tenant, cost)
 }
