Runners are not asked for a load that their answers tell; a new issuer of quotas begins with a part of the tolerance

And after all power was lost every request was refused for a moment: the pool of a new issuer began with nothing while the daemons had nothing either.

Change: a service is asked at regular times only while this daemon has work for it and its answers do not tell the load. Where nothing but a report tells it (the product's own runners), as before. A new issuer begins with a fifth of the tolerance once all that is held is known, so that two takeovers in a window keep the bound; a daemon that has just begun lets requests wait for tokens up to 0.8 of their patience.

Ruled out: asking as rarely as every 15 s (as it was).

--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -100,6 +100,12 @@
 		return true
 	}
 	issuer.complete = now.Sub(issuer.begun) >= issuer.term+expiryMargin || issuer.allReported()
+	if issuer.complete {
+		for _, known := range issuer.accounts {
+			known.balance += known.limit.Start
+			known.cap()
+		}
+	}
 	return issuer.complete
 }
 
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -21,8 +21,9 @@
 
 // Limit is what one tenant may use over all daemons together, in tokens or requests.
 type Limit struct {
-	// Rate is how much a second, and Capacity how much at once.
-	Rate, Capacity float64
+	// Rate is how much a second, and Capacity how much at once. Start is what the pool of a new issuer begins with, once
+	// no daemon can hold anything that it does not know of.
+	Rate, Capacity, Start float64
 }
 
 // Tolerance is by how much a platform lets the daemons together exceed a limit.
@@ -38,6 +39,9 @@
 	// usedTolerance is the part of the tolerance that is given out as capacity. The rest stays for what is charged on one
 	// side of a takeover or a freeze and sent on the other.
 	usedTolerance = 0.5
+	// startTolerance is the part with which a new issuer begins, so that two of them in one window keep the bound. Without
+	// it nothing would be served for a while after all machines lost their power at once.
+	startTolerance = 0.2
 	// silence is after what time without an answer a daemon's tokens fill by its own part of the rate.
 	silence = 700 * time.Millisecond
 )
@@ -45,7 +49,7 @@
 // Limit gives the limit of a tenant with a rate and a burst under the tolerance.
 func (tolerance Tolerance) Limit(rate, burst float64) Limit {
 	exceeding := (rate*tolerance.Window.Seconds()+burst)*tolerance.Excess + tolerance.Slack
-	return Limit{Rate: rate, Capacity: burst + usedTolerance*exceeding}
+	return Limit{Rate: rate, Capacity: burst + usedTolerance*exceeding, Start: startTolerance * exceeding}
 }
 
 // Claim is what a daemon reports of one tenant.
--- a/edge/plane/plane.go
+++ b/edge/plane/plane.go
@@ -334,7 +334,8 @@
 	if plane.without[mechanism.Reports] {
 		return
 	}
-	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), plane.freshness()) {
+	freshness := plane.freshness()
+	for _, runner := range plane.Yard.Book.Stale(plane.world.Now(), freshness, freshness == 0) {
 		plane.askOnce(runner, pressureBound, func() {})
 	}
 }
--- a/process/pressure/book.go
+++ b/process/pressure/book.go
@@ -113,20 +113,23 @@
 	shards [shardCount]*shard
 	// Without names the mechanisms that are switched off.
 	Without mechanism.Set
-	// refusals are the questions for a report that each service's runners refused since one last answered.
-	refusalMutex sync.Mutex
-	refusals     map[string]refusals
+	// services are what is known of the services by their names.
+	servicesMutex sync.Mutex
+	services      map[string]service
 }
 
-// refusals are how many questions were refused in a row, the last of them at a moment.
-type refusals struct {
-	count int
-	last  time.Time
+// service is what is known of whether a service's runners need to be asked for their load, and answer that.
+type service struct {
+	// used tells that this daemon has sent it work, and tells that its runners' answers tell their load.
+	used, tells bool
+	// refusals are how many questions were refused in a row, the last of them at refused.
+	refusals int
+	refused  time.Time
 }
 
 // NewBook makes an empty book for the daemon at an address.
 func NewBook(now time.Time, self string) *Book {
-	book := &Book{self: self, begun: now, refusals: map[string]refusals{}}
+	book := &Book{self: self, begun: now, services: map[string]service{}}
 	for place := range book.shards {
 		book.shards[place] = &shard{entries: map[string]*entry{}, drained: map[string]time.Time{}}
 	}
@@ -204,9 +207,9 @@
 
 // ReportGiven takes a runner's answer to a question for its report.
 func (book *Book) ReportGiven(now time.Time, runner string, report Report) {
-	service := ""
-	book.change(runner, func(known *entry) { service = known.line.Service })
-	book.reportGiven(service)
+	name := ""
+	book.change(runner, func(known *entry) { name = known.line.Service })
+	book.changeService(name, func(known *service) { known.refusals = 0 })
 	book.Reported(now, runner, report)
 }
 
@@ -244,39 +247,55 @@
 // ReportRefused takes in that a runner answered a question for its report with a refusal. That is no sign of its being
 // ill: a service whose runners give no reports is not asked again for a while.
 func (book *Book) ReportRefused(now time.Time, runner string) {
-	service := ""
+	name := ""
 	book.change(runner, func(known *entry) {
-		service, known.misses = known.line.Service, 0
+		name, known.misses = known.line.Service, 0
 		known.reported = now
 	})
-	book.refusalMutex.Lock()
-	defer book.refusalMutex.Unlock()
-	book.refusals[service] = refusals{count: book.refusals[service].count + 1, last: now}
+	book.changeService(name, func(known *service) { known.refusals, known.refused = known.refusals+1, now })
 }
 
-// givesReports tells whether a service's runners are worth asking for a report.
-func (book *Book) givesReports(now time.Time, service string) bool {
-	book.refusalMutex.Lock()
-	defer book.refusalMutex.Unlock()
-	held := book.refusals[service]
-	return held.count < refusalsBound || now.Sub(held.last) >= askAgain
+func (book *Book) changeService(name string, do func(known *service)) {
+	book.servicesMutex.Lock()
+	defer book.servicesMutex.Unlock()
+	known := book.services[name]
+	do(&known)
+	book.services[name] = known
 }
 
-// reportGiven takes in that a service's runner gave a report.
-func (book *Book) reportGiven(service string) {
-	book.refusalMutex.Lock()
-	defer book.refusalMutex.Unlock()
-	delete(book.refusals, service)
+// worthAsking tells whether a service's runners are worth asking for their load: they answer that, this daemon has work
+// for them, and their answers to requests don't tell it. Where nothing but a report ever tells the load, all are.
+func (book *Book) worthAsking(now time.Time, name string, reportsAlone bool) bool {
+	book.servicesMutex.Lock()
+	defer book.servicesMutex.Unlock()
+	known := book.services[name]
+	if known.refusals >= refusalsBound && now.Sub(known.refused) < askAgain {
+		return false
+	}
+	return reportsAlone || known.used && !known.tells
+}
+
+// AnswerTold takes a runner's word of its load in an answer to a request.
+//
+// Why its service is not asked for it any more: a report says little of a moment later, among many daemons less than the
+// answers do, and each question has its price; docs/decisions.md.
+func (book *Book) AnswerTold(now time.Time, runner string, report Report) {
+	name := ""
+	book.change(runner, func(known *entry) { name = known.line.Service })
+	book.changeService(name, func(known *service) { known.tells = true })
+	book.Reported(now, runner, report)
 }
 
 // Stale gives the runners whose newest word, be it a report or an answer's head, is older than a bound: the listed
 // ones, and those no longer listed that still have work of ours, whose loss must be learned of as well.
-func (book *Book) Stale(now time.Time, bound time.Duration) []Runner {
+//
+// Those of services that are not worth asking are left out; reportsAlone says that nothing but a report tells a load.
+func (book *Book) Stale(now time.Time, bound time.Duration, reportsAlone bool) []Runner {
 	var runners []Runner
 	for _, shard := range book.shards {
 		shard.mutex.Lock()
 		for _, known := range shard.entries {
-			if (known.listed || known.inFlight > 0) && now.Sub(known.reported) >= bound && book.givesReports(now, known.line.Service) {
+			if (known.listed || known.inFlight > 0) && now.Sub(known.reported) >= bound && book.worthAsking(now, known.line.Service, reportsAlone) {
 				runners = append(runners, book.view(now, known, nil))
 			}
 		}
@@ -315,10 +334,13 @@
 
 // Begin takes up one place on a runner; Finish gives it back.
 func (book *Book) Begin(runner string) {
+	name := ""
 	book.change(runner, func(known *entry) {
 		known.inFlight++
 		known.unanswered++
+		name = known.line.Service
 	})
+	book.changeService(name, func(known *service) { known.used = true })
 }
 
 // Answered notes that the first event of one of our requests has come.
--- a/process/pressure/book_test.go
+++ b/process/pressure/book_test.go
@@ -24,7 +24,7 @@
 	book := bookOf("r1", "r2", "r3")
 	book.Reported(begun, "r1", Report{Slots: 8})
 	book.Reported(begun.Add(time.Second), "r2", Report{Slots: 8, Room: 1000})
-	stale := book.Stale(begun.Add(1500*time.Millisecond), time.Second)
+	stale := book.Stale(begun.Add(1500*time.Millisecond), time.Second, true)
 	if len(stale) != 2 || stale[0].ID != "r1" || stale[1].ID != "r3" {
 		t.Fatalf("stale: %v", stale)
 	}
--- a/process/pressure/stale_test.go
+++ b/process/pressure/stale_test.go
@@ -19,14 +19,14 @@
 		t.Fatal(gone)
 	}
 	later := now.Add(time.Minute)
-	if stale := book.Stale(later, time.Second); len(stale) != 1 || stale[0].ID != "busy" {
+	if stale := book.Stale(later, time.Second, true); len(stale) != 1 || stale[0].ID != "busy" {
 		t.Fatal(stale)
 	}
 	if !book.Missed(later, "busy", fault.Unreachable) {
 		t.Fatal("it is not taken for lost")
 	}
 	book.Finish("busy", true)
-	if stale := book.Stale(later, time.Second); len(stale) != 0 {
+	if stale := book.Stale(later, time.Second, true); len(stale) != 0 {
 		t.Fatal(stale)
 	}
 }
@@ -38,7 +38,7 @@
 	book.List(begun, []*wire.Runner{{RunnerId: "a1", Zone: "a", State: "ready", Service: "a"}, {RunnerId: "a2", Zone: "a", State: "ready", Service: "a"},
 		{RunnerId: "b1", Zone: "a", State: "ready", Service: "b"}})
 	asked := func(now time.Time) (names string) {
-		for _, runner := range book.Stale(now, time.Second) {
+		for _, runner := range book.Stale(now, time.Second, true) {
 			names += runner.ID + " "
 		}
 		return names
@@ -76,3 +76,30 @@
 		}
 	}
 }
+
+// Where a service's answers tell the load, or this daemon has no work for it, its runners are not asked.
+func TestOnlyWhatNoAnswerTellsIsAsked(t *testing.T) {
+	book := NewBook(begun, "d1")
+	book.List(begun, []*wire.Runner{{RunnerId: "a", State: "ready", Service: "a"}, {RunnerId: "b", State: "ready", Service: "b"}, {RunnerId: "c", State: "ready", Service: "c"}})
+	asked := func(reportsAlone bool) (names string) {
+		for _, runner := range book.Stale(begun.Add(time.Minute), time.Second, reportsAlone) {
+			names += runner.ID
+		}
+		return names
+	}
+	if names := asked(false); names != "" {
+		t.Errorf("without any work asked: %s", names)
+	}
+	book.Begin("a")
+	book.Begin("b")
+	if names := asked(false); names != "ab" {
+		t.Errorf("before an answer asked: %s", names)
+	}
+	book.AnswerTold(begun, "a", Report{Slots: 4})
+	if names := asked(false); names != "b" {
+		t.Errorf("once an answer told the load asked: %s", names)
+	}
+	if names := asked(true); names != "abc" {
+		t.Errorf("where reports alone tell a load asked: %s", names)
+	}
+}
--- a/proof/place/play.go
+++ b/proof/place/play.go
@@ -249,7 +249,7 @@
 	for _, daemon := range fleet.daemons {
 		var ask func()
 		ask = func() {
-			for _, runner := range daemon.book.Stale(fleet.world.Now, fleet.play.Polls) {
+			for _, runner := range daemon.book.Stale(fleet.world.Now, fleet.play.Polls, true) {
 				if batch := fleet.batches[runner.ID]; batch != nil && !batch.dark && len(batch.reports) > 0 {
 					daemon.book.Reported(fleet.world.Now, runner.ID, batch.reports[0])
 					fleet.results[""].Probes++
--- a/request/course/answer.go
+++ b/request/course/answer.go
@@ -28,7 +28,7 @@
 		return award.Doubt
 	}
 	if course.word.Report != nil && !course.yard.Without[mechanism.LoadHeader] {
-		course.yard.Book.Reported(course.now(), course.step.Runner.ID, *course.word.Report)
+		course.yard.Book.AnswerTold(course.now(), course.step.Runner.ID, *course.word.Report)
 	}
 	if follow := follows[course.word.Said]; follow != nil {
 		return follow(course)
--- a/request/course/tenant.go
+++ b/request/course/tenant.go
@@ -16,6 +16,10 @@
 	// patience, so that a refusal leaves its client the time to come again.
 	quotaWait = 150 * time.Millisecond
 	quotaPart = 0.2
+	// youth is for how long after its start a daemon takes it that it is short of tokens only because it has just begun,
+	// so that its requests wait longer, for a part youthPart of their patience.
+	youth     = 3 * time.Second
+	youthPart = 0.8
 )
 
 // identify finds the tenant whose key the request carries. A stream that was relayed in part stays its tenant's.
@@ -80,8 +84,13 @@
 	holder := course.yard.Quota
 	done := holder.Need(course.now(), tenant, cost)
 	defer done()
-	until := course.now().Add(min(quotaWait, time.Duration(quotaPart*float64(course.patience()))))
-	for !holder.Short(course.now(), tenant) && !course.left() {
+	young := course.now().Sub(course.yard.Begun) < youth
+	bound := min(quotaWait, time.Duration(quotaPart*float64(course.patience())))
+	if young {
+		bound = time.Duration(youthPart * float64(course.patience()))
+	}
+	until := course.now().Add(bound)
+	for (young || !holder.Short(course.now(), tenant)) && !course.left() {
 		changed := holder.Changed()
 		if holder.Take(course.now(), tenant, cost) {
 			return true
