--- a/cmd/wtctl/commands.go
+++ b/cmd/wtctl/commands.go
@@ -40,7 +40,7 @@
 	operationID := operation.Arg("id", "Its operation id.").Required().String()
 	known[operation.FullCommand()] = func() (int, error) { return here.told(here.client.Operation(*operationID)) }
 	status := application.Command("status", "Show the fleet.")
-	part := status.Arg("part", "all, chain, view, cohort, runners or counters.").Default("all").Enum("all", "chain", "view", "cohort", "runners", "counters")
+	part := status.Arg("part", "all, chain, view, cohort, runners, tenants or counters.").Default("all").Enum("all", "chain", "view", "cohort", "runners", "tenants", "counters")
 	known[status.FullCommand()] = func() (int, error) { return here.status(*part) }
 	here.registerExplain(known, application)
 	here.registerImport(known, application)
--- a/cmd/wtctl/show.go
+++ b/cmd/wtctl/show.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"wardtray/control/operator"
+	"wardtray/coordination/quota"
 	"wardtray/process/fault"
 	"wardtray/request/award"
 )
@@ -22,12 +23,12 @@
 		return exitFine, here.print(fleet)
 	}
 	parts := map[string]func(output io.Writer, fleet operator.Fleet){"chain": showChain, "view": showView, "cohort": showCohort,
-		"runners": showRunners, "counters": showCounters}
+		"runners": showRunners, "tenants": showTenants, "counters": showCounters}
 	writer := tabwriter.NewWriter(here.output, 0, 4, 2, ' ', 0)
 	if show := parts[part]; show != nil {
 		show(writer, fleet)
 	} else {
-		for _, name := range []string{"chain", "view", "cohort", "runners", "counters"} {
+		for _, name := range []string{"chain", "view", "cohort", "runners", "tenants", "counters"} {
 			fmt.Fprintf(writer, "== %s\n", name)
 			parts[name](writer, fleet)
 		}
@@ -119,6 +120,40 @@
 	}
 }
 
+// showTenants prints what each tenant with a quota has used and was refused, and what is held for it, at all daemons
+// together and at each.
+func showTenants(output io.Writer, fleet operator.Fleet) {
+	sums := map[string]quota.Usage{}
+	for _, data := range fleet.Datas {
+		for name, usage := range data.Tenants {
+			sum := sums[name]
+			sum.Used += usage.Used
+			sum.Refused += usage.Refused
+			sum.Balance += usage.Balance
+			sum.Demand += usage.Demand
+			sums[name] = sum
+		}
+	}
+	names := make([]string, 0, len(sums))
+	for name := range sums {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintln(output, "TENANT\tDAEMON\tUSED\tREFUSED\tHELD\tASKED A SECOND")
+	for _, name := range names {
+		showUsage(output, name, "all", sums[name])
+		for _, data := range fleet.Datas {
+			if usage, known := data.Tenants[name]; known {
+				showUsage(output, name, data.Address, usage)
+			}
+		}
+	}
+}
+
+func showUsage(output io.Writer, tenant, daemon string, usage quota.Usage) {
+	fmt.Fprintf(output, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\n", tenant, daemon, usage.Used, usage.Refused, usage.Balance, usage.Demand)
+}
+
 // showCounters prints each lane's counts, summed over the daemons.
 func showCounters(output io.Writer, fleet operator.Fleet) {
 	type sum struct {
--- /dev/null
+++ b/cmd/wtctl/show_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"text/tabwriter"
+
+	"wardtray/control/operator"
+	"wardtray/coordination/quota"
+	"wardtray/edge/datahost"
+)
+
+// Each tenant has a line for all daemons together and one for each that had to do with it.
+func TestTenantsAreShownTogetherAndEach(t *testing.T) {
+	fleet := operator.Fleet{Datas: []datahost.Status{
+		{Address: "d1", Tenants: map[string]quota.Usage{"a": {Used: 10, Refused: 2, Balance: 5, Demand: 3}}},
+		{Address: "d2", Tenants: map[string]quota.Usage{"a": {Used: 1}, "b": {Refused: 7}}},
+	}}
+	var output bytes.Buffer
+	writer := tabwriter.NewWriter(&output, 0, 1, 1, ' ', 0)
+	showTenants(writer, fleet)
+	if err := writer.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, line := range strings.Split(strings.TrimSpace(output.String()), "\n")[1:] {
+		lines = append(lines, strings.Join(strings.Fields(line), " "))
+	}
+	want := "a all 11 2 5 3|a d1 10 2 5 3|a d2 1 0 0 0|b all 0 7 0 0|b d2 0 7 0 0"
+	if got := strings.Join(lines, "|"); got != want {
+		t.Errorf("%s instead of %s", got, want)
+	}
+}
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -56,17 +56,16 @@
 }
 
 type testFleet struct {
-	random    *rand.Rand
-	now       time.Time
-	issuer    *Issuer
-	headless  time.Time
-	daemons   []*testDaemon
-	messages  []message
-	uses      []use
-	rate      float64
-	burst     float64
-	meanCost  float64
-	takenBack bool
+	random   *rand.Rand
+	now      time.Time
+	issuer   *Issuer
+	headless time.Time
+	daemons  []*testDaemon
+	messages []message
+	uses     []use
+	rate     float64
+	burst    float64
+	meanCost float64
 }
 
 func newFleet(seed int64, daemons int, rate, demand, meanCost float64) *testFleet {
--- a/edge/datahost/host.go
+++ b/edge/datahost/host.go
@@ -18,6 +18,7 @@
 	"wardtray/control/core"
 	"wardtray/control/corehost"
 	"wardtray/coordination/machine"
+	"wardtray/coordination/quota"
 	"wardtray/edge/director"
 	"wardtray/edge/plane"
 	"wardtray/process/budget"
@@ -296,25 +297,27 @@
 
 // Status is what /v1/status tells.
 type Status struct {
-	Program   string                `json:"program"`
-	Address   string                `json:"address"`
-	Zone      string                `json:"zone"`
-	Uptime    string                `json:"uptime"`
-	Epoch     uint64                `json:"epoch"`
-	Sequence  uint64                `json:"sequence"`
-	Serving   bool                  `json:"serving"`
-	Draining  bool                  `json:"draining"`
-	InFlight  int64                 `json:"in_flight"`
-	View      uint64                `json:"view"`
-	Cohort    []string              `json:"cohort"`
-	Runners   []pressure.Runner     `json:"runners"`
-	Lanes     map[string]tally.Lane `json:"lanes"`
-	Desks     map[string]any        `json:"desks"`
-	Index     map[string]uint64     `json:"index"`
-	Links     map[string]uint64     `json:"links"`
-	Director  director.Counters     `json:"director"`
-	Wire      map[string]any        `json:"wire"`
-	Directory int                   `json:"directory"`
+	Program  string                `json:"program"`
+	Address  string                `json:"address"`
+	Zone     string                `json:"zone"`
+	Uptime   string                `json:"uptime"`
+	Epoch    uint64                `json:"epoch"`
+	Sequence uint64                `json:"sequence"`
+	Serving  bool                  `json:"serving"`
+	Draining bool                  `json:"draining"`
+	InFlight int64                 `json:"in_flight"`
+	View     uint64                `json:"view"`
+	Cohort   []string              `json:"cohort"`
+	Runners  []pressure.Runner     `json:"runners"`
+	Lanes    map[string]tally.Lane `json:"lanes"`
+	// Tenants are what was used of the quotas here, by the tenants' names.
+	Tenants   map[string]quota.Usage `json:"tenants,omitempty"`
+	Desks     map[string]any         `json:"desks"`
+	Index     map[string]uint64      `json:"index"`
+	Links     map[string]uint64      `json:"links"`
+	Director  director.Counters      `json:"director"`
+	Wire      map[string]any         `json:"wire"`
+	Directory int                    `json:"directory"`
 }
 
 func (host *Host) status(context *fasthttp.RequestCtx) {
@@ -332,7 +335,7 @@
 	status := Status{Program: "wtdata", Address: host.startup.Address, Zone: host.startup.Zone,
 		Uptime: now.Sub(host.Begun()).Round(time.Millisecond).String(), Epoch: snapshot.SpecEpoch, Sequence: snapshot.Sequence,
 		Serving: now.Before(snapshot.Until), Draining: host.Yard.Draining.Load(), InFlight: host.Yard.InFlight.Load(), View: view,
-		Cohort: cohort, Runners: host.Yard.Book.All(now, host.Daemons()), Lanes: host.Yard.Tally.Lanes(), Desks: map[string]any{},
+		Cohort: cohort, Runners: host.Yard.Book.All(now, host.Daemons()), Lanes: host.Yard.Tally.Lanes(), Tenants: host.Yard.Quota.Usage(now), Desks: map[string]any{},
 		Index: map[string]uint64{"keys": uint64(host.Yard.Indexer.Index.Keys()), "events": pool.Applied.Load(),
 			"dropped": pool.Dropped.Load(), "inferred_removals": pool.Inferred.Load()},
 		Links: map[string]uint64{"dials": links.Dials.Load(), "reused": links.Reused.Load(),
--- a/request/award/desk.go
+++ b/request/award/desk.go
@@ -309,6 +309,15 @@
 	return market
 }
 
+// decide gives the next step of a ticket in a market.
+func (desk *Desk) decide(ticket *Ticket, market Market) Step {
+	step := Decide(ticket.Bid, market, Price(ticket.Bid, market.Offers, market.Prices), desk.Choose, desk.random)
+	if desk.Without[mechanism.Urgency] {
+		step.Urgency = Unset
+	}
+	return step
+}
+
 // effective gives the prices but for those of mechanisms that are switched off.
 func (desk *Desk) effective(prices Prices) Prices {
 	if desk.Without[mechanism.RereadPrice] {
@@ -389,10 +398,7 @@
 		if !ticket.waited {
 			own.Doubt = desk.doubts[ticket.Lane]
 		}
-		step := Decide(ticket.Bid, own, Price(ticket.Bid, own.Offers, own.Prices), desk.Choose, desk.random)
-		if desk.Without[mechanism.Urgency] {
-			step.Urgency = Unset
-		}
+		step := desk.decide(ticket, own)
 		if step.Kind == Wait {
 			kept = append(kept, ticket)
 			ticket.waited = true
