--- a/cmd/wtctl/commands.go
+++ b/cmd/wtctl/commands.go
@@ -74,11 +74,15 @@
 	lane := command.Flag("lane", "The lane.").Required().String()
 	model := command.Flag("model", "The model.").Required().String()
 	adapter := command.Flag("adapter", "The adapter.").String()
+	key := command.Flag("key", "A tenant's key, where the lane needs one.").Envar("WTCTL_KEY").String()
 	tokens := command.Flag("prompt-tokens", "The prompt's tokens.").Default("1000").String()
 	prefix := command.Flag("prefix", "Prefix parts in order, as name=tokens,name=tokens.").String()
 	known[command.FullCommand()] = func() (int, error) {
 		headers := map[string]string{intake.HeaderLane: *lane, intake.HeaderModel: *model, intake.HeaderRequest: "explain",
 			intake.HeaderPrompt: *tokens, intake.HeaderAnswer: "1"}
+		if *key != "" {
+			headers[intake.HeaderAuthorization] = "Bearer " + *key
+		}
 		for name, value := range map[string]string{intake.HeaderAdapter: *adapter, intake.HeaderPrefix: *prefix} {
 			if value != "" {
 				headers[name] = value
