--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -335,29 +335,36 @@
 	<-ended
 }
 
-// A refused question is an answer: the runner is there, and the connection serves on. Any other status is none.
-func TestRefusedQuestions(t *testing.T) {
-	for status, want := range map[string]fault.Kind{"400 Bad Request": fault.NotAnswered, "404 Not Found": fault.NotAnswered, "500 Internal Server Error": fault.Unreachable} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+// answering gives the address of a runner that answers every request with a status.
+func answering(t *testing.T, status string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
 		if err != nil {
-			t.Fatal(err)
+			return
 		}
-		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			connection, err := listener.Accept()
-			if err != nil {
+		reader := bufio.NewReader(connection)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
 				return
 			}
-			reader := bufio.NewReader(connection)
-			for {
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nno")
-			}
-		}()
+			_, _ = io.WriteString(connection, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nno")
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A refused question is an answer: the runner is there, and the connection serves on. Any other status is none.
+func TestRefusedQuestions(t *testing.T) {
+	for status, want := range map[string]fault.Kind{"400 Bad Request": fault.NotAnswered, "404 Not Found": fault.NotAnswered, "500 Internal Server Error": fault.Unreachable} {
+		address := answering(t, status)
 		links := New(seam.Real(nil), "")
-		connection, err := links.Take("r", listener.Addr().String())
+		connection, err := links.Take("r", address)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -368,7 +375,7 @@
 			continue
 		}
 		links.Keep(connection, 0)
-		if again, err := links.Take("r", listener.Addr().String()); err != nil || again != connection {
+		if again, err := links.Take("r", address); err != nil || again != connection {
 			t.Errorf("%s: the connection was not used again: %v", status, err)
 		}
 	}
