A refusal with 503 binds one sending; copies name the head's incarnation

Cause: 'refused-in-effect' compared each refusal with the final state. The checker was wrong: it now judges each sending, and still breaks where every sending was refused or one was refused for the change itself. Requests name the incarnation of the head, which heartbeats state.

--- a/control/failuredetector/detector.go
+++ b/control/failuredetector/detector.go
@@ -154,6 +154,16 @@
 // Peer returns what is known of a peer; nil if nothing is.
 func (detector *Detector) Peer(id string) *Peer { return detector.peers[id] }
 
+// Incarnation returns the incarnation that a peer stated last, 0 where it states none; heard is false for an unknown
+// peer.
+func (detector *Detector) Incarnation(id string) (incarnation uint64, heard bool) {
+	peer := detector.peers[id]
+	if peer == nil {
+		return 0, false
+	}
+	return peer.Heartbeat.Incarnation, true
+}
+
 // Peers returns every known peer in the order of their ids, whether alive or not.
 func (detector *Detector) Peers() []*Peer {
 	peers := make([]*Peer, 0, len(detector.peers))
--- a/control/node/calls_test.go
+++ b/control/node/calls_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wardtray/control/proposal"
 	"wardtray/coordination/chain"
 	"wardtray/coordination/statemachine"
@@ -307,6 +309,51 @@
 	}
 }
 
+// A head that has restarted has forgotten what it refused. A copy that was sent to its earlier incarnation is not
+// accepted by the present one.
+func TestLateCopyAfterTheHeadHasRestarted(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 1)
+	head := fleet.leader()
+	origin := fleet.members[0]
+	if origin == head {
+		origin = fleet.members[1]
+	}
+	answered := func(answer *given) func() bool { return func() bool { return answer.status != 0 } }
+	first := fleet.send(origin, apply("first", 0, 1, "a"))
+	fleet.until("an answer", 5*time.Second, answered(first))
+	refused := &wire.OperatorRequest{
+		Verb:      "change",
+		Operation: "refused",
+		Spec:      []byte(`{"upsert":{"lanes":[{"name":"b","pool":"q","patience":"1s"}]}}`),
+	}
+	var late *wire.Envelope
+	fleet.lost = func(message statemachine.Message) bool {
+		if request := message.Envelope.GetOperatorRequest(); request != nil && request.Operation == "refused" {
+			late = proto.CloneOf(message.Envelope)
+		}
+		return false
+	}
+	refusal := fleet.send(origin, refused)
+	fleet.until("a refusal", 5*time.Second, answered(refusal))
+	if refusal.status != 422 || late == nil {
+		t.Fatalf("%d %+v", refusal.status, refusal.reply)
+	}
+	fleet.kill(head)
+	fleet.start(head)
+	fleet.until("the head again", 10*time.Second, func() bool { return fleet.leader() == head })
+	mended := fleet.send(origin, change("mended", 1, 2, `{"upsert":{"pools":[{"name":"q","services":["t"]}]}}`))
+	fleet.until("an answer", 5*time.Second, answered(mended))
+	if mended.status != 200 {
+		t.Fatalf("%d %+v", mended.status, mended.reply)
+	}
+	head.node.Receive(fleet.now, late)
+	fleet.run(time.Second)
+	if head.node.Chain().Outcome("refused") != nil {
+		t.Error("a copy of a refused request took effect")
+	}
+}
+
 // A refusal whose answer was lost is told again.
 func TestRefusalIsToldAgain(t *testing.T) {
 	t.Parallel()
--- a/control/node/members.go
+++ b/control/node/members.go
@@ -24,7 +24,9 @@
 type members struct {
 	settings Settings
 	self     *wire.Member
-	outbox   *statemachine.Outbox
+	// incarnation is drawn anew by each process of this machine.
+	incarnation uint64
+	outbox      *statemachine.Outbox
 
 	chain        *chain.Chain
 	agent        *view.Agent
@@ -47,12 +49,12 @@
 }
 
 // newMembers restores the members from what the disk held.
-func newMembers(now time.Time, settings Settings, state *wire.DurableState, records []*wire.Record, random *rand.Rand,
-	observers observers) *members {
+func newMembers(now time.Time, settings Settings, incarnation uint64, state *wire.DurableState, records []*wire.Record,
+	random *rand.Rand, observers observers) *members {
 	bounds, outbox := timing.BoundsFor(settings.Limits), statemachine.NewOutbox()
 	self := &wire.Member{Id: state.Id, Address: settings.Address, Zone: settings.Zone, Http: settings.HTTP}
 	detector := failuredetector.New(now, self, bounds.Suspicion, bounds.Pause)
-	members := &members{settings: settings, self: self, outbox: outbox, detector: detector}
+	members := &members{settings: settings, self: self, incarnation: incarnation, outbox: outbox, detector: detector}
 	members.disk = durability.New(outbox, records, bounds.WriteTimeout, observers.snapshot)
 	members.chain = chain.New(self.Id, state.Document, state.Pending, outbox, detector.AddressOf, observers.onCommit)
 	members.chain.RestoreIncomplete(state.Incomplete)
@@ -111,7 +113,8 @@
 	heartbeat := &wire.Heartbeat{Member: members.self, View: facts.View.Epoch, Fleet: facts.View.Fleet,
 		Blank: facts.View.Epoch == 0, Unhealthy: facts.Local.Unhealthy, Synced: facts.Local.Synced,
 		LearnedView: facts.Local.LearnedView, Decommissioning: facts.Local.Decommissioning,
-		Reachable: members.detector.Reachable(now), UnleasedDaemons: unleased(now), Incomplete: facts.Local.Incomplete}
+		Reachable: members.detector.Reachable(now), UnleasedDaemons: unleased(now), Incomplete: facts.Local.Incomplete,
+		Incarnation: members.incarnation}
 	for _, address := range members.addresses() {
 		members.outbox.Send(address, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: heartbeat}})
 	}
--- a/control/node/node.go
+++ b/control/node/node.go
@@ -68,7 +68,7 @@
 	isFoundingNow := settings.Founding && !state.Founding && state.View.GetEpoch() == 0
 	state.Founding = state.Founding || isFoundingNow
 	node := &Node{settings: settings, bounds: timing.BoundsFor(settings.Limits), started: now}
-	node.members = newMembers(now, settings, state, records, random,
+	node.members = newMembers(now, settings, incarnation, state, records, random,
 		observers{onView: node.onView, onCommit: node.onCommit, snapshot: node.DurableState})
 	node.self, node.outbox = node.members.self, node.members.outbox
 	node.daemons = newDaemons(now, node.members, leaseNonce, state.ClearedTerm, random)
@@ -85,8 +85,8 @@
 func newProposals(incarnation uint64, members *members, daemons *daemons) (*proposal.Requests, *proposal.Proposals) {
 	var proposals *proposal.Proposals
 	serve := func(now time.Time, message *wire.OperatorRequest) { proposals.Serve(now, message) }
-	requests := proposal.NewRequests(incarnation, members.self, members.agent, members.chain, members.outbox,
-		members.detector.AddressOf, serve)
+	peers := proposal.Peers{AddressOf: members.detector.AddressOf, Incarnation: members.detector.Incarnation}
+	requests := proposal.NewRequests(incarnation, members.self, members.agent, members.chain, members.outbox, peers, serve)
 	proposals = proposal.NewProposals(members.self.Address, members.chain, members.outbox, requests,
 		proposal.Environment{IsLeading: daemons.leadership.IsLeading, IsDelivered: daemons.isDelivered,
 			IsUnhealthy: members.disk.IsUnhealthy})
--- a/control/proposal/proposals.go
+++ b/control/proposal/proposals.go
@@ -36,7 +36,9 @@
 
 // Proposals are the operators' requests at the head.
 type Proposals struct {
-	self        string
+	self string
+	// incarnation is that of this process, which remembers what it refused (refusals) for as long as it lives.
+	incarnation uint64
 	chain       *chain.Chain
 	outbox      *statemachine.Outbox
 	requests    *Requests
@@ -48,18 +50,22 @@
 	counters Counters
 }
 
-// NewProposals returns the head's part of a process at an address; requests are those that came in at this process.
+// NewProposals returns the head's part of a process at an address, which goes by the same incarnation as its requests,
+// those that came in at this process.
 func NewProposals(self string, history *chain.Chain, outbox *statemachine.Outbox, requests *Requests,
 	environment Environment) *Proposals {
-	return &Proposals{self: self, chain: history, outbox: outbox, requests: requests, environment: environment}
+	return &Proposals{self: self, incarnation: requests.incarnation, chain: history, outbox: outbox, requests: requests,
+		environment: environment}
 }
 
 // Counters returns what was counted here.
 func (proposals *Proposals) Counters() Counters { return proposals.counters }
 
-// HandleRequest handles a request that another process passed on.
+// HandleRequest handles a request that another process passed on. One that was sent to an earlier incarnation of this
+// process is dropped: that one may have refused it, and its origin sends it again.
 func (proposals *Proposals) HandleRequest(now time.Time, message *wire.OperatorRequest) {
-	if message.Origin != proposals.self {
+	isLate := message.HeadIncarnation != 0 && message.HeadIncarnation != proposals.incarnation
+	if message.Origin != proposals.self && !isLate {
 		proposals.Serve(now, message)
 	}
 }
--- a/control/proposal/reply.go
+++ b/control/proposal/reply.go
@@ -15,7 +15,8 @@
 const (
 	// OutcomeAccepted is a change that is committed, and that no serving data daemon can lack any more.
 	OutcomeAccepted = "accepted"
-	// OutcomeRefused is a change that is not, and never will be, in effect.
+	// OutcomeRefused is a change that is not, and never will be, in effect by the request that is answered. With a status
+	// of 503 another request for the same operation may bring it into effect; with any other none can.
 	OutcomeRefused = "refused"
 	// OutcomeUnknown is a change that may be in effect or not.
 	OutcomeUnknown = "unknown"
--- a/control/proposal/requests.go
+++ b/control/proposal/requests.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wardtray/apierror"
 	"wardtray/coordination/chain"
 	"wardtray/coordination/statemachine"
@@ -36,11 +38,11 @@
 // Requests are the operators' requests that came in at this process. Each is sent to the head of the newest view, again
 // where that may have failed, and answered once.
 type Requests struct {
-	self      *wire.Member
-	agent     *view.Agent
-	chain     *chain.Chain
-	outbox    *statemachine.Outbox
-	addressOf func(member *wire.Member) string
+	self   *wire.Member
+	agent  *view.Agent
+	chain  *chain.Chain
+	outbox *statemachine.Outbox
+	peers  Peers
 	// serve decides on a request where this process is the head itself.
 	serve func(now time.Time, message *wire.OperatorRequest)
 
@@ -50,6 +52,14 @@
 	counters           Counters
 }
 
+// Peers is what requests ask of the other control processes.
+type Peers struct {
+	// AddressOf returns where a member is reached.
+	AddressOf func(member *wire.Member) string
+	// Incarnation returns that of a process, 0 where it states none, and whether the process has been heard at all.
+	Incarnation func(id string) (incarnation uint64, heard bool)
+}
+
 // Counters are what is counted of operators' requests.
 type Counters struct {
 	// Accepted and Refused count changes at the head.
@@ -61,9 +71,9 @@
 // NewRequests returns the requests of a process that starts now; none is open. Incarnation must differ between the
 // incarnations of a process, so that a late response to a request of an earlier one is recognized.
 func NewRequests(incarnation uint64, self *wire.Member, agent *view.Agent, history *chain.Chain,
-	outbox *statemachine.Outbox, addressOf func(member *wire.Member) string,
+	outbox *statemachine.Outbox, peers Peers,
 	serve func(now time.Time, message *wire.OperatorRequest)) *Requests {
-	return &Requests{self: self, agent: agent, chain: history, outbox: outbox, addressOf: addressOf, serve: serve,
+	return &Requests{self: self, agent: agent, chain: history, outbox: outbox, peers: peers, serve: serve,
 		open: map[string]*request{}, incarnation: incarnation}
 }
 
@@ -122,18 +132,26 @@
 	if newest.Epoch == 0 || open.view == newest.Epoch && now.Sub(open.lastSent) < resendInterval {
 		return
 	}
-	open.lastSent, open.view = now, newest.Epoch
 	head := newest.Chain[0]
 	if head.Id == requests.self.Id {
+		open.lastSent, open.view = now, newest.Epoch
 		if requests.chain.IsHead() {
 			open.recipients[head.Id] = true
 		}
 		requests.serve(now, open.message)
 		return
 	}
+	// A copy may be on its way for long. Only the incarnation that it is meant for knows whether it was refused before.
+	incarnation, heard := requests.peers.Incarnation(head.Id)
+	if !heard {
+		return
+	}
+	open.lastSent, open.view = now, newest.Epoch
 	open.recipients[head.Id] = true
-	requests.outbox.Send(requests.addressOf(head),
-		&wire.Envelope{Body: &wire.Envelope_OperatorRequest{OperatorRequest: open.message}})
+	copied := proto.CloneOf(open.message)
+	copied.HeadIncarnation = incarnation
+	requests.outbox.Send(requests.peers.AddressOf(head),
+		&wire.Envelope{Body: &wire.Envelope_OperatorRequest{OperatorRequest: copied}})
 }
 
 // finishUnresolved answers for a chain that gave no answer, or none that is final (see HandleResponse).
--- a/verify/histories/rules_test.go
+++ b/verify/histories/rules_test.go
@@ -111,6 +111,41 @@
 	}
 }
 
+// A refusal for want of a head, a disk or room answers one sending; one that judges the change answers all of them.
+func TestRefusedInEffect(t *testing.T) {
+	t.Parallel()
+	const operation = "sent-again"
+	stale, noHead := Order{Outcome: "refused", HTTPStatus: 409}, Order{Outcome: "refused", HTTPStatus: 503}
+	accepted, unknown := Order{Outcome: "accepted"}, Order{Outcome: "unknown"}
+	for name, test := range map[string]struct {
+		sendings []Order
+		broken   bool
+	}{
+		"judged, not sent again":    {[]Order{stale}, true},
+		"judged, then accepted":     {[]Order{stale, accepted}, true},
+		"no head, not sent again":   {[]Order{noHead}, true},
+		"no head, then accepted":    {[]Order{noHead, accepted}, false},
+		"unknown, then no head":     {[]Order{unknown, noHead}, false},
+		"no head, twice":            {[]Order{noHead, noHead}, true},
+		"no head, then judged":      {[]Order{noHead, stale}, true},
+		"no head; accepted another": {[]Order{noHead, {Operation: "other", Outcome: "accepted"}}, true},
+	} {
+		history := clean()
+		history.Final.Known[operation] = 7
+		for _, order := range test.sendings {
+			if order.Operation == "" {
+				order.Operation = operation
+			}
+			history.Orders = append(history.Orders, &order)
+		}
+		checker := NewChecker(history, history.Final.Known)
+		refusedInEffect(checker, checker.reporter("refused-in-effect"))
+		if found := len(checker.Violations) > 0; found != test.broken {
+			t.Errorf("%s: %v", name, checker.Violations)
+		}
+	}
+}
+
 // Each check names its rule, and no other, on a history broken in its one way.
 func TestEveryRuleIsNamedOnABrokenHistory(t *testing.T) {
 	started := time.Unix(1000, 0)
--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -18,6 +18,9 @@
 const (
 	messagesFile    = "golden.txt"
 	descriptorsFile = "descriptors.txt"
+	// These are the two files of the newest release, which is b5586e0. They are replaced at a release only.
+	releasedMessagesFile    = "released.txt"
+	releasedDescriptorsFile = "released-descriptors.txt"
 )
 
 // goldenNames maps a message or field that was renamed to the full name under which the golden files still know it.
@@ -203,6 +206,33 @@
 	}
 }
 
+// What the newest release writes and sends is understood whole: nothing that it has was removed or took another number.
+func TestReleasedBytesAreUnderstood(t *testing.T) {
+	released := golden.Lines(t, releasedMessagesFile)
+	for _, kind := range messageTypes(t) {
+		for _, variant := range golden.Variants(kind) {
+			key := goldenKey(variant)
+			if digits, found := released[key]; found {
+				delete(released, key)
+				decodeAgain(t, kind, key, digits)
+			}
+		}
+	}
+	for key := range released {
+		t.Errorf("%s was released, and there is no such message any more", key)
+	}
+}
+
+// Every field of the newest release is as it was.
+func TestReleasedDescriptorsStay(t *testing.T) {
+	present := golden.Lines(t, descriptorsFile)
+	for field, form := range golden.Lines(t, releasedDescriptorsFile) {
+		if present[field] != form {
+			t.Errorf("%s was released as %q and is %q", field, form, present[field])
+		}
+	}
+}
+
 func decodeAgain(t *testing.T, kind protoreflect.MessageType, key, digits string) {
 	t.Helper()
 	content, err := hex.DecodeString(digits)
