coordination/reservation: requests that run at most once are reserved at replicas

A request of a route that runs at most once was announced to its zone by one message without an acknowledgement.

--- a/control/storage/golden_test.go
+++ b/control/storage/golden_test.go
@@ -21,7 +21,7 @@
 // where there is none.
 const (
 	storedFolders = "testdata/stored"
-	presentFolder = "v1"
+	presentFolder = "v2"
 )
 
 // dataFiles are all files of a data folder that was replaced twice.
--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -161,6 +161,15 @@
 	return chain.history.outcomes.byOperation[operation]
 }
 
+// ForgottenBefore returns the epoch from which on the outcome of every operation is known; 0: that of each is.
+func (chain *Chain) ForgottenBefore() uint64 {
+	outcomes := chain.history.outcomes.list
+	if len(outcomes) < MaximumOutcomes {
+		return 0
+	}
+	return outcomes[0].SpecEpoch
+}
+
 // Incomplete reports whether this member's history may lack what was committed before it joined the
 // chain. Such a member must not be the only one left of a chain.
 func (chain *Chain) Incomplete() bool { return chain.incomplete }
--- a/coordination/chain/history.go
+++ b/coordination/chain/history.go
@@ -62,13 +62,23 @@
 }
 
 // entryBytes returns about how much memory and disk an entry takes.
-func entryBytes(entry *wire.Entry) int { return len(entry.Spec) + memberBytes*len(entry.Directory) }
+func entryBytes(entry *wire.Entry) int {
+	members := len(entry.Directory)
+	for _, zone := range entry.Reservations.GetZones() {
+		members += len(zone.Replicas) + len(zone.PreviousReplicas)
+	}
+	return len(entry.Spec) + memberBytes*members
+}
 
 // foldWithoutOutcomes applies all of an entry but the outcome of a changed configuration.
 func foldWithoutOutcomes(document *wire.Document, entry *wire.Entry) *wire.Document {
 	folded := &wire.Document{
 		Sequence: entry.Sequence, SpecEpoch: document.SpecEpoch, Spec: document.Spec,
 		Directory: document.Directory, PreviousDirectory: document.PreviousDirectory, Outcomes: document.Outcomes,
+		Reservations: document.Reservations,
+	}
+	if entry.Reservations != nil {
+		folded.Reservations = entry.Reservations
 	}
 	if entry.ChangesSpec {
 		folded.SpecEpoch, folded.Spec = entry.SpecEpoch, entry.Spec
@@ -79,5 +89,6 @@
 }
 
 func outcomeOf(entry *wire.Entry) *wire.Outcome {
-	return &wire.Outcome{Operation: entry.Operation, SpecEpoch: entry.SpecEpoch, Sequence: entry.Sequence}
+	return &wire.Outcome{Operation: entry.Operation, SpecEpoch: entry.SpecEpoch, Sequence: entry.Sequence,
+		Digest: entry.Digest}
 }
