--- a/apierror/codes.go
+++ b/apierror/codes.go
@@ -42,6 +42,8 @@
 	NoRunner Code = "no_fit_runner"
 	// NotServing: the daemon has no valid configuration to serve by.
 	NotServing Code = "not_serving"
+	// TooManyRemembered: no more requests that run at most once can be remembered.
+	TooManyRemembered Code = "too_many_remembered"
 )
 
 // Requests that fail after they were accepted.
--- /dev/null
+++ b/control/daemonlease/holders_test.go
@@ -0,0 +1,154 @@
+package daemonlease
+
+import (
+	"testing"
+	"time"
+
+	"wardtray/wire"
+)
+
+// reservationTerm is for how long the daemons of these tests may serve without a control machine.
+const reservationTerm = 10 * time.Second
+
+// holderRequest is a lease request of a daemon that makes reservations.
+func holderRequest(incarnation, challenge uint64) *wire.DaemonLeaseRequest {
+	return &wire.DaemonLeaseRequest{Sequence: 5, Zone: "z", Incarnation: incarnation, Challenge: challenge,
+		Reservations: &wire.ReservationReport{Epoch: 3, Synced: true,
+			IsolationMilliseconds: uint32(reservationTerm.Milliseconds())}}
+}
+
+// prove has an incarnation of daemon d return its challenge.
+func prove(leases *Leases, now time.Time, incarnation uint64) {
+	leases.HandleRequest(now, "d", holderRequest(incarnation, 0))
+	leases.HandleRequest(now, "d", holderRequest(incarnation, leases.Challenge("d", incarnation)))
+}
+
+func holdersAt(leases *Leases, now time.Time) Holders {
+	return leases.Holders(DeliveryContext{Now: now, Since: start})
+}
+
+func TestHoldersCandidates(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		do   func(leases *Leases)
+		want int
+	}{
+		"alive":            {func(leases *Leases) { prove(leases, start, 7) }, 1},
+		"not proven":       {func(leases *Leases) { leases.HandleRequest(start, "d", holderRequest(7, 0)) }, 0},
+		"a wrong proof":    {func(leases *Leases) { leases.HandleRequest(start, "d", holderRequest(7, 99)) }, 0},
+		"makes none":       {func(leases *Leases) { grant(leases, start, 5) }, 0},
+		"silent for long":  {func(leases *Leases) { prove(leases, start.Add(-term), 7) }, 0},
+		"nobody listens":   {refused(start.Add(1)), 0},
+		"is about to stop": {func(leases *Leases) { prove(leases, start, 7); drain(leases) }, 0},
+	} {
+		leases, _ := newLeases("d")
+		test.do(leases)
+		if got := holdersAt(leases, start.Add(2)).Candidates(); len(got) != test.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// drain has daemon d say that it is about to stop.
+func drain(leases *Leases) {
+	request := holderRequest(7, leases.Challenge("d", 7))
+	request.Draining = true
+	leases.HandleRequest(start, "d", request)
+}
+
+func TestHoldersHasEnded(t *testing.T) {
+	t.Parallel()
+	longest := term + ClockMargin + reservationTerm + time.Duration(float64(reservationTerm)*clockTolerance)
+	for name, test := range map[string]struct {
+		do    func(leases *Leases)
+		after time.Duration
+		want  bool
+	}{
+		"alive":                              {func(leases *Leases) { prove(leases, start, 7) }, 0, false},
+		"silent, and may still serve":        {func(leases *Leases) { prove(leases, start, 7) }, longest, false},
+		"silent for longer":                  {func(leases *Leases) { prove(leases, start, 7) }, longest + 1, true},
+		"never heard in this term":           {func(*Leases) {}, longest, false},
+		"never heard, for longer":            {func(*Leases) {}, longest + 1, true},
+		"another process says so":            {func(leases *Leases) { prove(leases, start, 8) }, 0, true},
+		"another one says so without proof":  {unprovenSuccessor, 0, false},
+		"a late request of the one before":   {lateRequest, 0, false},
+		"nobody listens":                     {refused(start.Add(2)), 0, true},
+		"nobody listened before it came":     {refusedBefore, 0, false},
+		"nobody listened before this leader": {func(leases *Leases) { leases.ConnectionRefused("d", start) }, 0, false},
+	} {
+		leases, _ := newLeases("d")
+		test.do(leases)
+		replica := &wire.ReservationReplica{Address: "d", Incarnation: 7,
+			IsolationMilliseconds: uint32(reservationTerm.Milliseconds())}
+		if got := holdersAt(leases, start.Add(test.after)).HasEnded(replica); got != test.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+func unprovenSuccessor(leases *Leases) {
+	prove(leases, start, 7)
+	leases.HandleRequest(start, "d", holderRequest(8, 0))
+}
+
+// lateRequest has a request of an incarnation before arrive, with the challenge that it was sent, after 7 is alive.
+func lateRequest(leases *Leases) {
+	leases.HandleRequest(start, "d", holderRequest(6, 0))
+	challenge := leases.Challenge("d", 6)
+	prove(leases, start, 7)
+	leases.HandleRequest(start, "d", holderRequest(6, challenge))
+}
+
+func refused(tried time.Time) func(leases *Leases) {
+	return func(leases *Leases) {
+		prove(leases, start, 7)
+		leases.ConnectionRefused("d", tried)
+	}
+}
+
+func refusedBefore(leases *Leases) {
+	leases.ConnectionRefused("d", start.Add(1))
+	prove(leases, start.Add(2), 7)
+}
+
+func TestHoldersIsSynced(t *testing.T) {
+	t.Parallel()
+	leases, _ := newLeases("d")
+	prove(leases, start, 7)
+	holders := holdersAt(leases, start)
+	identity := holders.Candidates()[0].Identity
+	if !holders.IsSynced(identity, 3) || holders.IsSynced(identity, 4) || holders.NewestEpoch() != 3 {
+		t.Error("not what it says")
+	}
+	identity.Incarnation++
+	if holders.IsSynced(identity, 3) {
+		t.Error("another process is synced")
+	}
+}
+
+func TestHoldersAllReserve(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		directory           string
+		requests            func(leases *Leases)
+		all, noneDoesNot    bool
+		allActUnder, reserv bool
+	}{
+		"all":         {"d", func(leases *Leases) { prove(leases, start, 7) }, true, true, true, true},
+		"one missing": {"de", func(leases *Leases) { prove(leases, start, 7) }, false, true, false, true},
+		"one does not": {"d", func(leases *Leases) {
+			prove(leases, start, 7)
+			leases.HandleRequest(start, "e", &wire.DaemonLeaseRequest{})
+		}, false, false, true, true},
+		"nobody": {"", func(*Leases) {}, true, true, true, false},
+	} {
+		leases, _ := newLeases(test.directory)
+		test.requests(leases)
+		holders, directory := holdersAt(leases, start), leases.chain.Committed().Directory
+		all, noneDoesNot := holders.AllReserve(directory)
+		if all != test.all || noneDoesNot != test.noneDoesNot || leases.AnyReserves() != test.reserv ||
+			holders.AllActUnder(directory, 3) != test.allActUnder || holders.AllActUnder(directory, 4) && test.directory != "" {
+			t.Errorf("%s: all %v, none does not %v", name, all, noneDoesNot)
+		}
+	}
+}
--- a/control/daemonlease/leases.go
+++ b/control/daemonlease/leases.go
@@ -45,6 +45,9 @@
 	draining    bool
 	// terminated is when nobody listened at its address any more; its process, and its leases, ended before.
 	terminated time.Time
+	// reservations is what it says as a holder of reservations; nil: it makes none.
+	reservations *wire.ReservationReport
+	liveness     liveness
 }
 
 // isTerminated reports whether the process that was last granted a lease has ended.
@@ -59,6 +62,8 @@
 	duration time.Duration
 
 	daemons map[string]*daemon
+	// lastChallenge is the newest that was drawn.
+	lastChallenge uint64
 	// firstRequest is when the first daemon requested a lease in this term.
 	firstRequest time.Time
 	// acceptorProgress is what the acceptors reported of the sequences that they know.
@@ -71,14 +76,17 @@
 	previous []previousAcceptors
 }
 
-// NewLeases returns an empty table; duration is for how long a daemon may rely on a lease, view the present one.
-func NewLeases(history *chain.Chain, outbox *statemachine.Outbox, duration time.Duration, view *wire.View) *Leases {
+// NewLeases returns an empty table; duration is for how long a daemon may rely on a lease, view the present one. The
+// challenges that are sent to daemons follow one that is drawn at random.
+func NewLeases(history *chain.Chain, outbox *statemachine.Outbox, duration time.Duration, view *wire.View,
+	challenge uint64) *Leases {
 	leases := &Leases{
 		chain:            history,
 		outbox:           outbox,
 		duration:         duration,
 		acceptorProgress: lease.NewProgressTracker(),
 		view:             view,
+		lastChallenge:    challenge,
 	}
 	leases.Reset()
 	return leases
@@ -121,6 +129,8 @@
 	}
 	// A daemon that restarted knows less than it once confirmed, so its last report counts, not the greatest.
 	known.zone, known.http, known.sequence = request.Zone, request.Http, request.Sequence
+	known.reservations = request.Reservations
+	known.liveness.observe(now, request.Incarnation, request.Challenge)
 	known.lastRequest, known.draining = now, request.Draining
 	known.requests++
 	return true
@@ -223,7 +233,9 @@
 	var arrivals []*wire.Member
 	for address, known := range leases.daemons {
 		isActive := known.requests >= joinRequests && !known.draining && now.Sub(known.lastRequest) < leases.duration
-		if !inside[address] && isActive {
+		// One that makes reservations comes in as one that may hold them, which takes a proof that it is alive.
+		isProven := known.reservations == nil || known.liveness.incarnation == known.incarnation
+		if !inside[address] && isActive && isProven {
 			arrivals = append(arrivals, &wire.Member{Id: address, Address: address, Zone: known.zone, Http: known.http})
 		}
 	}
--- a/control/daemonlease/leases_test.go
+++ b/control/daemonlease/leases_test.go
@@ -29,7 +29,7 @@
 	document := &wire.Document{Sequence: 5, SpecEpoch: 5, Directory: membertest.Daemons(directory)}
 	history := chain.New("a", document, nil, outbox, func(member *wire.Member) string { return member.Address },
 		func(time.Time, uint64) {})
-	return NewLeases(history, outbox, term, threeMembers()), outbox
+	return NewLeases(history, outbox, term, threeMembers(), 0), outbox
 }
 
 // grant lets daemon d, which has a sequence, request a lease and get it.
--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -109,7 +109,7 @@
 func (directory *Directory) Publish(now time.Time) {
 	document := directory.chain.Committed()
 	carried := &wire.Document{Sequence: document.Sequence, SpecEpoch: document.SpecEpoch,
-		PackedSpec: directory.pack(document), Directory: document.Directory}
+		PackedSpec: directory.pack(document), Directory: document.Directory, Reservations: document.Reservations}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(carried)
 	if err != nil {
 		return // No document that is committed fails to encode; daemons would still learn the next one.
--- a/control/directory/updater.go
+++ b/control/directory/updater.go
@@ -9,8 +9,12 @@
 	"wardtray/wire"
 )
 
-// firstDirectoryDelay is for how long a head gathers daemons for a fleet's first directory.
-const firstDirectoryDelay = 300 * time.Millisecond
+const (
+	// firstDirectoryDelay is for how long a head gathers daemons for a fleet's first directory.
+	firstDirectoryDelay = 300 * time.Millisecond
+	// firstReservationsDelay is for how long it waits until these daemons can hold reservations from the beginning.
+	firstReservationsDelay = 2 * time.Second
+)
 
 // Counters are what an updater counts.
 type Counters struct {
@@ -18,16 +22,19 @@
 	Refused uint64
 }
 
-// Updater changes the directory as head: it lets daemons in, and those long missing out.
+// Updater changes the directory as head: it lets daemons in, and those long missing out. It also changes who of them
+// holds reservations.
 type Updater struct {
 	chain    *chain.Chain
 	leases   *daemonlease.Leases
+	replicas *replicaPlanner
 	counters Counters
 }
 
-// NewUpdater returns an updater that goes by the leases of this process.
-func NewUpdater(history *chain.Chain, leases *daemonlease.Leases) *Updater {
-	return &Updater{chain: history, leases: leases}
+// NewUpdater returns an updater that goes by the leases of this process. mayReserve reports whether every control
+// machine knows of reservations.
+func NewUpdater(history *chain.Chain, leases *daemonlease.Leases, mayReserve func() bool) *Updater {
+	return &Updater{chain: history, leases: leases, replicas: &replicaPlanner{leases: leases, mayStart: mayReserve}}
 }
 
 // Counters returns what was counted.
@@ -42,16 +49,28 @@
 	document := updater.chain.Committed()
 	arrivals := updater.leases.Arrivals(leader.Now, document.Directory)
 	remaining := updater.leases.ExcludeMissing(leader.Now, leader.Since, document.Directory)
-	isUnchanged := len(arrivals) == 0 && len(remaining) == len(document.Directory)
+	reservations := updater.replicas.next(leader, document)
+	isUnchanged := len(arrivals) == 0 && len(remaining) == len(document.Directory) && reservations == nil
 	if isUnchanged || !updater.leases.IsDelivered(leader, document.Sequence) {
 		return
 	}
-	if len(document.Directory) == 0 && leader.Now.Sub(updater.leases.FirstRequest()) < firstDirectoryDelay {
+	if len(document.Directory) == 0 && !updater.mayFound(leader.Now, reservations != nil) {
 		return
 	}
 	next := append(remaining, arrivals...)
 	sort.Slice(next, func(left, right int) bool { return next[left].Address < next[right].Address })
-	if updater.chain.Submit(leader.Now, &wire.Entry{Directory: next, SpecEpoch: document.SpecEpoch}) != nil {
+	entry := &wire.Entry{Directory: next, SpecEpoch: document.SpecEpoch, Reservations: reservations}
+	if updater.chain.Submit(leader.Now, entry) != nil {
 		updater.counters.Refused++ // The next tick tries again.
 	}
 }
+
+// mayFound reports whether a fleet's first directory may be entered. Where daemons make reservations it should say who
+// holds them, since before it nothing can have run.
+func (updater *Updater) mayFound(now time.Time, hasReservations bool) bool {
+	age := now.Sub(updater.leases.FirstRequest())
+	if updater.leases.AnyReserves() && !hasReservations {
+		return age >= firstReservationsDelay
+	}
+	return age >= firstDirectoryDelay
+}
--- a/control/directory/updater_test.go
+++ b/control/directory/updater_test.go
@@ -25,7 +25,7 @@
 		"the first":                        {"", "d", true, firstDirectoryDelay, "d"},
 	} {
 		bench := newBench("a", test.directory)
-		leases := daemonlease.NewLeases(bench.chain, bench.outbox, time.Second, bench.agent.Current())
+		leases := daemonlease.NewLeases(bench.chain, bench.outbox, time.Second, bench.agent.Current(), 0)
 		now := start.Add(test.after)
 		request := func(at time.Time) {
 			for _, address := range test.requesting {
@@ -38,7 +38,7 @@
 			leases.AcceptorReported("a", 5, start)
 			leases.AcceptorReported("b", 5, start)
 		}
-		updater := NewUpdater(bench.chain, leases)
+		updater := NewUpdater(bench.chain, leases, func() bool { return true })
 		updater.Tick(daemonlease.DeliveryContext{Now: now, Since: start, View: bench.agent.Current(),
 			IsGrowing: func() bool { return false }})
 		var addresses []string
--- a/control/node/daemons.go
+++ b/control/node/daemons.go
@@ -37,7 +37,7 @@
 	settings, self := members.settings, members.self
 	daemons := &daemons{members: members}
 	daemons.directory = directory.New(self, agent, history, outbox, random, members.partialView, addressOf)
-	daemons.leases = daemonlease.NewLeases(history, outbox, settings.DaemonLease, agent.Current())
+	daemons.leases = daemonlease.NewLeases(history, outbox, settings.DaemonLease, agent.Current(), nonce)
 	daemons.quotas = daemonlease.NewQuotas(settings.Quotas, timing.BoundsFor(settings.Limits).QuotaTerm)
 	daemons.witness = lease.NewWitness(daemons.leases.Length())
 	daemons.confirmer = daemonlease.NewConfirmer(self.Id, agent, history, daemons.witness)
@@ -46,7 +46,7 @@
 		daemons.leases.Reset()
 		daemons.quotas.Reset()
 	})
-	daemons.updater = directory.NewUpdater(history, daemons.leases)
+	daemons.updater = directory.NewUpdater(history, daemons.leases, members.allStateIncarnations)
 	daemons.learner = directory.NewLearner(agent, history, addressOf)
 	return daemons
 }
@@ -97,6 +97,9 @@
 		if daemons.leases.HandleRequest(now, address, request) && daemons.directory.Contains(document, address) {
 			daemons.leases.Grant(now, address, grant)
 		}
+		if request.Reservations != nil {
+			grant.Challenge = daemons.leases.Challenge(address, request.Incarnation)
+		}
 		if request.Quota != nil {
 			grant.Quota = daemons.quotas.HandleReport(now, document, address, request.Quota, grant.Granted)
 		}
--- a/control/node/members.go
+++ b/control/node/members.go
@@ -129,6 +129,19 @@
 	return members.facts(now).HearsMajority()
 }
 
+// allStateIncarnations reports whether every member of the view is heard and states its incarnation. Versions that
+// don't know of reservations state none.
+func (members *members) allStateIncarnations() bool {
+	current := members.agent.Current()
+	for _, member := range membership.Join(current.Chain, current.Acceptors) {
+		incarnation, _ := members.detector.Incarnation(member.Id)
+		if member.Id != members.self.Id && incarnation == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // addresses lists, sorted, every address where another disk machine may be.
 func (members *members) addresses() []string {
 	found := map[string]bool{}
--- a/control/proposal/change.go
+++ b/control/proposal/change.go
@@ -1,10 +1,14 @@
 package proposal
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wardtray/apierror"
 	"wardtray/config"
 	"wardtray/wire"
@@ -21,15 +25,17 @@
 	if late {
 		return
 	}
+	call := &changeCall{proposals: proposals, message: message, latest: latest, refused: refused}
 	if outcome := proposals.chain.Outcome(message.Operation); outcome != nil {
-		if refused {
-			return
-		}
-		// The same operation again gets the first one's outcome, never a second effect.
-		proposals.await(now, message, outcome.Sequence, outcome.SpecEpoch)
+		call.repeat(now, outcome)
+		return
+	}
+	if message.HasSince && message.Since < proposals.chain.ForgottenBefore() {
+		detail := fmt.Sprintf("first sent at epoch %d; what became of changes up to epoch %d is not known any more",
+			message.Since, proposals.chain.ForgottenBefore())
+		call.refuse(now, http.StatusConflict, call.refusal(apierror.StaleBase, detail))
 		return
 	}
-	call := &changeCall{proposals: proposals, message: message, latest: latest, refused: refused}
 	if message.HasBase && message.Base != latest.SpecEpoch {
 		detail := fmt.Sprintf("built on epoch %d; the present one is %d", message.Base, latest.SpecEpoch)
 		call.refuse(now, http.StatusConflict, call.refusal(apierror.StaleBase, detail))
@@ -51,6 +57,35 @@
 	refused bool
 }
 
+// repeat answers a request whose operation was accepted before: the same one gets the first one's outcome, never a
+// second effect, and another change under the same id is refused.
+func (call *changeCall) repeat(now time.Time, outcome *wire.Outcome) {
+	if len(outcome.Digest) > 0 && !bytes.Equal(outcome.Digest, digestOf(call.message)) {
+		detail := fmt.Sprintf("operation %q is another change, accepted as epoch %d", call.message.Operation,
+			outcome.SpecEpoch)
+		call.refuse(now, http.StatusConflict, call.refusal(apierror.DuplicateRequest, detail))
+		return
+	}
+	if !call.refused {
+		call.proposals.await(now, call.message, outcome.Sequence, outcome.SpecEpoch)
+	}
+}
+
+// digestOf returns a hash of what a request asks for, whoever sends it how often.
+func digestOf(message *wire.OperatorRequest) []byte {
+	asked := &wire.OperatorRequest{Verb: message.Verb, Operation: message.Operation, Base: message.Base,
+		HasBase: message.HasBase, Zone: message.Zone, Spec: message.Spec, Epoch: message.Epoch, HasEpoch: message.HasEpoch}
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(asked)
+	if err != nil {
+		return nil // No request that was received fails to encode; without a digest it counts as the same.
+	}
+	hash := sha256.Sum256(content)
+	return hash[:digestSize]
+}
+
+// digestSize is the length of a digest in bytes.
+const digestSize = 16
+
 // enter enters the change into the chain.
 func (call *changeCall) enter(now time.Time, epoch uint64, content []byte) {
 	proposals, message := call.proposals, call.message
@@ -60,7 +95,8 @@
 		call.refuse(now, http.StatusServiceUnavailable, reply)
 		return
 	}
-	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content}
+	entry := &wire.Entry{Operation: message.Operation, ChangesSpec: true, SpecEpoch: epoch, Spec: content,
+		Digest: digestOf(message)}
 	if err := proposals.chain.Submit(now, entry); err != nil {
 		found := apierror.Of(err)
 		call.refuse(now, http.StatusServiceUnavailable, call.refusal(found.Code, found.Detail))
--- a/control/server/operator.go
+++ b/control/server/operator.go
@@ -150,6 +150,9 @@
 	if message.Base, message.HasBase, err = queryNumber(request, "base"); err != nil {
 		return nil, err
 	}
+	if message.Since, message.HasSince, err = queryNumber(request, "since"); err != nil {
+		return nil, err
+	}
 	if verb != proposal.VerbApply && verb != proposal.VerbChange {
 		return message, nil
 	}
--- a/dataplane/controller/configuration.go
+++ b/dataplane/controller/configuration.go
@@ -18,6 +18,8 @@
 	specEpoch uint64
 	catalog   *config.Catalog
 	directory []*wire.Member
+	// reservations names the daemons that hold reservations; nil: none does.
+	reservations *wire.ReservationMembership
 }
 
 // adopt replaces the configuration by the document of a gossip entry. It fails, and changes nothing, if the document
@@ -38,7 +40,7 @@
 		configuration.catalog = catalog
 	}
 	configuration.sequence, configuration.specEpoch = document.Sequence, document.SpecEpoch
-	configuration.directory = document.Directory
+	configuration.directory, configuration.reservations = document.Directory, document.Reservations
 	return nil
 }
 
--- a/dataplane/controller/controller.go
+++ b/dataplane/controller/controller.go
@@ -26,6 +26,7 @@
 	"wardtray/coordination/peersampling"
 	"wardtray/coordination/quota"
 	"wardtray/coordination/registry"
+	"wardtray/coordination/reservation"
 	"wardtray/coordination/statemachine"
 	"wardtray/wire"
 )
@@ -49,6 +50,9 @@
 	// Quota holds the daemon's shares of the tenants' quotas, which the controller requests from the head; nil if there
 	// are none.
 	Quota *quota.Limiter
+	// Reserves is set if requests that run at most once are reserved with other daemons, and this one holds reservations
+	// of others. It is not where no request ever comes again under its id.
+	Reserves bool
 	// OnDispatched is called with what other daemons of the zone report of requests that run at most once: the
 	// request's key, and whether it was dropped without having been executed. It may be nil.
 	OnDispatched func(now time.Time, key []byte, dropped bool)
@@ -81,6 +85,7 @@
 	runnerSync    *runnerSync
 	runnerList    *runnerList
 	quota         *quotaReporter
+	reservations  *reservations
 	// incarnation identifies this process among those that had its address before.
 	incarnation uint64
 	draining    bool
@@ -114,10 +119,26 @@
 	controller.runnerList = newRunnerList(
 		settings.Zone, settings.Address, election.New(now, settings.Address), controller.gossip)
 	controller.quota = newQuotaReporter(settings.Quota, controller.configuration, controller.leases)
+	// A source of its own keeps the draws of all others as they are without it.
+	reservationRandom := rand.New(rand.NewSource(int64(incarnation)))
+	controller.reservations = newReservations(now, settings, incarnation, controller.configuration, outbox,
+		reservationRandom, controller.reservationEnvironment())
 	controller.registerHandlers()
 	return controller
 }
 
+// reservationEnvironment is what reservations ask of the controller.
+func (controller *Controller) reservationEnvironment() reservation.Environment {
+	return reservation.Environment{
+		MayServe: func(now time.Time) bool { return now.Before(controller.Until(now)) },
+		RequestMembership: func(now time.Time, from string) {
+			if controller.reservations.mayRequestMembership(now) {
+				controller.requestDocument(from)
+			}
+		},
+	}
+}
+
 // Ready empties the outbox and returns its messages, with this daemon as sender. A planned stop is StartDraining.
 func (controller *Controller) Ready() []statemachine.Message {
 	messages, _ := controller.outbox.Drain() // A data daemon writes nothing to disk.
@@ -182,6 +203,8 @@
 		Runners:    runners,
 		Until:      controller.Until(now),
 		Daemons:    max(1, len(controller.configuration.directory)),
+		Term:       controller.reservations.coordinator.Term(),
+		Terms:      controller.reservations.terms,
 	}
 }
 
@@ -190,6 +213,7 @@
 	controller.permission.tick(now)
 	controller.partialView.Tick(now)
 	controller.requestDueLeases(now)
+	controller.reservations.tick(now)
 	if controller.settings.Registered {
 		controller.runnerSync.tick(now)
 	} else {
--- a/dataplane/controller/lease.go
+++ b/dataplane/controller/lease.go
@@ -26,14 +26,16 @@
 		controller.counters.LeaseRequests++
 		nonce := controller.pending.add(now)
 		request := &wire.DaemonLeaseRequest{
-			Nonce:       nonce,
-			Quota:       controller.quota.report(now, address, nonce),
-			Sequence:    controller.configuration.sequence,
-			Zone:        controller.settings.Zone,
-			Draining:    controller.draining,
-			Http:        controller.settings.HTTP,
-			View:        controller.leases.view.Epoch,
-			Incarnation: controller.incarnation,
+			Nonce:        nonce,
+			Quota:        controller.quota.report(now, address, nonce),
+			Sequence:     controller.configuration.sequence,
+			Zone:         controller.settings.Zone,
+			Draining:     controller.draining,
+			Http:         controller.settings.HTTP,
+			View:         controller.leases.view.Epoch,
+			Incarnation:  controller.incarnation,
+			Reservations: controller.reservations.report(),
+			Challenge:    controller.reservations.challenge,
 		}
 		body := &wire.Envelope_DaemonLeaseRequest{DaemonLeaseRequest: request}
 		controller.outbox.Send(address, &wire.Envelope{Body: body})
@@ -88,6 +90,7 @@
 		return
 	}
 	controller.quota.handleGrant(now, response)
+	controller.reservations.onChallenge(response.Challenge)
 	if response.Granted || !response.Starting {
 		controller.permission.unansweredRounds = 0
 	}
--- a/dataplane/controller/receive.go
+++ b/dataplane/controller/receive.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"reflect"
 	"time"
 
@@ -14,6 +15,9 @@
 	if handle := controller.handlers[reflect.TypeOf(envelope.Body)]; handle != nil {
 		handle(now, envelope)
 	}
+	if head := controller.leases.head(); head != nil && controller.reservations.takeReport() {
+		controller.requestLeases(now, []string{head.Address})
+	}
 }
 
 // registerHandlers fills the table of what handles each kind of message.
@@ -38,6 +42,7 @@
 		reflect.TypeFor[*wire.Envelope_DocumentRequest]():   controller.handleDocumentRequest,
 		reflect.TypeFor[*wire.Envelope_RequestDispatched](): controller.handleRequestDispatched,
 	}
+	maps.Copy(controller.handlers, controller.reservations.handlers())
 }
 
 // handleDigest compares gossip entries, and the runners if the sender keeps a registry.
@@ -96,6 +101,7 @@
 		return
 	}
 	controller.counters.Documents++
+	controller.reservations.adopt(now, controller.configuration.reservations)
 	controller.runnerList.setOrder(controller.configuration.addressesOf(controller.settings.Zone))
 	// The head waits for this request before it acknowledges the change; it should not wait for the next round.
 	if head := controller.leases.head(); head != nil {
--- a/dataplane/dataplane.go
+++ b/dataplane/dataplane.go
@@ -115,6 +115,7 @@
 	dispatched := dedup.New()
 	settings.Quota = quota.NewLimiter()
 	settings.Quota.OnDemand = settings.Without[features.QuotaPrefetch]
+	settings.Reserves = !settings.Codec.SingleUse()
 	settings.OnDispatched = func(now time.Time, key []byte, dropped bool) {
 		if len(key) == len(dedup.Key{}) {
 			dispatched.RecordAnnounced(now, dedup.Key(key), dropped)
@@ -150,23 +151,24 @@
 	connections := connpool.New(plane.environment, settings.Codec.IdentityPath())
 	connections.IsForeign = settings.Codec.AnswersRequest
 	return &proxy.Handler{
-		Name:        settings.Address,
-		Zone:        settings.Zone,
-		Environment: plane.environment,
-		Started:     plane.started,
-		Codec:       settings.Codec,
-		Retries:     settings.Retries,
-		Disabled:    settings.Without,
-		Await:       settings.Await,
-		Snapshot:    plane.snapshot.Load,
-		Renewed:     func() <-chan struct{} { return *plane.renewed.Load() },
-		Daemons:     plane.Daemons,
-		Loads:       loads,
-		Indexer:     indexer,
-		Connections: connections,
-		Metrics:     metrics.New(),
-		Scheduler:   func(backend string) *scheduler.Scheduler { return plane.schedulers.get(backend) },
-		Dedup:       dispatched,
+		Name:         settings.Address,
+		Zone:         settings.Zone,
+		Environment:  plane.environment,
+		Started:      plane.started,
+		Codec:        settings.Codec,
+		Retries:      settings.Retries,
+		Disabled:     settings.Without,
+		Await:        settings.Await,
+		Snapshot:     plane.snapshot.Load,
+		Renewed:      func() <-chan struct{} { return *plane.renewed.Load() },
+		Daemons:      plane.Daemons,
+		Loads:        loads,
+		Indexer:      indexer,
+		Connections:  connections,
+		Metrics:      metrics.New(),
+		Scheduler:    func(backend string) *scheduler.Scheduler { return plane.schedulers.get(backend) },
+		Dedup:        dispatched,
+		Reservations: plane.reservations(settings.Reserves),
 		Announce: func(key dedup.Key, dropped bool) {
 			plane.Step(func(_ time.Time, machine *controller.Controller) { machine.NotifyDispatched(key[:], dropped) })
 		},
--- a/proxy/admission/headers.go
+++ b/proxy/admission/headers.go
@@ -22,6 +22,10 @@
 	HeaderWait    = "Wardtray-Wait"
 	HeaderAfter   = "Wardtray-After"
 	HeaderTenant  = "Wardtray-Tenant"
+	// HeaderAttempt has the number of the sending, 1 for the first, and HeaderTerm the newest term that the client knew
+	// when it sent the request for the first time, as responses state it.
+	HeaderAttempt = "Wardtray-Attempt"
+	HeaderTerm    = "Wardtray-Term"
 	// HeaderAuthorization carries a tenant's key, as in "Bearer KEY".
 	HeaderAuthorization = "Authorization"
 )
--- a/proxy/admission/parse.go
+++ b/proxy/admission/parse.go
@@ -73,18 +73,21 @@
 
 // parseCounts reads the headers that hold a number.
 func (request *Request) parseCounts(header Header) error {
-	waitMilliseconds := 0
+	waitMilliseconds, term := 0, 0
 	for _, wanted := range []countHeader{
 		{HeaderPrompt, &request.PromptTokens, MaximumTokens, true},
 		{HeaderAnswer, &request.AnswerTokens, MaximumTokens, true},
 		{HeaderWait, &waitMilliseconds, MaximumTimeoutMilliseconds, false},
 		{HeaderAfter, &request.LastEventID, MaximumTokens, false},
+		{HeaderAttempt, &request.Attempt, MaximumAttempt, false},
+		{HeaderTerm, &term, MaximumTerm, false},
 	} {
 		if err := wanted.parse(header); err != nil {
 			return err
 		}
 	}
 	request.Timeout = time.Duration(waitMilliseconds) * time.Millisecond
+	request.Term = uint64(term)
 	return nil
 }
 
--- a/proxy/admission/request.go
+++ b/proxy/admission/request.go
@@ -18,6 +18,9 @@
 	MaximumTokens = 4_000_000
 	// MaximumName bounds the value of a header that names something, in bytes.
 	MaximumName = 256
+	// MaximumAttempt bounds the number of a sending, and MaximumTerm a term.
+	MaximumAttempt = 1_000_000
+	MaximumTerm    = 1 << 53
 	// MaximumTimeoutMilliseconds bounds how long a client may say that it waits, in milliseconds.
 	MaximumTimeoutMilliseconds = 3_600_000
 )
@@ -51,6 +54,10 @@
 	Secret string
 	// TokensGiven says that the client itself gave the numbers of tokens; otherwise they are estimates.
 	TokensGiven bool
+	// Attempt is the number of the sending, 1 for the first; 0: the client does not say, so that it may have sent the
+	// request before. Term is the newest term that it knew when it sent the request for the first time; 0: none.
+	Attempt int
+	Term    uint64
 	// SingleUse says that the id belongs to this attempt of the client alone, so that the request is never sent again
 	// under it and nothing has to be remembered.
 	SingleUse bool
--- a/proxy/atmostonce_test.go
+++ b/proxy/atmostonce_test.go
@@ -33,12 +33,12 @@
 	} {
 		table := dedup.New()
 		guard, announced := newGuard(table)
-		if known := guard.accept(clock, key, always); known != dedup.NotSeen {
-			t.Fatalf("%s: known as %q", name, known)
+		if known, err := guard.accept(clock, key, always); known != dedup.NotSeen || err != nil {
+			t.Fatalf("%s: known as %q, %v", name, known, err)
 		}
 		trial.end(guard)
 		again, _ := newGuard(table)
-		if known := again.accept(clock, key, always); known != trial.known {
+		if known, _ := again.accept(clock, key, always); known != trial.known {
 			t.Errorf("%s: known as %q instead of %q", name, known, trial.known)
 		}
 		if fmt.Sprint(*announced) != fmt.Sprint(trial.announced) {
@@ -60,7 +60,9 @@
 func TestAtMostOnceDoesNotApply(t *testing.T) {
 	table := dedup.New()
 	guard, announced := newGuard(table)
-	guard.accept(time.Now, dedup.KeyOf("route", "id"), func() bool { return false })
+	if _, err := guard.accept(time.Now, dedup.KeyOf("route", "id"), func() bool { return false }); err != nil {
+		t.Fatal(err)
+	}
 	guard.announceSend()
 	guard.finish(time.Now(), dedup.Unknown)
 	guard.forget()
@@ -74,8 +76,8 @@
 	table, key := dedup.New(), dedup.KeyOf("route", "id")
 	table.RecordAnnounced(time.Now(), key, false)
 	guard, _ := newGuard(table)
-	if known := guard.accept(time.Now, key, func() bool { return false }); known != dedup.TakenElsewhere {
-		t.Errorf("known as %q", known)
+	if known, err := guard.accept(time.Now, key, func() bool { return false }); known != dedup.TakenElsewhere {
+		t.Errorf("known as %q, %v", known, err)
 	}
 	guard.forget()
 	if table.Lookup(key) != dedup.TakenElsewhere {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -66,6 +66,8 @@
 	reader *stream.Reader
 	first  stream.Event
 	body   []byte
+	// notReserved is why the request must not be sent to any runner; nil: it may be.
+	notReserved error
 }
 
 // Permits reports whether a configuration lets a backend use a runner.
@@ -77,6 +79,8 @@
 // succeeded when the response may be relayed.
 func (attempt *attempt) execute() scheduler.AttemptOutcome {
 	exchange, runner := attempt.exchange, attempt.decision.Runner
+	// The reservation is made while the connection is.
+	exchange.atMostOnce.begin()
 	connection, err := exchange.handler.Connections.TakeWithin(exchange.client.ctx, runner.ID, runner.Address,
 		exchange.remaining())
 	if err != nil {
@@ -96,6 +100,10 @@
 		attempt.returnUnused()
 		return scheduler.NotSent
 	}
+	if attempt.notReserved = exchange.awaitReservation(); attempt.notReserved != nil {
+		attempt.returnUnused()
+		return scheduler.NotSent
+	}
 	if !exchange.spendTry() {
 		return scheduler.NotSent
 	}
@@ -237,6 +245,7 @@
 		Urgency:     attempt.decision.Urgency,
 		Weights:     exchange.backend.Weights,
 		Tenant:      tenantName(exchange.tenant),
+		Term:        exchange.handler.Snapshot().Term,
 	}
 }
 
--- a/proxy/codec/attempt.go
+++ b/proxy/codec/attempt.go
@@ -24,6 +24,8 @@
 	Weights string
 	// Tenant is the name of the tenant whose key the request carried; empty: none was needed.
 	Tenant string
+	// Term is what the client is to state of the requests that it sends for the first time from now on; 0: nothing.
+	Term uint64
 }
 
 // Disposition classifies the head of a runner's response.
--- a/proxy/codec/codec.go
+++ b/proxy/codec/codec.go
@@ -32,6 +32,8 @@
 	// Classify classifies the head of a response that arrived from the runner of an attempt. It may claim NotExecuted or
 	// Misdirected only where the runner itself states that the request did not run: the proxy will send it again.
 	Classify(response *fasthttp.Response, request *admission.Request, run Attempt) ResponseHead
+	// SingleUse reports whether every request has an id that is never sent again, so that none is to be remembered.
+	SingleUse() bool
 	// Rules are the rules that the events of a run obey.
 	Rules() stream.Rules
 	// IdentityPath is the path at which a runner states who it is, requested once on each new connection. Empty: every
--- a/proxy/codec/native.go
+++ b/proxy/codec/native.go
@@ -48,6 +48,7 @@
 	apierror.QueueFull:               fasthttp.StatusTooManyRequests,
 	apierror.NoRunner:                fasthttp.StatusServiceUnavailable,
 	apierror.NotServing:              fasthttp.StatusServiceUnavailable,
+	apierror.TooManyRemembered:       fasthttp.StatusServiceUnavailable,
 	apierror.OutcomeUnknown:          fasthttp.StatusGatewayTimeout,
 	apierror.RunFailed:               fasthttp.StatusBadGateway,
 	apierror.DuplicateRequest:        fasthttp.StatusConflict,
@@ -71,17 +72,26 @@
 		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
 		headers = append(headers, netio.Header{Name: headerRetryAfter, Value: strconv.Itoa(seconds)})
 	}
+	headers = appendTerm(headers, refusal.Term)
 	client.Respond(statuses[refusal.Code], headers, refusal.encode())
 }
 
-// ResponseHeaders names the runner and the epoch.
+// appendTerm appends the term to the headers of a response, if there is one.
+func appendTerm(headers []netio.Header, term uint64) []netio.Header {
+	if term == 0 {
+		return headers
+	}
+	return append(headers, netio.Header{Name: admission.HeaderTerm, Value: strconv.FormatUint(term, 10)})
+}
+
+// ResponseHeaders names the runner, the epoch and the term.
 func (Native) ResponseHeaders(_ *fasthttp.Response, _ *admission.Request, run Attempt) (int, []netio.Header) {
-	return fasthttp.StatusOK, []netio.Header{
+	return fasthttp.StatusOK, appendTerm([]netio.Header{
 		{Name: headerContentType, Value: "text/event-stream"},
 		{Name: "Cache-Control", Value: "no-store"},
 		{Name: admission.HeaderRunner, Value: run.Runner.ID},
 		{Name: admission.HeaderEpoch, Value: strconv.FormatUint(run.Epoch, 10)},
-	}
+	}, run.Term)
 }
 
 // ErrorEvent returns an error event.
@@ -159,6 +169,9 @@
 // Rules are those of sequential ids.
 func (Native) Rules() stream.Rules { return stream.Rules{Sequential: true} }
 
+// SingleUse is false: a client that does not know what became of a request sends it again under its id.
+func (Native) SingleUse() bool { return false }
+
 // IdentityPath is requested on each connection.
 func (Native) IdentityPath() string { return pathIdentity }
 
--- a/proxy/codec/refusal.go
+++ b/proxy/codec/refusal.go
@@ -23,6 +23,8 @@
 	DidNotRun bool `json:"-"`
 	// DeadlinePassed says that the deadline of the request has passed.
 	DeadlinePassed bool `json:"-"`
+	// Term is what the client is to state of the requests that it sends for the first time from now on; 0: nothing.
+	Term uint64 `json:"-"`
 }
 
 // encodingFailed is sent where a refusal can't be encoded.
--- a/proxy/dedup/table.go
+++ b/proxy/dedup/table.go
@@ -1,6 +1,7 @@
-// Package dedup remembers which requests of routes that run at most once were accepted, and how they ended, so that
-// the same request sent again is not run again. A Table is safe for concurrent use: its entries are divided into
-// shards, each under a lock of its own.
+// Package dedup remembers which requests of routes that run at most once this daemon has accepted, and how they ended,
+// so that the same request sent again is not run again, and its client learns what became of it. It is the part of one
+// daemon; package reservation has what all of them know together. A Table is safe for concurrent use: its entries are
+// divided into shards, each under a lock of its own.
 package dedup
 
 import (
@@ -8,6 +9,8 @@
 	"crypto/sha256"
 	"sync"
 	"time"
+
+	"wardtray/coordination/reservation"
 )
 
 // State is what is known of a request. Its text completes the sentence "the request with this id ..." of a rejection.
@@ -28,17 +31,15 @@
 )
 
 const (
-	// Keep is how long a request is remembered after its last change of state.
-	Keep = 10 * time.Minute
-	// Limit bounds the entries of one shard; the one that changed longest ago makes room.
+	// Keep is how long a request is remembered after its end.
+	Keep = reservation.Keep
+	// Limit bounds the entries of one shard. What is more is refused; nothing is forgotten for it.
 	Limit      = 16384
 	shardCount = 8
 )
 
-const keySize = 16
-
-// Key identifies a request: a truncated SHA-256 hash of its route and id. Daemons of a zone exchange it.
-type Key [keySize]byte
+// Key identifies a request: a truncated SHA-256 hash of its route and id.
+type Key = reservation.Key
 
 // KeyOf returns the key of a request of a route.
 func KeyOf(route, request string) (key Key) {
@@ -67,6 +68,7 @@
 }
 
 // Begin records a request as running, unless it is known already: then it returns what is known and isNew is false.
+// Where there is no room for it, nothing is recorded, known is NotSeen and isNew is false (RoomAfter).
 func (table *Table) Begin(now time.Time, key Key) (known State, isNew bool) {
 	shard := table.lock(key)
 	defer shard.mutex.Unlock()
@@ -74,8 +76,18 @@
 	if known := shard.state(key); known != NotSeen {
 		return known, false
 	}
-	shard.put(now, key, Running)
-	return NotSeen, true
+	return NotSeen, shard.put(now, key, Running)
+}
+
+// RoomAfter returns after what time there is room for a request that Begin had none for.
+func (table *Table) RoomAfter(now time.Time, key Key) time.Duration {
+	shard := table.lock(key)
+	defer shard.mutex.Unlock()
+	front := shard.order.Front()
+	if front == nil || len(shard.entries) < Limit {
+		return 0
+	}
+	return max(0, Keep-now.Sub(entryOf(front).changedAt))
 }
 
 // Lookup returns what is known of a request.
@@ -89,7 +101,8 @@
 func (table *Table) Finish(now time.Time, key Key, state State) {
 	shard := table.lock(key)
 	defer shard.mutex.Unlock()
-	shard.put(now, key, state)
+	// What was begun has its place.
+	_ = shard.put(now, key, state)
 }
 
 // Forget removes a request that certainly did not run.
@@ -111,7 +124,8 @@
 		shard.remove(key)
 		return
 	}
-	shard.put(now, key, TakenElsewhere)
+	// Where there is no room, the announcement is lost; only daemons that make no reservations go by it.
+	_ = shard.put(now, key, TakenElsewhere)
 }
 
 // Len returns the number of requests that are remembered.
@@ -160,18 +174,19 @@
 	return NotSeen
 }
 
-// put sets the state of a request, and evicts the oldest entry where there are too many.
-func (shard *shard) put(now time.Time, key Key, state State) {
+// put sets the state of a request; it reports false, and changes nothing, where there is no room for another one.
+func (shard *shard) put(now time.Time, key Key, state State) bool {
 	if element := shard.entries[key]; element != nil {
 		known := entryOf(element)
 		known.state, known.changedAt = state, now
 		shard.order.MoveToBack(element)
-		return
+		return true
 	}
-	shard.entries[key] = shard.order.PushBack(&entry{key: key, state: state, changedAt: now})
-	if len(shard.entries) > Limit {
-		shard.remove(entryOf(shard.order.Front()).key)
+	if len(shard.entries) >= Limit {
+		return false
 	}
+	shard.entries[key] = shard.order.PushBack(&entry{key: key, state: state, changedAt: now})
+	return true
 }
 
 // remove forgets a request, if it is known.
@@ -182,13 +197,18 @@
 	}
 }
 
-// removeExpired forgets the requests that were remembered for longer than Keep.
+// removeExpired forgets the requests that ended longer than Keep ago. What is still running is kept.
 func (shard *shard) removeExpired(now time.Time) {
 	for {
 		front := shard.order.Front()
 		if front == nil || now.Sub(entryOf(front).changedAt) <= Keep {
 			return
 		}
+		if known := entryOf(front); known.state == Running {
+			known.changedAt = now
+			shard.order.MoveToBack(front)
+			continue
+		}
 		shard.remove(entryOf(front).key)
 	}
 }
--- a/proxy/dedup/table_test.go
+++ b/proxy/dedup/table_test.go
@@ -1,6 +1,7 @@
 package dedup
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -87,12 +88,47 @@
 	}
 }
 
+// A full table takes no more requests, and forgets none of those that it has.
 func TestTableIsBounded(t *testing.T) {
-	table := New()
+	table, accepted := New(), []Key{}
+	var refused Key
 	for number := range 2 * Limit * shardCount {
-		table.Begin(started, KeyOf("lane", string(rune(number))))
+		key := KeyOf("lane", strconv.Itoa(number))
+		if _, isNew := table.Begin(started, key); isNew {
+			accepted = append(accepted, key)
+			continue
+		}
+		refused = key
+	}
+	if len(accepted) != Limit*shardCount || table.Len() != len(accepted) {
+		t.Fatalf("%d accepted, %d remembered", len(accepted), table.Len())
+	}
+	for _, key := range accepted {
+		if table.Lookup(key) != Running {
+			t.Fatal("forgotten to make room")
+		}
+		table.Finish(started, key, Ran)
+	}
+	if after := table.RoomAfter(started.Add(time.Minute), refused); after != Keep-time.Minute {
+		t.Errorf("room after %v", after)
+	}
+	if _, isNew := table.Begin(started.Add(Keep+1), refused); !isNew {
+		t.Error("no room when the others were forgotten")
+	}
+}
+
+// A request that runs for longer than ended ones are kept is known for as long as it runs.
+func TestRunningRequestsDoNotExpire(t *testing.T) {
+	table, key := New(), KeyOf("ruling", "r1")
+	table.Begin(started, key)
+	for hour := range 3 {
+		now := started.Add(time.Duration(hour) * time.Hour)
+		if known, _ := table.Begin(now, key); known != Running {
+			t.Fatalf("after %d hours: %q", hour, known)
+		}
 	}
-	if table.Len() > Limit*shardCount {
-		t.Fatalf("%d remembered", table.Len())
+	table.Finish(started.Add(3*time.Hour), key, Ran)
+	if known := table.Lookup(key); known != Ran {
+		t.Fatalf("at its end: %q", known)
 	}
 }
--- a/proxy/departure_test.go
+++ b/proxy/departure_test.go
@@ -401,7 +401,8 @@
 	_ = source.Close()
 }
 
-func (departed *departed) CloseAfterResponse() {}
+func (departed *departed) ConnectedAt() time.Time { return time.Time{} }
+func (departed *departed) CloseAfterResponse()    {}
 
 // A client that only ends its sending side looks like one that has left, and is told so at once.
 func TestHalfClosedConnectionIsAnswered(t *testing.T) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"wardtray/balancer/kvblock"
 	"wardtray/balancer/scheduler"
 	"wardtray/config"
+	"wardtray/coordination/reservation"
 	"wardtray/features"
 	"wardtray/metrics"
 	"wardtray/proxy/admission"
@@ -49,12 +50,13 @@
 // newExchange returns the exchange of a request that has been received completely.
 func newExchange(handler *Handler, client *clientConnection) *Exchange {
 	return &Exchange{
-		handler:    handler,
-		client:     client,
-		state:      stateMachine{current: stateReading},
-		deadline:   deadline{started: handler.Environment.Now()},
-		charge:     quotaCharge{handler: handler, client: client},
-		atMostOnce: atMostOnce{table: handler.Dedup, announce: handler.Announce},
+		handler:  handler,
+		client:   client,
+		state:    stateMachine{current: stateReading},
+		deadline: deadline{started: handler.Environment.Now()},
+		charge:   quotaCharge{handler: handler, client: client},
+		atMostOnce: atMostOnce{table: handler.Dedup, reservations: handler.Reservations, announce: handler.Announce,
+			wait: handler.Environment.Wait},
 	}
 }
 
@@ -94,11 +96,12 @@
 		return err
 	}
 	exchange.request, exchange.lastEventID = request, request.LastEventID
+	exchange.noteSending()
 	if exchange.handler.Stopping.Load() {
 		return apierror.New(apierror.NotServing, "this daemon is about to stop")
 	}
-	if known := exchange.acceptOnce(); known != dedup.NotSeen {
-		return apierror.New(apierror.DuplicateRequest, "the request with this id %s", known)
+	if err := exchange.acceptOnce(); err != nil {
+		return err
 	}
 	if err := exchange.resolve(); err != nil {
 		return err
@@ -110,24 +113,77 @@
 	return nil
 }
 
-// acceptOnce records a request that must run at most once; it returns what is known if it was sent before.
-func (exchange *Exchange) acceptOnce() dedup.State {
+// noteSending notes what the client states of this sending. Unless that is the first, an earlier one may have run until
+// the contrary is known; it doesn't matter on a route that may run more than once.
+func (exchange *Exchange) noteSending() {
+	request, snapshot := exchange.request, exchange.handler.Snapshot()
+	if request.SingleUse || exchange.atMostOnce.reservations == nil {
+		return
+	}
+	sending := reservation.Sending{Number: request.Attempt, Term: request.Term}
+	if sending.IsFirst() {
+		sending.NotBefore = snapshot.TermBefore(exchange.client.ConnectedAt())
+	}
+	exchange.atMostOnce.sending = sending
+	if sending.IsFirst() {
+		return
+	}
+	route := exchange.routeIn(snapshot.Catalog)
+	exchange.execution.unproven = route == nil || !route.Idempotent
+}
+
+// acceptOnce records a request that must run at most once. It fails if the request was sent before or may have been, so
+// that it can't be run.
+func (exchange *Exchange) acceptOnce() error {
 	if exchange.request.SingleUse {
-		return dedup.NotSeen
+		return nil
 	}
 	key := dedup.KeyOf(exchange.request.Route, exchange.request.ID)
-	exchange.execution.earlier = exchange.atMostOnce.accept(exchange.now, key, exchange.runsAtMostOnce)
-	return exchange.execution.earlier
+	known, err := exchange.atMostOnce.accept(exchange.now, key, exchange.runsAtMostOnce)
+	if err != nil {
+		return err
+	}
+	if known != dedup.NotSeen {
+		exchange.execution.earlier = known
+		return apierror.New(apierror.DuplicateRequest, "the request with this id %s", known)
+	}
+	if exchange.atMostOnce.mustProve() {
+		exchange.atMostOnce.begin()
+		return exchange.awaitReservation()
+	}
+	return nil
+}
+
+// awaitReservation waits for the reservation that was begun, if one was; it returns why the request must not be sent.
+func (exchange *Exchange) awaitReservation() error {
+	outcome := exchange.atMostOnce.await(exchange.client.ctx)
+	err := exchange.atMostOnce.errorOf(outcome)
+	if err == nil {
+		exchange.execution.unproven = false
+		return nil
+	}
+	if exchange.client.hasLeft() {
+		return errClientLeft()
+	}
+	// Only of a first sending for which there was no room, or nobody answered, is it known that no other runs.
+	if outcome == reservation.Taken || outcome == reservation.InDoubt {
+		exchange.execution.unproven = true
+	}
+	return err
 }
 
 // runsAtMostOnce reports whether the request belongs to a route that says so.
 func (exchange *Exchange) runsAtMostOnce() bool {
-	catalog := exchange.handler.Snapshot().Catalog
+	route := exchange.routeIn(exchange.handler.Snapshot().Catalog)
+	return route != nil && !route.Idempotent
+}
+
+// routeIn returns the request's route in a configuration; nil: it has none there, or there is no configuration.
+func (exchange *Exchange) routeIn(catalog *config.Catalog) *config.Route {
 	if catalog == nil {
-		return false
+		return nil
 	}
-	route := routeOf(catalog, exchange.request)
-	return route != nil && !route.Idempotent
+	return routeOf(catalog, exchange.request)
 }
 
 // mayOutlastStop reports whether the response might well take longer than this process lives. Cut in its middle it
@@ -198,6 +254,9 @@
 			return nil
 		}
 		exchange.attempt.release()
+		if err := exchange.attempt.notReserved; err != nil {
+			return exchange.refusalOf(err)
+		}
 		if outcome == scheduler.Ambiguous {
 			exchange.execution.ambiguous = true
 		}
--- a/proxy/execution.go
+++ b/proxy/execution.go
@@ -25,6 +25,8 @@
 type execution struct {
 	// earlier is what was remembered of the request when it arrived.
 	earlier dedup.State
+	// unproven says that an earlier sending of the request may have run, or may yet.
+	unproven bool
 	// ambiguous says that some attempt may have run.
 	ambiguous bool
 	// relayed says that a part of the response was forwarded to the client.
@@ -37,7 +39,7 @@
 		return earlier
 	}
 	// What was relayed did run.
-	if execution.ambiguous || execution.relayed {
+	if execution.unproven || execution.ambiguous || execution.relayed {
 		return scheduler.Unknown
 	}
 	return ofAttempt
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -70,10 +70,12 @@
 	// Retries bounds what is sent again, over all daemons; the zero value stands for retrybudget.DefaultSettings.
 	Retries retrybudget.Settings
 
-	// Dedup remembers the requests that run at most once; Announce notifies the zone's other daemons that one is being
-	// sent to a runner or, with dropped, that it certainly did not run.
-	Dedup    *dedup.Table
-	Announce func(key dedup.Key, dropped bool)
+	// Dedup remembers the requests that run at most once, and Reservations reserves them with the other daemons; nil: no
+	// request comes again under its id. Announce notifies the zone's other daemons of one that is not reserved: that it is
+	// being sent to a runner or, with dropped, that it certainly did not run.
+	Dedup        *dedup.Table
+	Reservations Reservations
+	Announce     func(key dedup.Key, dropped bool)
 
 	// Quota holds this daemon's shares of the tenants' quotas; RequestQuota requests more of what they lack at once.
 	// Neither is used where no tenant has a quota.
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -27,6 +27,8 @@
 	switch {
 	case code == apierror.NotServing:
 		return exchange.handler.serviceExpectedIn(exchange.now())
+	case code == apierror.TooManyRemembered:
+		return exchange.roomAfter()
 	case code == apierror.NoRunner, code == apierror.OutcomeUnknown && exchange.route.Idempotent:
 		return exchange.scheduler.RetryAfter(exchange.now(), exchange.queuedRequest)
 	default:
@@ -34,6 +36,15 @@
 	}
 }
 
+// roomAfter returns after what time one more request that runs at most once can be remembered.
+func (exchange *Exchange) roomAfter() time.Duration {
+	if reserved := exchange.atMostOnce.reserved; reserved != nil {
+		return reserved.RoomAfter()
+	}
+	key := dedup.KeyOf(exchange.request.Route, exchange.request.ID)
+	return exchange.handler.Dedup.RoomAfter(exchange.now(), key)
+}
+
 // serviceExpectedIn estimates when this daemon, or another one in its place, will serve again.
 func (handler *Handler) serviceExpectedIn(now time.Time) time.Duration {
 	// Another daemon is there at once for what comes to one that stops.
@@ -78,6 +89,7 @@
 func (exchange *Exchange) refusal(code apierror.Code, detail, ran string, retry time.Duration) *codec.Refusal {
 	refusal := exchange.execution.refusal(code, detail, ran, retry)
 	refusal.DeadlinePassed = exchange.isPastDeadline()
+	refusal.Term = exchange.handler.Snapshot().Term
 	return refusal
 }
 
@@ -86,6 +98,9 @@
 	exchange.state.to(stateFinished)
 	if refusal.DidNotRun {
 		exchange.charge.refund()
+	}
+	// Of what this daemon has sent to no runner it has nothing to remember, whatever another one may have done.
+	if refusal.DidNotRun || !exchange.atMostOnce.isSent {
 		exchange.atMostOnce.forget()
 	} else {
 		exchange.atMostOnce.finish(exchange.now(), dedup.Unknown)
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -19,7 +19,9 @@
 	attempt := steppedAttempt(daemon, route)
 	exchange := attempt.exchange
 	exchange.attempt, exchange.scheduler = attempt, nil
-	exchange.acceptOnce()
+	if err := exchange.acceptOnce(); err != nil {
+		t.Fatal(err)
+	}
 	exchange.request.Timeout = time.Minute
 	if err := exchange.resolve(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/proxy/reservation_test.go
@@ -0,0 +1,193 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wardtray/config"
+	"wardtray/coordination/reservation"
+	"wardtray/proxy/admission"
+)
+
+// scriptedReservations decides every reservation alike, and notes what it was asked.
+type scriptedReservations struct {
+	outcome reservation.Outcome
+
+	mutex    sync.Mutex
+	sendings []reservation.Sending
+	// released and finished count the reservations that were given up and that ended otherwise.
+	released, finished int
+}
+
+func (scripted *scriptedReservations) Reserve(_ reservation.Key,
+	sending reservation.Sending) *reservation.Reservation {
+	scripted.mutex.Lock()
+	defer scripted.mutex.Unlock()
+	scripted.sendings = append(scripted.sendings, sending)
+	return reservation.Decided(scripted.outcome, 7*time.Second)
+}
+
+func (scripted *scriptedReservations) Release(*reservation.Reservation) {
+	scripted.mutex.Lock()
+	defer scripted.mutex.Unlock()
+	scripted.released++
+}
+
+func (scripted *scriptedReservations) Finish(*reservation.Reservation) {
+	scripted.mutex.Lock()
+	defer scripted.mutex.Unlock()
+	scripted.finished++
+}
+
+// counts returns how many reservations were made, given up and finished.
+func (scripted *scriptedReservations) counts() string {
+	scripted.mutex.Lock()
+	defer scripted.mutex.Unlock()
+	return fmt.Sprintf("%d %d %d", len(scripted.sendings), scripted.released, scripted.finished)
+}
+
+// firstSending and secondSending are the headers of the first sending of a request and of another.
+var (
+	firstSending  = map[string]string{admission.HeaderAttempt: "1", admission.HeaderTerm: "5"}
+	secondSending = map[string]string{admission.HeaderAttempt: "2", admission.HeaderTerm: "5"}
+)
+
+// What becomes of a request follows from what becomes of its reservation, and what its client is told of earlier
+// sendings follows from what this one states.
+func TestReservedRequests(t *testing.T) {
+	t.Parallel()
+	ran := events(1, done(1), true)
+	const (
+		didNotRun = `"ran":"did not run"`
+		unknown   = `"ran":"unknown"`
+	)
+	for name, trial := range map[string]struct {
+		outcome reservation.Outcome
+		headers map[string]string
+		script  script
+		status  int
+		body    string
+		runs    int64
+		counts  string
+	}{
+		"first, granted":       {reservation.Granted, firstSending, ran, 200, "event: done", 1, "1 0 1"},
+		"first, put back":      {reservation.Granted, firstSending, rejects, 503, didNotRun, 1, "1 1 0"},
+		"first, in doubt":      {reservation.Granted, firstSending, hangsUp, 504, unknown, 1, "1 0 1"},
+		"first, taken":         {reservation.Taken, firstSending, ran, 409, unknown, 0, "1 1 0"},
+		"first, late":          {reservation.InDoubt, firstSending, ran, 504, unknown, 0, "1 1 0"},
+		"first, unreachable":   {reservation.Unreachable, firstSending, ran, 503, didNotRun, 0, "1 1 0"},
+		"first, full":          {reservation.Full, firstSending, ran, 503, didNotRun, 0, "1 1 0"},
+		"first, none made":     {reservation.NotInForce, firstSending, ran, 200, "event: done", 1, "1 0 0"},
+		"again, granted":       {reservation.Granted, secondSending, ran, 200, "event: done", 1, "1 0 1"},
+		"again, put back":      {reservation.Granted, secondSending, rejects, 503, didNotRun, 1, "1 1 0"},
+		"again, taken":         {reservation.Taken, secondSending, ran, 409, unknown, 0, "1 1 0"},
+		"again, in doubt":      {reservation.InDoubt, secondSending, ran, 504, unknown, 0, "1 1 0"},
+		"again, unreachable":   {reservation.Unreachable, secondSending, ran, 504, unknown, 0, "1 1 0"},
+		"again, full":          {reservation.Full, secondSending, ran, 503, unknown, 0, "1 1 0"},
+		"again, none made":     {reservation.NotInForce, secondSending, ran, 504, unknown, 0, "1 1 0"},
+		"undeclared, granted":  {reservation.Granted, nil, ran, 200, "event: done", 1, "1 0 1"},
+		"undeclared, in doubt": {reservation.InDoubt, nil, ran, 504, unknown, 0, "1 1 0"},
+		"undeclared, none yet": {reservation.NotInForce, nil, ran, 200, "event: done", 1, "1 0 0"},
+	} {
+		runner := startRunner(t, "r1", trial.script)
+		daemon := newDaemon(t, runner)
+		reservations := &scriptedReservations{outcome: trial.outcome}
+		daemon.Reservations = reservations
+		status, body := daemon.sendWith(t, "once", "same", trial.headers)
+		if status != trial.status || !strings.Contains(body, trial.body) || runner.reached.Load() != trial.runs {
+			t.Errorf("%s: %d %s, the runner saw %d", name, status, body, runner.reached.Load())
+		}
+		if got := reservations.counts(); got != trial.counts {
+			t.Errorf("%s: %s", name, got)
+		}
+	}
+}
+
+// What a client states of its sendings reaches the reservation, beside what is known of its connection.
+func TestReservationsLearnWhatTheClientStates(t *testing.T) {
+	t.Parallel()
+	daemon := newDaemon(t, startRunner(t, "r1", events(1, done(1), true)))
+	reservations := &scriptedReservations{outcome: reservation.Granted}
+	daemon.Reservations = reservations
+	daemon.snapshot.Terms = []config.KnownTerm{{Term: 3}, {Term: 8, Since: time.Now().Add(time.Hour)}}
+	for number, headers := range []map[string]string{firstSending, secondSending, nil} {
+		daemon.sendWith(t, "once", fmt.Sprint("r", number), headers)
+	}
+	want := []reservation.Sending{{Number: 1, Term: 5, NotBefore: 3}, {Number: 2, Term: 5}, {}}
+	for index, got := range reservations.sendings {
+		if got != want[index] {
+			t.Errorf("sending %d: %+v", index, got)
+		}
+	}
+	if len(reservations.sendings) != len(want) {
+		t.Errorf("%d reservations", len(reservations.sendings))
+	}
+}
+
+// Requests that may run more than once are not reserved, and say nothing of earlier sendings.
+func TestRepeatableRequestsAreNotReserved(t *testing.T) {
+	t.Parallel()
+	daemon := newDaemon(t, startRunner(t, "r1", rejects))
+	reservations := &scriptedReservations{outcome: reservation.Taken}
+	daemon.Reservations = reservations
+	if status, body := daemon.send(t, "free", "r1"); status != 503 || !strings.Contains(body, `"ran":"did not run"`) {
+		t.Errorf("%d %s", status, body)
+	}
+	if got := reservations.counts(); got != "0 0 0" {
+		t.Error(got)
+	}
+}
+
+// Whatever a daemon refuses before it knows of earlier sendings is refused as unknown, and a first sending as not run.
+func TestRefusalsBeforeTheReservation(t *testing.T) {
+	t.Parallel()
+	for name, trial := range map[string]struct {
+		route   string
+		headers map[string]string
+		ran     string
+	}{
+		"first, unknown lane":  {"nowhere", firstSending, "did not run"},
+		"again, unknown lane":  {"nowhere", secondSending, "unknown"},
+		"first, about to stop": {"once", firstSending, "did not run"},
+		"again, about to stop": {"once", secondSending, "unknown"},
+		"undeclared, stopping": {"once", nil, "unknown"},
+		"repeatable, stopping": {"free", nil, "did not run"},
+	} {
+		daemon := newDaemon(t, startRunner(t, "r1", events(1, done(1), true)))
+		daemon.Reservations = &scriptedReservations{outcome: reservation.Granted}
+		daemon.Stopping.Store(trial.route != "nowhere")
+		if _, body := daemon.sendWith(t, trial.route, "r", trial.headers); !strings.Contains(body, `"ran":"`+trial.ran+`"`) {
+			t.Errorf("%s: %s", name, body)
+		}
+	}
+}
+
+// A refusal for want of room says when there is some, and responses name the term.
+func TestFullReservationsNameTheTime(t *testing.T) {
+	t.Parallel()
+	daemon := newDaemon(t, startRunner(t, "r1", events(1, done(1), true)))
+	daemon.Reservations = &scriptedReservations{outcome: reservation.Full}
+	daemon.snapshot.Term = 12
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+daemon.address+"/v1/stream",
+		strings.NewReader(`{"prompt":"x"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range requestHeaders("once", "r1") {
+		request.Header.Set(name, value)
+	}
+	request.Header.Set(admission.HeaderAttempt, "1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeQuietly(response.Body)
+	if after, term := response.Header.Get("Retry-After"), response.Header.Get(admission.HeaderTerm); after != "7" ||
+		term != "12" {
+		t.Errorf("Retry-After %q, term %q", after, term)
+	}
+}
--- a/transport/netio/client.go
+++ b/transport/netio/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -54,6 +55,9 @@
 	return watch(client.request.Conn(), left)
 }
 
+// ConnectedAt returns when the server began to serve the connection.
+func (client httpClient) ConnectedAt() time.Time { return client.request.ConnTime() }
+
 // CloseAfterResponse closes the connection after this response.
 func (client httpClient) CloseAfterResponse() { client.request.SetConnectionClose() }
 
--- a/transport/netio/netio.go
+++ b/transport/netio/netio.go
@@ -72,6 +72,8 @@
 	// OnDisconnect calls a function once, on another goroutine, as soon as the client closes its connection. stop ends the
 	// watch: when it returns no call is running or will be made.
 	OnDisconnect(left func()) (stop func())
+	// ConnectedAt returns when the server took the client's connection.
+	ConnectedAt() time.Time
 	// CloseAfterResponse closes the connection after the response, so that no other request arrives over it.
 	CloseAfterResponse()
 }
--- a/verify/histories/answer_rules.go
+++ b/verify/histories/answer_rules.go
@@ -57,11 +57,15 @@
 		broken("%s, sent to %s, was never answered", answer.Request, answer.Daemon)
 	},
 	"turned-away": func(checker *Checker, answer *Answer, broken reportFunc) {
+		if checker.isNeedlesslyInDoubt(answer) {
+			broken("%s was refused in doubt (%s) by %s, though nothing happened to any daemon for long", answer.Request,
+				answer.Detail, answer.Daemon)
+		}
 		if answer.Resent && answer.Kind == "already_taken" && checker.surelyNotRun(answer) {
 			broken("%s was refused as taken already by %s, though it had surely not run", answer.Request, answer.Daemon)
 		}
 		// Whose time has passed is refused for that.
-		if answer.ConnectionLost || answer.HungUp || answer.Done || answer.Resent ||
+		if answer.ConnectionLost || answer.HungUp || answer.Done || answer.Resent || checker.isInDoubt(answer) ||
 			answer.Bound > 0 &&
 				!answer.lastEventAt().Before(answer.Started.Add(answer.Bound-answer.Bound/ClockErrorDivisor)) {
 			return
@@ -135,12 +139,45 @@
 	return false
 }
 
-// surelyNotRun reports whether everybody who sent a request before was told that it did not run.
+// isInDoubt reports whether a request was refused because an earlier sending of it may have run: its client did not say
+// that there was none, or daemons of every zone have just ended, with what they remembered of later sendings.
+func (checker *Checker) isInDoubt(answer *Answer) bool {
+	mayBeRepeated := answer.Resent || answer.Undeclared && answer.Once || answer.Once && checker.memoryWasLost(answer)
+	return mayBeRepeated && answer.Kind == "outcome_unknown" && len(checker.runs[answer.Request]) == 0
+}
+
+// memoryWasLost reports whether daemons of every zone were killed, the last a moment before an answer.
+func (checker *Checker) memoryWasLost(answer *Answer) bool {
+	killed, isRecent := map[string]bool{}, false
+	for _, fault := range checker.history.Faults {
+		if fault.Daemon == "" || !fault.Kills || !fault.overlaps(answer.Sent.Add(-DoubtBound), answer.Got) {
+			continue
+		}
+		killed[checker.history.ZoneOf[fault.Daemon]] = true
+		isRecent = isRecent || answer.Sent.Before(fault.Until.Add(FirstDoubtBound))
+	}
+	for _, zone := range checker.history.Zones {
+		if !killed[zone] {
+			return false
+		}
+	}
+	return isRecent
+}
+
+// isNeedlesslyInDoubt reports whether a request was refused in doubt although daemons remembered all that could have
+// run.
+func (checker *Checker) isNeedlesslyInDoubt(answer *Answer) bool {
+	return checker.isInDoubt(answer) && soundRunner(checker, answer) != "" &&
+		!checker.history.anyDaemonFaulty(answer.Sent.Add(-DoubtBound), answer.Got)
+}
+
+// surelyNotRun reports whether everybody who sent a request before was told that it did not run, and nothing happened
+// to a daemon meanwhile which could have kept that from the others.
 func (checker *Checker) surelyNotRun(answer *Answer) bool {
 	before := 0
 	for _, other := range checker.answers[answer.Request] {
 		if other != answer && !other.Got.After(answer.Sent) {
-			if other.Ran != didNotRun {
+			if other.Ran != didNotRun || checker.history.anyDaemonFaulty(other.Sent, answer.Got) {
 				return false
 			}
 			before++
--- a/verify/histories/faults.go
+++ b/verify/histories/faults.go
@@ -1,6 +1,7 @@
 package histories
 
 import (
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,13 @@
 	return false
 }
 
+// anyDaemonFaulty reports whether something was done to any daemon in a span of time.
+func (history *History) anyDaemonFaulty(from, until time.Time) bool {
+	return slices.ContainsFunc(history.Faults, func(fault Fault) bool {
+		return fault.Daemon != "" && fault.overlaps(from, until)
+	})
+}
+
 // excusedByFault reports whether a fault excuses something at a daemon in a span of time.
 func (history *History) excusedByFault(daemon string, from, until time.Time) bool {
 	for _, fault := range history.Faults {
--- a/verify/histories/history.go
+++ b/verify/histories/history.go
@@ -14,6 +14,8 @@
 	Service, Weights string
 	// Daemons is how many there are.
 	Daemons int
+	// ZoneOf is the zone of each daemon.
+	ZoneOf  map[string]string
 	Runs    []*Run
 	Answers []*Answer
 	Orders  []*Order
--- a/verify/histories/records.go
+++ b/verify/histories/records.go
@@ -69,8 +69,10 @@
 	HungUpAt time.Time
 	// Cancels means that a run on the request's route is to end when its client leaves.
 	Cancels bool
-	// Resent means that the same request had been sent before.
-	Resent bool
+	// Resent means that the same request had been sent before, Undeclared that its client did not say whether it had.
+	Resent, Undeclared bool
+	// Attempt is the number of the sending, as its client states it; 0: it states none.
+	Attempt int
 	// Resumable means that its stream may go on at another runner; Head is the runner that its head names.
 	Resumable bool
 	Head      string
--- a/verify/histories/rules.go
+++ b/verify/histories/rules.go
@@ -24,6 +24,11 @@
 	DeadlineAllowance = 100 * time.Millisecond
 	ClockErrorDivisor = 50
 	faultShadow       = 12 * time.Second
+	// DoubtBound is for how long after a fault of a daemon a request may be in doubt.
+	DoubtBound = 13 * time.Minute
+	// FirstDoubtBound is for how long after the last of the daemons of all zones were killed one that is sent for the
+	// first time may be.
+	FirstDoubtBound = 1500 * time.Millisecond
 	// transitTime is for how long bytes may be on their way.
 	transitTime = 1500 * time.Millisecond
 	// resetTransitTime is how long news of a reset may be on its way.
--- a/verify/histories/run_rules.go
+++ b/verify/histories/run_rules.go
@@ -82,10 +82,19 @@
 
 const didNotRun = "did not run"
 
-// sentAgain reports whether a request was sent anew after an answer.
+// sentAgain reports whether a request was sent anew after an answer, so that another run of it is wanted. What an
+// answer says of a request speaks for its own sending and for those with a smaller number; one without a number speaks
+// for those that are over.
 func (checker *Checker) sentAgain(answer *Answer) bool {
 	for _, other := range checker.requests[answer.Request] {
-		if other != answer && (!other.Sent.Before(answer.Got) || !answer.Once) {
+		if other == answer {
+			continue
+		}
+		isLater := other.Attempt > answer.Attempt
+		if answer.Attempt == 0 {
+			isLater = other.Got.IsZero() || !other.Got.Before(answer.Got)
+		}
+		if isLater || !answer.Once {
 			return true
 		}
 	}
--- a/verify/histories/wrongful_rejections.go
+++ b/verify/histories/wrongful_rejections.go
@@ -11,7 +11,17 @@
 	"run_failed":      soundRunner,
 	"unknown_lane":    inSpec,
 	"unknown_model":   inSpec,
-	"already_taken":   func(*Checker, *Answer) string { return "it was sent only once" },
+	"already_taken":   sentOnce,
+}
+
+// sentOnce finds a request refused because of another sending, where there was none.
+func sentOnce(checker *Checker, answer *Answer) string {
+	for _, other := range checker.requests[answer.Request] {
+		if other != answer && other.Sent.Before(answer.Got) {
+			return ""
+		}
+	}
+	return "it was sent only once"
 }
 
 // ampleCapacity finds a refusal for want of room beside a backend that had plenty all the while.
@@ -44,8 +54,9 @@
 			return ""
 		}
 	}
-	// Bytes may be lost on the way to a runner that never saw them, as long as its loss could not be known.
-	if len(checker.runs[answer.Request]) == 0 && answer.Kind == "outcome_unknown" {
+	// Bytes may be lost on the way to a runner that never saw them, as long as its loss could not be known. Where a
+	// request was sent more than once, its runs may all be of other sendings.
+	if len(checker.runs[answer.Request]) < len(checker.requests[answer.Request]) && answer.Kind == "outcome_unknown" {
 		for _, fault := range checker.history.Faults {
 			if fault.Runner != "" && !answer.Got.Before(fault.At) &&
 				answer.Sent.Before(fault.At.Add(fault.Knowable+resetTransitTime)) {
--- a/verify/loadtest/request.go
+++ b/verify/loadtest/request.go
@@ -19,6 +19,10 @@
 	ID string
 	// Wait is how long its client waits; 0: not told.
 	Wait time.Duration
+	// Attempt is the number of the sending, 1 for the first, and Term the newest term that the client knew when it sent
+	// the request for the first time; 0: not told.
+	Attempt int
+	Term    uint64
 }
 
 // Part is a part of a prompt that other prompts share: its name, and how many tokens it has.
@@ -65,6 +69,12 @@
 	if drawn.Wait > 0 {
 		headers[admission.HeaderWait] = []string{strconv.FormatInt(drawn.Wait.Milliseconds(), 10)}
 	}
+	if drawn.Attempt > 0 {
+		headers[admission.HeaderAttempt] = []string{strconv.Itoa(drawn.Attempt)}
+	}
+	if drawn.Term > 0 {
+		headers[admission.HeaderTerm] = []string{strconv.FormatUint(drawn.Term, 10)}
+	}
 	for _, part := range drawn.Parts() {
 		headers[admission.HeaderPrefix] = append(headers[admission.HeaderPrefix],
 			part.Name+"="+strconv.Itoa(part.Tokens))
@@ -91,6 +101,8 @@
 		Zone:          zone,
 		Sent:          sent,
 		Resumable:     drawn.Kind.Resumable,
+		Undeclared:    drawn.Attempt == 0,
+		Attempt:       drawn.Attempt,
 		Cancels:       drawn.Kind.Cancel || !drawn.Kind.Once,
 		Bound:         drawn.TimeLimit(),
 	}
--- a/verify/simulation/client.go
+++ b/verify/simulation/client.go
@@ -8,21 +8,46 @@
 	"wardtray/verify/loadtest"
 )
 
-// maximumAttempts is how many daemons may refuse a client's connection before it gives up.
-const maximumAttempts = 5
+const (
+	// maximumAttempts is how many daemons may refuse a client's connection before it gives up.
+	maximumAttempts = 5
+	// latestRetry is how long after its first sending a client sends a request to another daemon at the latest.
+	latestRetry = 20 * time.Second
+)
 
 // resend has a client send its request once more to the same daemon, at some moment during the
 // first's life or after it.
 func (traffic *Traffic) resend(drawn loadtest.Drawn, first *client) {
 	traffic.world.After(50*time.Millisecond+time.Duration(traffic.random.Int63n(int64(2*time.Second))), func() {
 		if host := first.host; host != nil && host.up && first.incarnation == host.incarnation {
-			second := traffic.newClient(drawn, first.record.Zone)
-			second.record.Resent = true
-			second.send(host)
+			traffic.sendAgain(drawn, first.record.Zone, host)
+		}
+	})
+}
+
+// resendElsewhere has a client send its request once more to any daemon of any zone, at some moment up to long after
+// the first's life. What that daemon can reach meanwhile, and what it remembers, is left to chance.
+func (traffic *Traffic) resendElsewhere(drawn loadtest.Drawn, zone string) {
+	datas := traffic.world.Datas()
+	traffic.world.After(time.Duration(traffic.random.Int63n(int64(latestRetry))), func() {
+		if host := datas[traffic.random.Intn(len(datas))]; host.up {
+			traffic.sendAgain(drawn, zone, host)
 		}
 	})
 }
 
+// sendAgain sends a request that was sent before.
+func (traffic *Traffic) sendAgain(drawn loadtest.Drawn, zone string, host *Host) {
+	if drawn.Attempt > 0 {
+		// Whoever sends it again numbers its sendings in their order.
+		traffic.resent[drawn.ID]++
+		drawn.Attempt += traffic.resent[drawn.ID]
+	}
+	again := traffic.newClient(drawn, zone)
+	again.record.Resent = true
+	again.send(host)
+}
+
 // client is one client with its request.
 type client struct {
 	traffic  *Traffic
@@ -113,16 +138,12 @@
 	lost := !client.record.Done && !client.record.Error && !client.hungUp
 	client.finish(lost)
 	traffic := client.traffic
-	// Where daemons can't hear one another no word of a taken request can pass; docs/interface.md says so.
-	disturbed := traffic.world.network.Loss > 0 || traffic.world.topology.hasCuts()
-	if !lost || traffic.Retries == 0 || disturbed || client.record.Resent {
+	if !lost || traffic.Retries == 0 || client.record.Resent {
 		return
 	}
 	traffic.world.After(200*time.Millisecond+time.Duration(traffic.random.Int63n(int64(time.Second))), func() {
-		if host := traffic.daemons.pick(client.record.Zone); host != nil && host.up && host.Zone == client.host.Zone {
-			second := traffic.newClient(client.drawn, client.record.Zone)
-			second.record.Resent = true
-			second.send(host)
+		if host := traffic.daemons.pick(client.record.Zone); host != nil && host.up {
+			traffic.sendAgain(client.drawn, client.record.Zone, host)
 		}
 	})
 }
--- a/verify/simulation/client_exchange.go
+++ b/verify/simulation/client_exchange.go
@@ -67,6 +67,10 @@
 // Body returns the request's body.
 func (exchange *clientExchange) Body() []byte { return exchange.client.drawn.Body() }
 
+// ConnectedAt returns when the connection reached the daemon's machine, by that machine's clock. A frozen daemon takes
+// it only once it is resumed, and a little later.
+func (exchange *clientExchange) ConnectedAt() time.Time { return exchange.client.host.local() }
+
 // CloseAfterResponse does nothing: each client sends one request.
 func (exchange *clientExchange) CloseAfterResponse() {}
 
@@ -111,6 +115,9 @@
 		if header.Name == admission.HeaderRunner {
 			exchange.record.Head = header.Value
 		}
+		if header.Name == admission.HeaderTerm {
+			exchange.client.traffic.learnTerm(exchange.record.Zone, header.Value)
+		}
 	}
 }
 
--- a/verify/simulation/coroutine.go
+++ b/verify/simulation/coroutine.go
@@ -112,6 +112,9 @@
 	coroutine, end := coroutines.current, world.Now.Add(length)
 	world.At(end, func() { coroutines.wake(coroutine) })
 	coroutines.until(func() bool { return closed(woken) || ctx.Err() != nil || !world.Now.Before(end) })
+	if closed(woken) {
+		coroutine.decided = world.Now
+	}
 }
 
 func closed(channel <-chan struct{}) bool {
--- a/verify/simulation/rules.go
+++ b/verify/simulation/rules.go
@@ -38,6 +38,11 @@
 // seldom lets most of what a change takes away stay away for longer than histories.ZoneBound.
 func seldom(trial *Trial) { trial.Every, trial.TakeAway = 8*time.Second, 0.8 }
 
+// resendOften has many clients send their requests again, to daemons of all zones, and some not say so.
+func resendOften(trial *Trial) {
+	trial.Retries, trial.RetriesElsewhere, trial.Undeclared = 0.2, 0.4, 0.15
+}
+
 // Attempts has one row for each part of each point of "What must never happen". docs/rules.md names the
 // broken code that turns each of them red.
 var Attempts = map[string]Attempt{
@@ -46,11 +51,23 @@
 		Faults: []string{"data killed", "runner killed"},
 		change: func(trial *Trial) { trial.Retries = 0.3 },
 	},
-	"run after will not run": {Faults: []string{"runner fails", "pool killed", "all put back"}},
-	"not whole":              {Faults: []string{"runner partial", "runner killed"}},
-	"skip, repeat, splice":   {Faults: []string{"runner garbles", "runner partial"}},
-	"service not allowed":    {Faults: []string{"data cut from control", "address taken"}, change: often},
-	"address reused":         {Faults: []string{"address taken", "runner replaced"}},
+	"restarted, sent again": {
+		Faults: []string{"daemons restarted", "all restarted", "data killed", "zone lost"},
+		change: resendOften,
+	},
+	"partitioned, sent again": {
+		Faults: []string{"zone cut off", "data cut off", "data cut from control", "data frozen", "lossy network"},
+		change: func(trial *Trial) {
+			resendOften(trial)
+			trial.AtOnce = 2
+		},
+	},
+	"sent again in quiet times": {change: resendOften},
+	"run after will not run":    {Faults: []string{"runner fails", "pool killed", "all put back"}},
+	"not whole":                 {Faults: []string{"runner partial", "runner killed"}},
+	"skip, repeat, splice":      {Faults: []string{"runner garbles", "runner partial"}},
+	"service not allowed":       {Faults: []string{"data cut from control", "address taken"}, change: often},
+	"address reused":            {Faults: []string{"address taken", "runner replaced"}},
 	"draining": {
 		Faults: []string{"runner drained", "list older", "list stuck"},
 		change: func(trial *Trial) { trial.AtOnce = 2 },
--- a/verify/simulation/traffic.go
+++ b/verify/simulation/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strconv"
 	"time"
 
 	"wardtray/config"
@@ -24,8 +25,13 @@
 	// HangUpsMidway is the part of the clients that hang up in the middle, HangUps that of those that hang up at any
 	// moment, also before they are read and while nothing has come.
 	HangUpsMidway, HangUps float64
-	// Retries is the part of the requests that their clients send again.
-	Retries float64
+	// Retries is the part of the requests that their clients send again to the same daemon, RetriesElsewhere that of those
+	// sent again to any daemon. Undeclared is the part of the clients that don't say whether they send a request again.
+	Retries, RetriesElsewhere, Undeclared float64
+	// terms are the newest that the clients of each zone have heard of.
+	terms map[string]uint64
+	// resent counts how often each request was sent again.
+	resent map[string]int
 	// overloadBursts counts the faults that multiply the rate now.
 	overloadBursts int
 	// number is that of the newest request; none comes any more when the traffic is stopped.
@@ -44,11 +50,16 @@
 		Mix:     mix,
 		weights: mix.Weights,
 		History: histories.New(),
+		terms:   map[string]uint64{},
+		resent:  map[string]int{},
 	}
 	world.Traffic = traffic
 	traffic.History.Started, traffic.History.Zones = world.Now, zones
 	traffic.History.Service, traffic.History.Weights = mix.Service, mix.Weights
-	traffic.History.Daemons = len(world.Datas())
+	traffic.History.Daemons, traffic.History.ZoneOf = len(world.Datas()), map[string]string{}
+	for _, host := range world.Datas() {
+		traffic.History.ZoneOf[host.Address] = host.Zone
+	}
 	traffic.checker = histories.NewChecker(traffic.History, world.Check.outcomes.committed)
 	traffic.daemons = newDaemonPicker(world, traffic.random)
 	traffic.capacity = newCapacitySampler(world, traffic.History)
@@ -101,6 +112,9 @@
 	drawn := traffic.Mix.Draw(traffic.random, traffic.Hot)
 	drawn.ID = fmt.Sprintf("q%d", traffic.number)
 	zone := traffic.History.Zones[traffic.random.Intn(len(traffic.History.Zones))]
+	if traffic.random.Float64() >= traffic.Undeclared {
+		drawn.Attempt, drawn.Term = 1, traffic.terms[zone]
+	}
 	one := traffic.sendRequest(drawn, zone, traffic.daemons.pick(zone))
 	if traffic.random.Float64() < traffic.HangUpsMidway {
 		one.hangsUpAfter = 1 + traffic.random.Intn(4)
@@ -111,6 +125,18 @@
 	if traffic.random.Float64() < traffic.Retries {
 		traffic.resend(drawn, one)
 	}
+	if traffic.random.Float64() < traffic.RetriesElsewhere {
+		traffic.resendElsewhere(drawn, zone)
+	}
+}
+
+// learnTerm has the clients of a zone hear of a term.
+func (traffic *Traffic) learnTerm(zone, value string) {
+	term, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		traffic.world.Check.violation("a response names the term %q", value)
+	}
+	traffic.terms[zone] = max(traffic.terms[zone], term)
 }
 
 const (
--- a/verify/simulation/trial.go
+++ b/verify/simulation/trial.go
@@ -19,6 +19,9 @@
 	// Rate is how many requests come a second; Quits, Leaves and Repeats are the parts of them whose clients
 	// hang up in the middle of an answer, hang up at any moment, or send them again.
 	Rate, HangUpsMidway, HangUps, Retries float64
+	// RetriesElsewhere is the part of the requests that are sent again to any daemon, and Undeclared that of the clients
+	// that don't say whether they send a request again.
+	RetriesElsewhere, Undeclared float64
 	// Mix, where it is given, changes the deployment's.
 	Mix func(mix loadtest.Mix) loadtest.Mix
 }
@@ -32,6 +35,9 @@
 	Rate:          60,
 	HangUpsMidway: 0.01,
 	Retries:       0.03,
+
+	RetriesElsewhere: 0.05,
+	Undeclared:       0.05,
 }
 
 // Try founds a deployment, injects faults under load, ends them, and checks the whole history.
@@ -48,6 +54,7 @@
 	world.Run(3 * time.Second)
 	traffic.Rate, traffic.Retries, traffic.drafter.takeAway = trial.Rate, trial.Retries, trial.TakeAway
 	traffic.HangUpsMidway, traffic.HangUps = trial.HangUpsMidway, trial.HangUps
+	traffic.RetriesElsewhere, traffic.Undeclared = trial.RetriesElsewhere, trial.Undeclared
 	operators := startOperators(world, trial.Every)
 	world.Run(5 * time.Second)
 	if len(trial.Faults) > 0 {
