--- a/cmd/wtctl/status.go
+++ b/cmd/wtctl/status.go
@@ -25,6 +25,7 @@
 	{"cohort", showDaemons},
 	{"runners", showRunners},
 	{"tenants", showTenants},
+	{"reservations", showReservations},
 	{"counters", showCounters},
 }
 
@@ -41,7 +42,7 @@
 // registerStatus declares the command that shows the state of the fleet.
 func (session *session) registerStatus(known commands, application *kingpin.Application) {
 	command := application.Command("status", "Show the fleet.")
-	argument := command.Arg("part", "all, chain, view, cohort, runners, tenants or counters.")
+	argument := command.Arg("part", "all, chain, view, cohort, runners, tenants, reservations or counters.")
 	part := argument.Default(allParts).Enum(partNames()...)
 	known[command.FullCommand()] = func() (exitCode, error) { return session.status(*part) }
 }
--- a/control/operator/client.go
+++ b/control/operator/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -134,8 +135,11 @@
 }
 
 // Zone closes or opens a zone; verb is "close" or "open".
-func (client *Client) Zone(verb, zone, operation string) (proposal.Reply, error) {
+func (client *Client) Zone(verb, zone, operation string, since *uint64) (proposal.Reply, error) {
 	path := "/v1/zones/" + url.PathEscape(zone) + "/" + verb + "?operation=" + url.QueryEscape(operation)
+	if since != nil {
+		path += "&since=" + strconv.FormatUint(*since, 10)
+	}
 	return client.request(http.MethodPost, path, nil)
 }
 
--- a/control/operator/client_test.go
+++ b/control/operator/client_test.go
@@ -57,7 +57,7 @@
 	})
 	client := New([]string{address})
 	change := Change{Base: 3, Operation: "a b"}
-	named := Change{Operation: "o", Epoch: 9}
+	named, since := Change{Operation: "o", Epoch: 9}, uint64(4)
 	for want, call := range map[string]func() (proposal.Reply, error){
 		"GET /v1/spec ": client.Get,
 		"PUT /v1/spec?base=3&operation=a+b {}": func() (proposal.Reply, error) {
@@ -66,8 +66,8 @@
 		"PATCH /v1/spec?base=0&operation=o&epoch=9 {}": func() (proposal.Reply, error) {
 			return client.Change([]byte("{}"), named)
 		},
-		"POST /v1/zones/z%20one/close?operation=o ": func() (proposal.Reply, error) {
-			return client.Zone("close", "z one", "o")
+		"POST /v1/zones/z%20one/close?operation=o&since=4 ": func() (proposal.Reply, error) {
+			return client.Zone("close", "z one", "o", &since)
 		},
 		"GET /v1/operations/a%20b ":    func() (proposal.Reply, error) { return client.Operation("a b") },
 		"GET /v1/operations/a%2Fb ":    func() (proposal.Reply, error) { return client.Operation("a/b") },
--- a/control/proposal/proposals_test.go
+++ b/control/proposal/proposals_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"wardtray/apierror"
 	"wardtray/control/membership/membertest"
 	"wardtray/coordination/chain"
 	"wardtray/coordination/statemachine"
@@ -235,3 +236,72 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// An operation id that was used for one change is refused for another, and known for the same one however it is sent.
+func TestProposalsServeTellsChangesOfOneOperationApart(t *testing.T) {
+	t.Parallel()
+	bench := newBench("a", "a")
+	bench.submit(start, apply("o"))
+	bench.sync(start)
+	bench.proposals.Acknowledge(start)
+	other := apply("o")
+	other.Spec = spec("q")
+	bench.submit(start, other)
+	if bench.status != http.StatusConflict || bench.reply.Code != string(apierror.DuplicateRequest) {
+		t.Errorf("another change: %d %+v", bench.status, bench.reply)
+	}
+	same := apply("o")
+	same.Since, same.HasSince = 7, true
+	bench.submit(start, same)
+	bench.proposals.Acknowledge(start)
+	if bench.status != http.StatusOK || bench.reply.Epoch != 1 {
+		t.Errorf("the same change: %d %+v", bench.status, bench.reply)
+	}
+}
+
+// What an earlier version accepted has no digest, and counts as the same change.
+func TestProposalsServeKnowsOutcomesWithoutADigest(t *testing.T) {
+	t.Parallel()
+	bench := newBench("a", "a")
+	entry := &wire.Entry{Operation: "o", ChangesSpec: true, SpecEpoch: 1, Spec: spec("p")}
+	if err := bench.chain.Submit(start, entry); err != nil {
+		t.Fatal(err)
+	}
+	bench.sync(start)
+	bench.submit(start, apply("o"))
+	bench.proposals.Acknowledge(start)
+	if bench.status != http.StatusOK {
+		t.Errorf("%d %+v", bench.status, bench.reply)
+	}
+}
+
+// A call without a base that says since when it is sent is refused where its outcome may have been forgotten.
+func TestProposalsServeRefusesWhatMayBeForgotten(t *testing.T) {
+	t.Parallel()
+	bench := newBench("a", "a")
+	for epoch := range uint64(chain.MaximumOutcomes + 1) {
+		entry := &wire.Entry{Operation: fmt.Sprint("o", epoch), ChangesSpec: true, SpecEpoch: epoch + 1, Spec: spec("p")}
+		if err := bench.chain.Submit(start, entry); err != nil {
+			t.Fatal(err)
+		}
+		bench.sync(start)
+	}
+	for name, test := range map[string]struct {
+		since uint64
+		has   bool
+		want  int
+	}{
+		"before the oldest outcome": {1, true, http.StatusConflict},
+		"since a known outcome":     {chain.MaximumOutcomes, true, http.StatusOK},
+		"not stated":                {0, false, http.StatusOK},
+	} {
+		call := apply(name)
+		call.Since, call.HasSince = test.since, test.has
+		bench.submit(start, call)
+		bench.sync(start)
+		bench.proposals.Acknowledge(start)
+		if bench.status != test.want {
+			t.Errorf("%s: %d %+v", name, bench.status, bench.reply)
+		}
+	}
+}
--- a/coordination/reservation/coordinator.go
+++ b/coordination/reservation/coordinator.go
@@ -48,9 +48,13 @@
 
 // Counters count what a coordinator has done.
 type Counters struct {
-	Granted, Taken, InDoubt, Unreachable, Full uint64
+	Granted     uint64 `json:"granted"`
+	Taken       uint64 `json:"taken"`
+	InDoubt     uint64 `json:"in_doubt"`
+	Unreachable uint64 `json:"unreachable"`
+	Full        uint64 `json:"full"`
 	// OtherZone counts the grants of requests sent for the first time that came from another zone than the daemon's own.
-	OtherZone uint64
+	OtherZone uint64 `json:"other_zone"`
 }
 
 // Reservation is one attempt to reserve a request. Its outcome may be read once Done is closed.
--- a/coordination/reservation/fleet_test.go
+++ b/coordination/reservation/fleet_test.go
@@ -79,7 +79,7 @@
 
 // testFleet steps the replicas and coordinators of some daemons, the messages between them, and a head that plans.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Time
 	random  *rand.Rand
 	daemons []*testDaemon
@@ -104,9 +104,9 @@
 }
 
 // newTestFleet starts so many daemons in each of some zones, and has them agree on their first membership.
-func newTestFleet(t *testing.T, seed int64, zones ...int) *testFleet {
-	t.Helper()
-	fleet := &testFleet{t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(seed)),
+func newTestFleet(tb testing.TB, seed int64, zones ...int) *testFleet {
+	tb.Helper()
+	fleet := &testFleet{t: tb, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(seed)),
 		all: map[Identity]*testDaemon{}, cut: map[string]bool{}}
 	for number, count := range zones {
 		for place := range count {
--- a/dataplane/daemon/status.go
+++ b/dataplane/daemon/status.go
@@ -38,6 +38,8 @@
 	Controller controller.Counters    `json:"director"`
 	Wire       map[string]any         `json:"wire"`
 	Directory  int                    `json:"directory"`
+	// Reservations is what this daemon knows of requests that run at most once; nil where it makes no reservations.
+	Reservations *controller.ReservationStatus `json:"reservations,omitempty"`
 }
 
 // status responds with the daemon's status.
@@ -78,6 +80,7 @@
 			status.PartialView = append(status.PartialView, peer.Address)
 		}
 		status.View, status.Controller = machine.View().GetEpoch(), machine.Counters()
+		status.Reservations = machine.ReservationStatus()
 	})
 	return status
 }
--- a/verify/simulation/daemon_process.go
+++ b/verify/simulation/daemon_process.go
@@ -10,6 +10,7 @@
 	"wardtray/coordination/statemachine"
 	"wardtray/dataplane"
 	"wardtray/dataplane/controller"
+	"wardtray/proxy/codec"
 	"wardtray/transport/netio"
 	"wardtray/wire"
 )
@@ -67,7 +68,12 @@
 func (daemon *daemonProcess) settings() dataplane.Settings {
 	host, world := daemon.host, daemon.host.world
 	incarnation, random := host.incarnation, rand.New(rand.NewSource(world.random.Int63()))
+	var protocol codec.Codec
+	if world.announcesOnly {
+		protocol = announcingCodec{}
+	}
 	return dataplane.Settings{
+		Codec: protocol,
 		Settings: controller.Settings{Address: host.Address, HTTP: host.Address, Zone: host.Zone, Seeds: host.seeds,
 			Registered: world.RegisteringRunners != nil, WithoutCore: world.WithoutCore},
 		Random: random,
--- /dev/null
+++ b/verify/simulation/once_cost_test.go
@@ -0,0 +1,35 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+)
+
+// What it costs to keep requests from running twice, by design. A first sending waits for one round trip within its
+// zone at most, and nothing of it crosses a border of zones.
+func TestCostOfAtMostOnce(t *testing.T) {
+	t.Parallel()
+	for name, shape := range map[string]Shape{"guild": GuildPath, "ferries": FerriesPath} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			costs := map[OnceDesign]OnceCost{}
+			for _, design := range []OnceDesign{Announced, ReservedInOneZone, ReservedInAllZones} {
+				cost := MeasureOnce(1, shape, design)
+				costs[design] = cost
+				t.Logf("%s: %d requests, first event %v and %v (99th), %.1f messages and %.0f B a request, %.0f B between zones",
+					design, cost.Requests, cost.Median.Round(10*time.Microsecond), cost.P99.Round(10*time.Microsecond),
+					cost.Messages, cost.Bytes, cost.ZoneBytes)
+			}
+			one := costs[ReservedInOneZone]
+			if one.ZoneBytes != 0 || one.Messages > 2*3 || one.Requests < 100 {
+				t.Errorf("%+v", one)
+			}
+			if added := one.Median - costs[Announced].Median; added > longestRoundTrip {
+				t.Errorf("a first event takes %v longer", added)
+			}
+		})
+	}
+}
+
+// longestRoundTrip is that of two messages between machines of the simulated network.
+const longestRoundTrip = 2 * (defaultDelay + defaultJitter)
--- a/verify/simulation/world.go
+++ b/verify/simulation/world.go
@@ -54,6 +54,8 @@
 	identities int
 	// Log names the faults injected and undone, with the time since the start.
 	Log []string
+	// announcesOnly has the data daemons make no reservations.
+	announcesOnly bool
 	// WithoutCore is for how long data daemons go on while they reach no core machine.
 	WithoutCore time.Duration
 }
