--- a/cmd/wtctl/status_test.go
+++ b/cmd/wtctl/status_test.go
@@ -39,7 +39,8 @@
 func TestStatusPrintsItsPartsAndThenTheWarnings(t *testing.T) {
 	address := fakeCore(t, map[string]string{"GET /v1/status": `{"address":"c1","core":{"warnings":["a chain is short"]}}`})
 	for part, want := range map[string][]string{
-		"all":   {"== chain", "== view", "== cohort", "== runners", "== tenants", "== reservations", "== counters", "warning: a chain is short"},
+		"all": {"== chain", "== view", "== cohort", "== runners", "== tenants", "== reservations", "== counters",
+			"warning: a chain is short"},
 		"chain": {"warning: a chain is short"},
 	} {
 		var output, errors strings.Builder
