--- a/cmd/wtverify/main.go
+++ b/cmd/wtverify/main.go
@@ -28,6 +28,7 @@
 	registerSim(application, known)
 	registerPath(application, known)
 	registerRules(application, known)
+	registerHistories(application, known)
 	registerPlace(application, known)
 	registerBatches(application, known)
 	registerSpread(application, known)
--- a/cmd/wtverify/simulation.go
+++ b/cmd/wtverify/simulation.go
@@ -56,12 +56,15 @@
 	faults := command.Flag("fault", "Only this kind of fault; may be given several times, "+
 		"or each to play every kind by itself.").
 		Strings()
+	folder := command.Flag("record", "Write each seed's history into this folder, as the command histories reads it.").
+		String()
 	known[command.FullCommand()] = func() error {
 		all := append(simulation.FaultNames(), simulation.RunnerFaultNames()...)
 		if err := checkRange(*seeds, *atOnce, *faults, append(all, eachFault)); err != nil {
 			return err
 		}
 		clean := true
+		recorder := &recorder{folder: *folder}
 		plays := faultSets(*faults, all)
 		for _, names := range plays {
 			if len(plays) > 1 {
@@ -69,7 +72,10 @@
 			}
 			trial := simulation.DefaultTrial
 			trial.Faults, trial.AtOnce, trial.Every = names, *atOnce, *every
-			clean = try(*seeds, *deployment, trial) && clean
+			clean = try(*seeds, *deployment, trial, recorder) && clean
+		}
+		if err := recorder.failure(); err != nil {
+			return err
 		}
 		return verdict(clean)
 	}
@@ -112,15 +118,17 @@
 		for _, name := range *only {
 			fmt.Printf("--- %s: %s\n", name, strings.Join(simulation.Attempts[name].Faults, ", "))
 			trial := simulation.Attempts[name].Trial(*length)
-			clean = try(*seeds, *deployment, trial) && clean
+			clean = try(*seeds, *deployment, trial, &recorder{}) && clean
 		}
 		return verdict(clean)
 	}
 }
 
 // try plays a trial on a deployment with its request path, and reports whether no rule was broken.
-func try(seeds seedRange, deployment string, trial simulation.Trial) bool {
+func try(seeds seedRange, deployment string, trial simulation.Trial, recorder *recorder) bool {
 	return simulate(os.Stdout, seeds, func(seed int64) *simulation.World {
-		return simulation.Try(seed, withPath[deployment], trial)
+		world := simulation.Try(seed, withPath[deployment], trial)
+		recorder.record(world)
+		return world
 	})
 }
--- a/cmd/wtverify/summary.go
+++ b/cmd/wtverify/summary.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"time"
 
 	"wardtray/control/proposal"
 	"wardtray/verify/histories"
@@ -17,7 +18,10 @@
 	mutex                sync.Mutex
 	clean                bool
 	awards, acknowledged int
-	worst                *worst
+	// calls and requests are how many were judged by an order that explains them, judging how long that took.
+	calls, requests int
+	judging         time.Duration
+	worst           *worst
 }
 
 func newSummary(output io.Writer) *summary {
@@ -36,6 +40,9 @@
 		summary.println("  harm done before:", strings.Join(world.Log[max(0, len(world.Log)-6):], "; "))
 	}
 	summary.awards += world.Check.Decisions
+	summary.calls += world.Check.Verdict.Calls
+	summary.requests += world.Check.Verdict.Requests
+	summary.judging += world.Check.Verdict.Took
 	if world.Traffic != nil {
 		summary.worst.add(histories.Worst(world.Traffic.History))
 		summary.worst.count(world.Traffic.Counts())
@@ -53,6 +60,10 @@
 // print writes what was seen in so many seeds.
 func (summary *summary) print(seeds int64) {
 	summary.printf("%d seeds, %d changes acknowledged, %d awards checked\n", seeds, summary.acknowledged, summary.awards)
+	if summary.calls+summary.requests > 0 {
+		summary.printf("histories: %d calls of operators and %d requests that run at most once judged in %v\n", summary.calls,
+			summary.requests, summary.judging.Round(time.Millisecond))
+	}
 	summary.worst.print(summary.printer)
 	if summary.clean {
 		summary.println("verdict: clean")
--- a/verify/simulation/checker.go
+++ b/verify/simulation/checker.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"wardtray/verify/linearizability"
 )
 
 // Checker looks at the world after each step, and at each answer to an operator, and reports the rules that are broken.
@@ -16,11 +18,15 @@
 	WorstCases map[string]time.Duration
 	// Decisions is how often a data daemon would have scheduled a request at the end of a step, Refusals how often not.
 	Decisions, Refusals int
+	// Verdict is that on the whole history of callers, once a run is over.
+	Verdict linearizability.Verdict
 	// OnAccepted, if set, runs when a change has been acknowledged.
 	OnAccepted func()
-	outcomes   *outcomes
-	replicas   *replicaCheck
-	daemons    *daemonCheck
+	// onlyHistories has nothing judged but the histories of callers, so that these are what notices a fault.
+	onlyHistories bool
+	outcomes      *outcomes
+	replicas      *replicaCheck
+	daemons       *daemonCheck
 }
 
 func newChecker(world *World) *Checker {
@@ -33,6 +39,14 @@
 
 // violation reports a broken rule.
 func (checker *Checker) violation(format string, values ...any) {
+	if checker.onlyHistories {
+		return
+	}
+	checker.report(format, values...)
+}
+
+// report adds to the broken rules.
+func (checker *Checker) report(format string, values ...any) {
 	world := checker.world
 	checker.Violations = append(checker.Violations,
 		fmt.Sprintf("seed %d at %v: ", world.Seed, world.Now.Sub(world.started))+fmt.Sprintf(format, values...))
--- a/verify/simulation/control_day.go
+++ b/verify/simulation/control_day.go
@@ -38,6 +38,7 @@
 	world.Run(day.Length + time.Millisecond)
 	if day.Fleeting {
 		racers.Stop()
+		world.Check.judge()
 		return world, racers
 	}
 	faultsEnded := world.Now
@@ -47,5 +48,6 @@
 	if len(world.Check.Violations) == 0 {
 		readBack(world)
 	}
+	world.Check.judge()
 	return world, racers
 }
--- a/verify/simulation/orders.go
+++ b/verify/simulation/orders.go
@@ -17,11 +17,13 @@
 type Order struct {
 	Operation string
 	Verb      string
-	Base      uint64
-	Sent, Got time.Time
-	Outcome   string
-	Epoch     uint64
-	Status    int
+	// Base is the epoch that it is built on, AskedEpoch the one that it is to have, where it names them.
+	Base, AskedEpoch  uint64
+	HasBase, HasEpoch bool
+	Sent, Got         time.Time
+	Outcome           string
+	Epoch             uint64
+	Status            int
 	// Resent means that the same operation was sent more than once.
 	Resent bool
 }
@@ -56,12 +58,15 @@
 func (checker *Checker) send(host *Host, ask *wire.OperatorRequest, again bool) *Order {
 	world := checker.world
 	order := &Order{
-		Operation: ask.Operation,
-		Verb:      ask.Verb,
-		Base:      ask.Base,
-		Sent:      world.Now,
-		Outcome:   proposal.OutcomeUnknown,
-		Resent:    again,
+		Operation:  ask.Operation,
+		Verb:       ask.Verb,
+		Base:       ask.Base,
+		HasBase:    ask.HasBase,
+		AskedEpoch: ask.Epoch,
+		HasEpoch:   ask.HasEpoch,
+		Sent:       world.Now,
+		Outcome:    proposal.OutcomeUnknown,
+		Resent:     again,
 	}
 	checker.Orders = append(checker.Orders, order)
 	recorded := checker.record(order, ask)
--- a/verify/simulation/play.go
+++ b/verify/simulation/play.go
@@ -22,5 +22,6 @@
 		return world
 	}
 	world.recovery.requireService()
+	world.Check.judge()
 	return world
 }
--- a/verify/simulation/trial.go
+++ b/verify/simulation/trial.go
@@ -78,6 +78,7 @@
 	if len(world.Check.Violations) == 0 {
 		traffic.End()
 	}
+	world.Check.judge()
 	return world
 }
 
