A list of runners that is behind costs a request no attempt

Cause: after a loss of all power runners come back under other ids at the former addresses.

Change: such an attempt doesn't count and excludes no runner; ejection bounds the questions, and the request waits for a newer list within its route's patience.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -68,6 +68,8 @@
 	body   []byte
 	// notReserved is why the request must not be sent to any runner; nil: it may be.
 	notReserved error
+	// listingIsStale says that another runner has the address of the one that is meant: the list of runners is behind.
+	listingIsStale bool
 }
 
 // Permits reports whether a configuration lets a backend use a runner.
@@ -84,7 +86,9 @@
 	connection, err := exchange.handler.Connections.TakeWithin(exchange.client.ctx, runner.ID, runner.Address,
 		exchange.remaining())
 	if err != nil {
-		attempt.reportFailure(string(apierror.Of(err).Code))
+		code := apierror.Of(err).Code
+		attempt.listingIsStale = code == apierror.WrongIdentity
+		attempt.reportFailure(string(code))
 		attempt.countNotSent()
 		return scheduler.NotSent
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -314,6 +314,10 @@
 	if !next.Retry {
 		return exchange.refusalAfter(next, fmt.Sprintf("runner %s gave no answer", runner))
 	}
+	if exchange.waitsForListing() {
+		exchange.tries.attempts--
+		return nil
+	}
 	// A runner is not at fault where this daemon's configuration was not known to be current.
 	if outcome != scheduler.NotSent || exchange.handler.Snapshot().Until.After(exchange.now()) {
 		exchange.queuedRequest.Requirements.ExcludedRunners[runner] = true
@@ -321,6 +325,13 @@
 	return nil
 }
 
+// waitsForListing reports whether the attempt found that the list of runners is behind. It costs the request no attempt
+// then: the runner is ejected, and where all are, the request waits for a newer list. Where nothing ejects runners, every
+// attempt counts, so that their number stays bounded.
+func (exchange *Exchange) waitsForListing() bool {
+	return exchange.attempt.listingIsStale && !exchange.handler.Disabled[features.Ejection]
+}
+
 // decideRetry returns what may follow an attempt.
 func (exchange *Exchange) decideRetry(outcome scheduler.AttemptOutcome) scheduler.RetryDecision {
 	next := scheduler.DecideRetry(outcome, exchange.route.Idempotent)
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -70,6 +70,42 @@
 	}
 }
 
+// After all runners were replaced, more wrong ones answer than a request has attempts: it waits for the new list.
+func TestStaleListingCostsNoAttempt(t *testing.T) {
+	runners := make([]*scriptedRunner, 0, maximumAttempts+2)
+	for number := range maximumAttempts + 2 {
+		runners = append(runners, startRunner(t, fmt.Sprint("former", number), events(1, done(1), true)))
+	}
+	daemon := newDaemon(t, runners...)
+	for number, runner := range runners {
+		runner.id = fmt.Sprint("new", number)
+	}
+	daemon.rebalance(t)
+	timer := time.AfterFunc(200*time.Millisecond, func() {
+		daemon.Loads.UpdateListing(time.Now(), listed(runners))
+	})
+	defer timer.Stop()
+	if status, body := daemon.post(t, "once"); status != 200 {
+		t.Errorf("%d %s", status, body)
+	}
+}
+
+// A list that stays behind is waited for no longer than the route's patience.
+func TestStaleListingIsNotWaitedForTooLong(t *testing.T) {
+	runner := startRunner(t, "former", events(1, done(1), true))
+	daemon := newDaemon(t, runner)
+	runner.id = "new"
+	daemon.rebalance(t)
+	started := time.Now()
+	status, body := daemon.post(t, "once")
+	if status != 503 || !strings.Contains(body, scheduler.DidNotRun) || runner.reached.Load() != 0 {
+		t.Errorf("%d %s", status, body)
+	}
+	if waited := time.Since(started); waited < time.Second || waited > 4*time.Second {
+		t.Errorf("answered after %v, with a patience of 2 s", waited)
+	}
+}
+
 // An ambiguous attempt of a route that runs at most once is reported as unknown, and no other runner ever sees the
 // request.
 func TestAmbiguousAttemptIsNeverRetriedOnOnceRoutes(t *testing.T) {
