Real processes: clients send again, and what callers saw is judged as one history

The load's clients stated neither the number of a sending nor the term that they knew.

Change: clients of the load number their sendings and state the newest term that answers of their zone had; Resends lets part of them send again, to any zone. The operator records its reads and lookups too; every scenario's report has the verdict of the linearizability checker. Scenario sent-again: all data daemons killed and started, a zone frozen and resumed, everything killed and started.

Not shown: cut links between processes.

--- a/verify/fleet/fleet.go
+++ b/verify/fleet/fleet.go
@@ -38,11 +38,13 @@
 	}
 	history.Zones, history.Daemons = deployment.ZoneNames(), len(fleet.Machines)
 	history.Service, history.Weights = deployment.Mix.Service, deployment.Mix.Weights
+	history.ZoneOf = map[string]string{}
 	seeds, daemons := seedsOf(fleet.Machines), map[string][]string{}
 	for _, machine := range fleet.Machines {
 		if err := machine.prepare(seeds, fleet.addresses.platform(), folder, binaries); err != nil {
 			return nil, err
 		}
+		history.ZoneOf[machine.Data.Settings.HTTP] = machine.Zone
 		daemons[machine.Zone] = append(daemons[machine.Zone], machine.Data.Settings.HTTP)
 	}
 	platform, err := emulator.NewPlatform(ctx, fleet.addresses.platform(), daemons, history, seed)
--- a/verify/fleet/operator.go
+++ b/verify/fleet/operator.go
@@ -13,6 +13,7 @@
 
 	"wardtray/control/proposal"
 	"wardtray/verify/histories"
+	"wardtray/verify/linearizability"
 )
 
 const (
@@ -28,6 +29,7 @@
 type Operator struct {
 	client  *http.Client
 	history *histories.History
+	calls   callRecorder
 }
 
 func newOperator(history *histories.History) *Operator {
@@ -46,16 +48,25 @@
 
 // Get reads the committed configuration. Where there is none, or none can be read, the error is a StatusError.
 func (operator *Operator) Get(ctx context.Context, core *Process) (Reply, error) {
-	return operator.read(ctx, core, "/v1/spec")
+	return operator.read(ctx, core, "/v1/spec", linearizability.Call{Kind: linearizability.KindRead})
 }
 
 // Outcome reads what became of a change. Where that is not known, the error is a StatusError.
 func (operator *Operator) Outcome(ctx context.Context, core *Process, operation string) (Reply, error) {
-	return operator.read(ctx, core, "/v1/operations/"+url.PathEscape(operation))
+	return operator.read(ctx, core, "/v1/operations/"+url.PathEscape(operation),
+		linearizability.Call{Kind: linearizability.KindLookup, Operation: operation})
 }
 
-func (operator *Operator) read(ctx context.Context, core *Process, path string) (Reply, error) {
+// read sends a call that changes nothing, and records it.
+func (operator *Operator) read(
+	ctx context.Context,
+	core *Process,
+	path string,
+	record linearizability.Call,
+) (Reply, error) {
+	sent := time.Now()
 	reply, err := operator.call(ctx, http.MethodGet, core, path, nil)
+	operator.record(record, sent, time.Now(), reply, err)
 	if err == nil && reply.Status != http.StatusOK {
 		return reply, &StatusError{Path: path, Status: reply.Status}
 	}
@@ -93,6 +104,22 @@
 		order.Outcome = proposal.OutcomeUnknown
 	}
 	operator.history.Change(func(history *histories.History) { history.Orders = append(history.Orders, order) })
+	operator.record(linearizability.Call{Kind: linearizability.KindChange, Operation: order.Operation, Base: order.Base,
+		HasBase: order.HasBase}, order.Sent, order.Got, reply, err)
+}
+
+// record records a call with what was replied to it.
+func (operator *Operator) record(call linearizability.Call, sent, got time.Time, reply Reply, err error) {
+	started := operator.history.Started
+	call.Span = linearizability.Span{Start: sent.Sub(started), End: got.Sub(started)}
+	observed := linearizability.Observed{Kind: call.Kind, HasBase: call.HasBase, Status: reply.Status,
+		Outcome: reply.Outcome}
+	if err != nil {
+		// A reply that can't be read says nothing.
+		observed.Status, call.End = 0, linearizability.Never
+	}
+	call.Answer, call.Result = observed.Answer(), reply.Epoch
+	operator.calls.add(call)
 }
 
 // call sends a request. A reply that can't be decoded is returned with its status and the error.
--- a/verify/fleet/prove.go
+++ b/verify/fleet/prove.go
@@ -11,6 +11,7 @@
 
 	"wardtray/control/proposal"
 	"wardtray/verify/histories"
+	"wardtray/verify/linearizability"
 	"wardtray/verify/loadtest"
 )
 
@@ -75,7 +76,10 @@
 	if options.Timeless {
 		violations = histories.Timeless(violations)
 	}
+	judged := linearizability.Judge(fleet.Recording(), judgeTimeout)
+	violations = append(violations, violationsOf(judged)...)
 	report := newReport(fleet.History, fleet.Runners.CacheShare(), violations)
+	report.Judged = judged
 	report.Print(options.Output)
 	return report.Clean(), nil
 }
@@ -137,7 +141,7 @@
 	}
 	deployment := fleet.Deployment
 	clients := loadtest.New(deployment.Mix, deployment.ZoneNames(), fleet.Platform.Pick, fleet.History, options.Seed)
-	clients.Hot, clients.HangUps = scenario.Hot, scenario.Leaves
+	clients.Hot, clients.HangUps, clients.Resends = scenario.Hot, scenario.Leaves, scenario.Resends
 	loadContext, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var load sync.WaitGroup
--- a/verify/fleet/report.go
+++ b/verify/fleet/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wardtray/verify/histories"
+	"wardtray/verify/linearizability"
 )
 
 // mostViolations is how many violations a report prints.
@@ -24,6 +25,8 @@
 	Orders     []histories.Order
 	Faults     []histories.Fault
 	Violations []histories.Violation
+	// Judged is the verdict on the whole histories of operators and clients.
+	Judged linearizability.Verdict
 }
 
 // newReport takes a report from a history that has ended.
@@ -101,6 +104,8 @@
 }
 
 func (report Report) printVerdict(printer printer) {
+	printer.printf("histories: %d calls of operators and %d requests that run at most once judged in %v\n",
+		report.Judged.Calls, report.Judged.Requests, milliseconds(report.Judged.Took))
 	if report.Clean() {
 		printer.printf("verdict: clean, all %d rules held\n", len(histories.Rules))
 		return
--- a/verify/fleet/report_test.go
+++ b/verify/fleet/report_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wardtray/verify/histories"
+	"wardtray/verify/linearizability"
 )
 
 func TestReportPrintsFiguresEventsAndVerdict(t *testing.T) {
@@ -28,9 +29,11 @@
   refused or unknown: chat waitlist_full           1
   order first        apply  accepted   epoch 1 in 30ms
   at   9.06s runner 3 killed
+histories: 4 calls of operators and 2 requests that run at most once judged in 12ms
 `
 	clean := fmt.Sprintf("verdict: clean, all %d rules held\n", len(histories.Rules))
 	report := newReport(history, 0.75, nil)
+	report.Judged = linearizability.Verdict{Calls: 4, Requests: 2, Took: 12 * time.Millisecond}
 	if text := printed(report); text != want+clean || !report.Clean() {
 		t.Errorf("%s\ninstead of\n%s", text, want+clean)
 	}
--- a/verify/fleet/scenario.go
+++ b/verify/fleet/scenario.go
@@ -5,8 +5,9 @@
 // Scenario is a named course of faults and changes under load.
 type Scenario struct {
 	Help string
-	// Hot is the part of the requests that carry one and the same opening, Leaves that whose clients leave early.
-	Hot, Leaves float64
+	// Hot is the part of the requests that carry one and the same opening, Leaves that whose clients leave early, Resends
+	// that of those which run at most once whose clients send them again, to any zone.
+	Hot, Leaves, Resends float64
 	// Steps returns what is done to a deployment, in order; nil where nothing is.
 	Steps func(deployment Deployment) []Step
 }
@@ -68,6 +69,12 @@
 		Steps:  clientsLeave,
 	},
 
+	"sent-again": {
+		Help:    "clients send again while all daemons are restarted, a zone is frozen and all processes are killed",
+		Resends: 0.5,
+		Steps:   sentAgain,
+	},
+
 	"core-frozen": {Help: "the head is frozen in the middle of changes and woken", Steps: coresFrozen},
 	"core-wiped":  {Help: "a disk machine loses its disk and comes back blank", Steps: coreWiped},
 	"core-swapped": {
--- a/verify/loadtest/load.go
+++ b/verify/loadtest/load.go
@@ -18,6 +18,9 @@
 	// HangUps is the part (0 to 1) of the clients that close their connections at some moment, whatever they have got by
 	// then.
 	HangUps float64
+	// Resends is the part (0 to 1) of the clients that send a request which runs at most once again, some seconds later
+	// and to any zone, whatever became of the first sending.
+	Resends float64
 
 	record  *histories.History
 	clients *clientSource
@@ -44,15 +47,29 @@
 		timer := time.NewTimer(min(load.clients.gap(rate()), longestGap))
 		select {
 		case <-timer.C:
-			load.waiting.Go(func() {
-				answer := load.sender.send(requests, load.clients.next(load.Hot, load.HangUps))
-				load.record.Change(func(history *histories.History) {
-					history.Answers = append(history.Answers, answer)
-				})
-			})
+			load.serve(requests, load.clients.next(behavior{load.Hot, load.HangUps, load.Resends}))
 		case <-running.Done():
 			timer.Stop()
 		}
 	}
 	load.waiting.Wait()
 }
+
+// serve begins the sendings of a client, each at its time.
+func (load *Load) serve(ctx context.Context, client drawnClient) {
+	client.request.Term = load.sender.terms.of(client.zone)
+	load.waiting.Go(func() { load.send(ctx, client) })
+	for index, resend := range client.resends {
+		again := client.again(index+2, resend)
+		load.waiting.Go(func() {
+			time.Sleep(resend.after)
+			load.send(ctx, again)
+		})
+	}
+}
+
+// send sends a client's request once and records the answer.
+func (load *Load) send(ctx context.Context, client drawnClient) {
+	answer := load.sender.send(ctx, client)
+	load.record.Change(func(history *histories.History) { history.Answers = append(history.Answers, answer) })
+}
--- a/verify/loadtest/load_test.go
+++ b/verify/loadtest/load_test.go
@@ -18,7 +18,7 @@
 func TestASeedFixesTheClients(t *testing.T) {
 	left, right := newClientSource(Guild, []string{"a", "b"}, 4), newClientSource(Guild, []string{"a", "b"}, 4)
 	for number := range 100 {
-		first, second := left.next(0.2, 0.3), right.next(0.2, 0.3)
+		first, second := left.next(behavior{hot: 0.2, hangUps: 0.3}), right.next(behavior{hot: 0.2, hangUps: 0.3})
 		if !reflect.DeepEqual(first, second) || left.gap(10) != right.gap(10) {
 			t.Fatalf("client %d: %+v and %+v", number, first, second)
 		}
--- a/verify/loadtest/sender.go
+++ b/verify/loadtest/sender.go
@@ -34,6 +34,8 @@
 	// pick returns the address of a daemon for a client of a zone, "" where there is none.
 	pick func(zone string) string
 	http *http.Client
+	// terms are the newest that answers have named.
+	terms *terms
 }
 
 func newSender(model string, pick func(zone string) string) *sender {
@@ -42,13 +44,15 @@
 		IdleConnTimeout:     idleTimeout,
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
-	return &sender{model: model, pick: pick, http: &http.Client{Transport: transport, Timeout: responseTimeout}}
+	return &sender{model: model, pick: pick, http: &http.Client{Transport: transport, Timeout: responseTimeout},
+		terms: newTerms()}
 }
 
 // send sends a client's request and returns what became of it. A client whose connection was never made may go to
 // another daemon: nothing of its request was read.
 func (sender *sender) send(ctx context.Context, client drawnClient) *histories.Answer {
 	record := client.request.NewAnswer(client.zone, time.Now())
+	record.Resent = client.request.Attempt > 1
 	staying, leave := context.WithCancel(ctx)
 	defer leave()
 	if client.hangsUpAfter > 0 {
@@ -92,6 +96,7 @@
 	record.Status = response.StatusCode
 	record.RetryAfter = response.Header.Get("Retry-After") != ""
 	record.Head = response.Header.Get(admission.HeaderRunner)
+	sender.terms.learn(record.Zone, response.Header.Get(admission.HeaderTerm))
 	if response.StatusCode == http.StatusOK {
 		readEvents(response.Body, record)
 		return true
