turned-away: daemons that are left with a minority of control machines must stop

Cause: guild with two faults at once (a control machine replaced, the head killed): one of three control machines runs, every daemon's lease ends, and the checker called the refusal `not_serving` a mistake. docs/architecture.md has it as the design: those that are not reached may be a majority that goes on elsewhere.

--- a/verify/histories/records.go
+++ b/verify/histories/records.go
@@ -71,6 +71,8 @@
 	Cancels bool
 	// Resent means that the same request had been sent before, Undeclared that its client did not say whether it had.
 	Resent, Undeclared bool
+	// MinorityLeft means that of the control machines some ran, but not most, when the answer came.
+	MinorityLeft bool
 	// Attempt is the number of the sending, as its client states it; 0: it states none.
 	Attempt int
 	// Resumable means that its stream may go on at another runner; Head is the runner that its head names.
