Own interface: responses that name another request are passed over

Responses of the product's own runners carried no id, so that a late one to another request was taken for the one that was due, as a rejection or as a stream.

One with another request's id is passed over, one with two ids is ambiguous, one without is taken by its order as before; a probe's answer that names a request is not believed. The emulated and the simulated runners carry it back.

--- a/proxy/codec/native.go
+++ b/proxy/codec/native.go
@@ -154,8 +154,16 @@
 	Started *bool `json:"started"`
 }
 
-// Classify takes only a runner's own statement that it did not start the run as a rejection.
-func (Native) Classify(response *fasthttp.Response, _ *admission.Request, _ Attempt) ResponseHead {
+// Classify takes only a runner's own statement that it did not start the run as a rejection. A response that carries
+// the id of another request back is that one's, come late; one that carries none is taken by its order.
+func (Native) Classify(response *fasthttp.Response, request *admission.Request, _ Attempt) ResponseHead {
+	switch Attribute(response.Header.PeekAll(admission.HeaderRequest), request.ID) {
+	case Foreign:
+		return ResponseHead{Disposition: Stray}
+	case Mixed:
+		return ResponseHead{Disposition: Unclear}
+	case Unnamed, Own:
+	}
 	if response.StatusCode() == fasthttp.StatusOK {
 		return ResponseHead{Disposition: Streams}
 	}
@@ -187,5 +195,7 @@
 	return report, apierror.Wrap(json.Unmarshal(content, &report), apierror.Unreachable, "its pressure is no JSON")
 }
 
-// AnswersRequest is always false: responses do not name their request.
-func (Native) AnswersRequest(*fasthttp.Response) bool { return false }
+// AnswersRequest reports whether a response to a probe names a request, which the answer to a probe does not.
+func (Native) AnswersRequest(response *fasthttp.Response) bool {
+	return len(response.Header.Peek(admission.HeaderRequest)) > 0
+}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -70,6 +72,20 @@
 	}
 }
 
+// A late response to another request is passed over where it says so, and the one that is due is taken.
+func TestLateResponseToAnotherRequestIsPassedOver(t *testing.T) {
+	const late = `{"started":false}`
+	runner := startRunner(t, "r1", func(connection net.Conn, _ *http.Request) {
+		send(connection, "HTTP/1.1 503 x\r\n%s: another\r\n", admission.HeaderRequest)
+		send(connection, "Content-Length: %d\r\n\r\n%s", len(late), late)
+		events(2, done(2), true)(connection, nil)
+	})
+	daemon := newDaemon(t, runner)
+	if status, body := daemon.post(t, "once"); status != 200 || strings.Count(body, "event: token") != 2 {
+		t.Errorf("%d %s", status, body)
+	}
+}
+
 // After all runners were replaced, more wrong ones answer than a request has attempts: it waits for the new list.
 func TestStaleListingCostsNoAttempt(t *testing.T) {
 	runners := make([]*scriptedRunner, 0, maximumAttempts+2)
--- a/verify/emulator/handler.go
+++ b/verify/emulator/handler.go
@@ -69,6 +69,7 @@
 }
 
 func (runner *Runner) handleRun(request *fasthttp.RequestCtx) {
+	request.Response.Header.SetBytesV(admission.HeaderRequest, request.Request.Header.Peek(admission.HeaderRequest))
 	concurrent, number, admitted := runner.workload.admit(runner.profile.admissible())
 	run := runner.recordRun(request, concurrent, admitted)
 	if !admitted {
--- a/verify/simulation/event_stream.go
+++ b/verify/simulation/event_stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"wardtray/proxy/admission"
 	"wardtray/verify/histories"
 )
 
@@ -15,8 +16,10 @@
 	tokensPerEvent = 24
 	// garbledEvent is the number of the event that a garbling runner tells wrongly.
 	garbledEvent = 3
-	streamHead   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	streamEnd    = "0\r\n\r\n"
+	// streamHead has the name of the header with the request's id, and that id.
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+		"Transfer-Encoding: chunked\r\n%s: %s\r\n\r\n"
+	streamEnd = "0\r\n\r\n"
 )
 
 // eventStream is the answer of one run, from behind the event that its client has already.
@@ -42,7 +45,7 @@
 
 // send tells the events one after the other; it reports whether the connection can be used again.
 func (stream *eventStream) send() bool {
-	if _, err := io.WriteString(stream.connection, streamHead); err != nil {
+	if _, err := fmt.Fprintf(stream.connection, streamHead, admission.HeaderRequest, stream.run.Request); err != nil {
 		return false
 	}
 	for number := stream.run.After + 1; number <= stream.events; number++ {
