--- a/proxy/departure_test.go
+++ b/proxy/departure_test.go
@@ -441,3 +441,25 @@
 	}
 	daemon.wantNothingInFlight(t)
 }
+
+// A client that closes or resets while it waits for a complete response is noticed at once, whatever of the response
+// has come from the runner by then; nothing is written to it that could show that it has left.
+func TestClientLeavesWhileItWaitsForACompleteResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 4\r\n\r\n"
+	departures := map[string]func(*net.TCPConn){
+		"closes": func(client *net.TCPConn) { closeQuietly(client) },
+		"resets": abort,
+	}
+	for sent, first := range map[string]string{"nothing": "", "the head": head, "part of the body": head + "{}"} {
+		for name, leave := range departures {
+			held := newHeldWork()
+			daemon := newDaemon(t, startRunner(t, "r1", held.answer(first, hangsUp)))
+			daemon.Codec = plainCodec{daemon.Codec}
+			client := daemon.dial(t, "free", daemon.nextID())
+			wantSoon(t, "the run", held.started)
+			leave(client)
+			wantSoon(t, fmt.Sprintf("the end of a run whose client %s, with %s sent", name, sent), held.cut)
+			daemon.wantNothingInFlight(t)
+		}
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -325,9 +325,9 @@
 	return nil
 }
 
-// waitsForListing reports whether the attempt found that the list of runners is behind. It costs the request no attempt
-// then: the runner is ejected, and where all are, the request waits for a newer list. Where nothing ejects runners, every
-// attempt counts, so that their number stays bounded.
+// waitsForListing reports whether the attempt found that the list of runners is behind. It costs the request no
+// attempt then: the runner is ejected, and where all are, the request waits for a newer list. Where nothing ejects
+// runners, every attempt counts, so that their number stays bounded.
 func (exchange *Exchange) waitsForListing() bool {
 	return exchange.attempt.listingIsStale && !exchange.handler.Disabled[features.Ejection]
 }
