--- a/control/node/catchup_test.go
+++ b/control/node/catchup_test.go
@@ -172,6 +172,30 @@
 	}
 }
 
+// A large configuration is held five times at most: in the slot in use and in the one that is being written, each time
+// with the change that is pending, and in the log.
+func TestDiskHoldsFiveLargeConfigurationsAtMost(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 5)
+	operator := &testOperator{fleet: fleet, name: "o", routes: 20000}
+	restarted := fleet.members[1]
+	for incarnation := range uint64(max(1, 2/slowness)) {
+		fleet.until("changes", time.Minute, func() bool { operator.tick(); return operator.number >= 4*(incarnation+1) })
+		fleet.kill(restarted)
+		fleet.start(restarted)
+		fleet.until("its return", 20*time.Second,
+			func() bool { return len(restarted.node.Chain().Pending()) == 0 && restarted.node.Chain().IsMember() })
+	}
+	size := int64(len(fleet.members[0].node.Chain().Committed().Spec))
+	for _, member := range fleet.members {
+		t.Logf("%s held %d bytes at most, %.2f times the configuration", member.address, member.disk.greatest,
+			float64(member.disk.greatest)/float64(size))
+		if int64(member.disk.greatest) > 5*size+size/100 {
+			t.Errorf("%s held %d bytes, of a configuration of %d", member.address, member.disk.greatest, size)
+		}
+	}
+}
+
 // All lose their power just after a member has joined the chain, before it was sent what was committed since it
 // learned the document; it comes back first, with an acceptor outside the chain. It must not lead with its old state.
 func TestJoinerDoesNotLeadAlone(t *testing.T) {
