--- /dev/null
+++ b/coordination/reservation/vote.go
@@ -0,0 +1,140 @@
+package reservation
+
+import (
+	"slices"
+	"time"
+
+	"wardtray/wire"
+)
+
+// zoneVote is what the replicas of a zone's group have answered in the present epoch.
+type zoneVote struct {
+	zone      *Zone
+	group     []Identity
+	answers   map[string]wire.ReservationOutcome
+	lastAsked time.Time
+}
+
+// request returns what the replicas of a zone are asked.
+func (reservation *Reservation) request(zone *Zone) *wire.ReservationRequest {
+	return &wire.ReservationRequest{Epoch: zone.Epoch, Key: reservation.key[:], Token: reservation.token,
+		Number: reservation.sending.number()}
+}
+
+// ask sends the request to the replicas of a group that have not granted it.
+func (coordinator *Coordinator) ask(now time.Time, reservation *Reservation, vote *zoneVote) {
+	request := reservation.request(vote.zone)
+	for _, replica := range vote.group {
+		if vote.answers[replica.Address] == wire.ReservationOutcome_RESERVATION_GRANTED {
+			continue
+		}
+		reservation.contacted[replica.Address] = true
+		if replica == coordinator.self {
+			reservation.record(vote, replica.Address, coordinator.local.Reserve(now, request))
+			continue
+		}
+		coordinator.outbox.Send(replica.Address,
+			&wire.Envelope{Body: &wire.Envelope_ReservationRequest{ReservationRequest: request}})
+	}
+}
+
+// HandleResponse handles a replica's answer.
+func (coordinator *Coordinator) HandleResponse(now time.Time, from string, response *wire.ReservationResponse) {
+	reservation := coordinator.pending[response.Token]
+	if reservation == nil {
+		return
+	}
+	for _, vote := range coordinator.asked(reservation) {
+		isMember := slices.ContainsFunc(vote.group, func(replica Identity) bool { return replica.Address == from })
+		if !isMember {
+			continue
+		}
+		if response.Epoch > vote.zone.Epoch {
+			coordinator.environment.RequestMembership(now, from)
+		}
+		if response.Epoch != vote.zone.Epoch || vote.answers[from] == wire.ReservationOutcome_RESERVATION_GRANTED {
+			continue
+		}
+		reservation.record(vote, from, response)
+	}
+	coordinator.evaluate(now, reservation)
+}
+
+// record notes a replica's answer.
+func (reservation *Reservation) record(vote *zoneVote, replica string, response *wire.ReservationResponse) {
+	vote.answers[replica] = response.Outcome
+	if response.Outcome == wire.ReservationOutcome_RESERVATION_FULL {
+		reservation.roomAfter = time.Duration(response.RoomMilliseconds) * time.Millisecond
+	}
+}
+
+// count returns how many replicas gave an answer.
+func (vote *zoneVote) count(outcome wire.ReservationOutcome) int {
+	count := 0
+	for _, answer := range vote.answers {
+		if answer == outcome {
+			count++
+		}
+	}
+	return count
+}
+
+// isGranted reports whether a majority of the group has granted the reservation.
+func (vote *zoneVote) isGranted() bool {
+	return vote.count(wire.ReservationOutcome_RESERVATION_GRANTED) >= Majority(len(vote.group))
+}
+
+// canGrant reports whether a majority of the group has room.
+func (vote *zoneVote) canGrant() bool {
+	return len(vote.group)-vote.count(wire.ReservationOutcome_RESERVATION_FULL) >= Majority(len(vote.group))
+}
+
+// evaluate decides a reservation by the answers so far, if they say enough.
+func (coordinator *Coordinator) evaluate(now time.Time, reservation *Reservation) {
+	granted := 0
+	asked := coordinator.asked(reservation)
+	for _, vote := range asked {
+		if vote.count(wire.ReservationOutcome_RESERVATION_TAKEN) > 0 {
+			coordinator.decide(now, reservation, Taken)
+			return
+		}
+		if !vote.canGrant() {
+			coordinator.decide(now, reservation, Full)
+			return
+		}
+		if vote.isGranted() {
+			granted++
+		}
+	}
+	if granted == len(asked) {
+		if reservation.sending.IsFirst() && asked[0].zone.Name != coordinator.zone {
+			coordinator.counters.OtherZone++
+		}
+		coordinator.decide(now, reservation, Granted)
+	}
+}
+
+// decide ends a reservation. One that is not granted is given up, so that it takes nobody's place.
+func (coordinator *Coordinator) decide(now time.Time, reservation *Reservation, outcome Outcome) {
+	delete(coordinator.pending, reservation.token)
+	reservation.outcome = outcome
+	coordinator.count(outcome)
+	if outcome == Granted {
+		reservation.isRenewed, reservation.renewedAt = true, now
+		coordinator.renewals = append(coordinator.renewals, reservation)
+		coordinator.renewing++
+	} else {
+		coordinator.release(now, reservation)
+	}
+	close(reservation.done)
+}
+
+// count counts a decision.
+func (coordinator *Coordinator) count(outcome Outcome) {
+	counters := map[Outcome]*uint64{Granted: &coordinator.counters.Granted, Taken: &coordinator.counters.Taken,
+		InDoubt: &coordinator.counters.InDoubt, Unreachable: &coordinator.counters.Unreachable,
+		Full: &coordinator.counters.Full}
+	if counter := counters[outcome]; counter != nil {
+		*counter++
+	}
+}
