docs/CAPACITY.md: what requests that run at most once need at the size of two years

Cause: the page had no line for reservations and the tables of daemons.

Change: two rows of bounds, compared with the constants by TestCapacityPage, and the reckoning for 72,000 requests a second. Computed from constants, not measured: 225,000 of 262,144 reservations a replica with 48 replicas in each of 15 zones; 12,343 of 131,072 entries a daemon.

--- a/cmd/wtverify/capacity_test.go
+++ b/cmd/wtverify/capacity_test.go
@@ -12,6 +12,8 @@
 	"wardtray/coordination/chain"
 	"wardtray/coordination/gossip"
 	"wardtray/coordination/registry"
+	"wardtray/coordination/reservation"
+	"wardtray/proxy/dedup"
 )
 
 // TestCapacityPageNamesTheBounds compares the column "has" of the capacity page's bounds with the constants.
@@ -26,6 +28,8 @@
 		"prefixes in an index, keys":                                                kvblock.DefaultKeys,
 		"operations whose outcome is remembered for a day, operations":              chain.MaximumOutcomes,
 		"entries of a gossip store, entries":                                        gossip.MaximumEntries,
+		"reservations that a replica holds, reservations":                           reservation.Limit,
+		"requests that run at most once remembered by their daemon, requests":       dedup.Capacity,
 		"requests queued at a daemon for one backend, one second's worth, requests": scheduler.QueueLength,
 	}
 	for figure, bound := range bounds {
--- a/proxy/dedup/table.go
+++ b/proxy/dedup/table.go
@@ -36,6 +36,8 @@
 	// Limit bounds the entries of one shard. What is more is refused; nothing is forgotten for it.
 	Limit      = 16384
 	shardCount = 8
+	// Capacity is how many entries a table has room for, where they are spread evenly.
+	Capacity = Limit * shardCount
 )
 
 // Key identifies a request: a truncated SHA-256 hash of its route and id.
