Loss of power: the model lets a rename leave neither name

Change: the fourth outcome. The store already answers it: a slot without its log is known to be lost and set aside. The test allows that answer in just these outcomes, until the state has been read back once; any other content is refused as before.

--- a/coordination/snapshot/powerloss_test.go
+++ b/coordination/snapshot/powerloss_test.go
@@ -44,6 +44,10 @@
 	if !started && (apierror.Is(err, apierror.DataLost) || recovered.Blank) {
 		return nil
 	}
+	// What a rename lost under both names is known to be lost: the machine is a new one then.
+	if system.lostBoth && apierror.Is(err, apierror.DataLost) {
+		return nil
+	}
 	if err != nil || recovered.Blank || !strings.HasPrefix(string(recovered.Snapshot), "m") {
 		t.Fatalf("%v: blank %v, %v; synced %q", where, recovered.Blank, err, progress.synced)
 	}
@@ -51,6 +55,7 @@
 	if !strings.HasPrefix(text, progress.synced) || !strings.HasPrefix(progress.requested, text) {
 		t.Fatalf("%v: synced %q, asked %q, got back %q", where, progress.synced, progress.requested, text)
 	}
+	system.lostBoth = false
 	// What was read back is relied on, so from now on it must stay.
 	progress.synced, progress.requested = text, text
 	return store
--- a/coordination/snapshot/powersystem_test.go
+++ b/coordination/snapshot/powersystem_test.go
@@ -22,6 +22,8 @@
 	// at all.
 	stepsLeft int
 	random    *rand.Rand
+	// lostBoth means that a loss of power has left neither name of a rename.
+	lostBoth bool
 }
 
 // powerFile is a file apart from its names.
@@ -160,20 +162,34 @@
 func (opened *openFile) Close() error { return nil }
 
 // outcomes is the number of outcomes of a name change over a loss of power: lost, kept, and for a rename both names at
-// once.
-const outcomes = 3
+// once, or neither. Neither is what a file system without a journal may leave.
+const outcomes = 4
+
+// The outcomes in which a change is lost, in which it is kept, and in which a rename leaves neither name.
+const (
+	changeLost  = 0
+	changeKept  = 1
+	neitherName = 3
+)
 
 // afterPowerLoss returns the file system as a loss of power leaves it. chosen holds one outcome for each change, as
 // digits.
 func (system *powerSystem) afterPowerLoss(chosen int) *powerSystem {
-	names := maps.Clone(system.durable)
+	names, lostBoth := maps.Clone(system.durable), false
 	for _, change := range system.changes {
 		outcome := chosen % outcomes
 		chosen /= outcomes
-		if outcome == 0 {
+		isRename := change.from != "" && change.to != ""
+		if outcome == changeLost || outcome == neitherName && !isRename {
+			continue
+		}
+		if outcome == neitherName {
+			delete(names, change.from)
+			delete(names, change.to)
+			lostBoth = true
 			continue
 		}
-		if change.from != "" && outcome == 1 {
+		if change.from != "" && outcome == changeKept {
 			delete(names, change.from)
 		}
 		if change.to != "" {
@@ -181,6 +197,7 @@
 		}
 	}
 	after, copies := newPowerSystem(system.random), map[*powerFile]*powerFile{}
+	after.lostBoth = system.lostBoth || lostBoth
 	// In a fixed order, so that a seeded run repeats.
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		file := names[name]
@@ -222,6 +239,7 @@
 // clone returns a copy on which another incarnation may go on.
 func (system *powerSystem) clone() *powerSystem {
 	clone, copies := newPowerSystem(system.random), map[*powerFile]*powerFile{}
+	clone.lostBoth = system.lostBoth
 	copied := func(file *powerFile) *powerFile {
 		if file == nil {
 			return nil
