chain: a learner requests no document while one is on its way to its disk

A machine outside the chain asked the tail every 0.3 s, and was sent the complete document, up to 16 MB, each time, though it takes none while one of this view is being written.

Change: it doesn't ask then. What it takes, and when, is as before: a response that came meanwhile was dropped. What is left: each newer document is sent whole.

Measured: TestLearnerRequestsNothingThatItWouldDrop: three documents sent in vain before, none after; the tests of coordination/chain, and those of control/node for members that catch up, are green.

--- a/coordination/chain/learning.go
+++ b/coordination/chain/learning.go
@@ -7,8 +7,12 @@
 )
 
 // RequestDocument requests the committed document of the tail at an address. A member outside the chain
-// calls it again and again, so that it stays close to the chain that it may join.
+// calls it again and again, so that it stays close to the chain that it may join. While a document of this view is on its
+// way to the disk another one would not be taken, so that none is requested.
 func (chain *Chain) RequestDocument(tail string) {
+	if chain.learningView == chain.view.Epoch {
+		return
+	}
 	known := uint64(0)
 	// What was stored before this view may hold changes that were never committed, so it does not count.
 	if chain.learnedView == chain.view.Epoch {
--- a/coordination/chain/learning_test.go
+++ b/coordination/chain/learning_test.go
@@ -34,6 +34,57 @@
 	}
 }
 
+// While a document is on its way to the disk of a member outside the chain, the tail sends no other one in vain: each is
+// as long as the whole configuration.
+func TestLearnerRequestsNothingThatItWouldDrop(t *testing.T) {
+	cluster := newCluster("a")
+	cluster.add("b")
+	cluster.adopt(2, "a")
+	cluster.deliver()
+	learner := cluster.chains["b"]
+	documents := func() int {
+		learner.RequestDocument("a")
+		cluster.gather()
+		sent := 0
+		for len(cluster.messages) > 0 {
+			message := cluster.messages[0]
+			cluster.messages = cluster.messages[1:]
+			if message.envelope.GetLearnResponse() != nil {
+				sent++
+			}
+			cluster.handle(message)
+			cluster.gather()
+		}
+		return sent
+	}
+	enterAndSync(t, cluster, 1)
+	if sent := documents(); sent != 1 {
+		t.Fatalf("%d documents at first", sent)
+	}
+	for number := 2; number <= 4; number++ {
+		enterAndSync(t, cluster, number)
+		if sent := documents(); sent != 0 {
+			t.Errorf("%d documents while the first is written", sent)
+		}
+	}
+	cluster.sync("b")
+	if sent := documents(); sent != 1 {
+		t.Errorf("%d documents once it is written", sent)
+	}
+	cluster.sync("b")
+	if sent := documents(); sent != 0 || learner.Committed().SpecEpoch != 4 {
+		t.Errorf("%d documents, committed %d, in the end", sent, learner.Committed().SpecEpoch)
+	}
+	// Another view wants another document, whatever becomes of the one on its way.
+	enterAndSync(t, cluster, 5)
+	documents()
+	cluster.adopt(3, "a")
+	cluster.deliver()
+	if sent := documents(); sent != 1 {
+		t.Errorf("%d documents in another view", sent)
+	}
+}
+
 // A member that learned the document outside the chain says, also on its disk, that it may lack something, until its
 // predecessor in the chain has seen it to have all and the disk holds that.
 func TestLearnerIsIncompleteUntilAligned(t *testing.T) {
