Simulator: a machine that joins is connected as the others are

The daemon was deaf, which cut the links from every machine there was. A control machine then replaced another under a new address, to which no cut applied, so that the daemon counted as back in contact, with one machine of which it had never heard, and was to know within a second what it had missed. The users' rule binds machines with a path to every running machine of the majority.

Change: a host that hears nobody, or is heard by nobody, hears or reaches a machine that joins as little (topology.join); other cuts are none of the joiner's business.

--- a/verify/simulation/fault_injector.go
+++ b/verify/simulation/fault_injector.go
@@ -129,6 +129,7 @@
 	injector.replacements++
 	host := injector.world.AddCore(fmt.Sprintf("%s+%d", old.Address, injector.replacements), old.Zone)
 	host.core.hasStarted = true
+	injector.world.topology.join(host, injector.world.Hosts)
 	injector.shuffleSeeds()
 	return host
 }
--- a/verify/simulation/topology.go
+++ b/verify/simulation/topology.go
@@ -82,6 +82,30 @@
 	}
 }
 
+// join connects a host that is new as the others are: one that hears nobody, or is heard by nobody, is not reached by the
+// new one, or doesn't reach it, either.
+func (topology *topology) join(joiner *Host, others []*Host) {
+	present := without(others, joiner)
+	for _, host := range present {
+		if topology.allCut(without(present, host), func(other *Host) bool { return topology.isCut(other, host) }) {
+			topology.Cut(joiner, host)
+		}
+		if topology.allCut(without(present, host), func(other *Host) bool { return topology.isCut(host, other) }) {
+			topology.Cut(host, joiner)
+		}
+	}
+}
+
+// allCut reports whether there are hosts, and a link is cut to each.
+func (topology *topology) allCut(hosts []*Host, isCut func(host *Host) bool) bool {
+	for _, host := range hosts {
+		if !host.removed && !isCut(host) {
+			return false
+		}
+	}
+	return len(hosts) > 0
+}
+
 // takeChange reports whether the topology has changed since it was last asked.
 func (topology *topology) takeChange() bool {
 	changed := topology.dirty
--- a/verify/simulation/topology_test.go
+++ b/verify/simulation/topology_test.go
@@ -58,3 +58,33 @@
 		t.Error("a change was not taken exactly once")
 	}
 }
+
+// A machine that joins hears a mute host as little as the others do, and a deaf one hears it as little; a link that is
+// cut between two hosts is none of its business.
+func TestJoinerIsConnectedAsTheOthersAre(t *testing.T) {
+	topology, hosts := newTopology(), []*Host{}
+	for _, name := range []string{"deaf", "mute", "one", "other", "joiner"} {
+		hosts = append(hosts, &Host{Address: name})
+	}
+	deaf, mute, one, other, joiner := hosts[0], hosts[1], hosts[2], hosts[3], hosts[4]
+	topology.cutOneWay(deaf, hosts[:4], false)
+	topology.cutOneWay(mute, hosts[:4], true)
+	topology.Cut(one, other)
+	topology.join(joiner, hosts)
+	for name, test := range map[string]struct {
+		from, to *Host
+		cut      bool
+	}{
+		"to the deaf one":   {joiner, deaf, true},
+		"from the deaf one": {deaf, joiner, false},
+		"to the mute one":   {joiner, mute, false},
+		"from the mute one": {mute, joiner, true},
+		"to one":            {joiner, one, false},
+		"from one":          {one, joiner, false},
+		"from the other":    {other, joiner, false},
+	} {
+		if cut := topology.isCut(test.from, test.to); cut != test.cut {
+			t.Errorf("%s: cut %t", name, cut)
+		}
+	}
+}
