--- a/coordination/chain/learning.go
+++ b/coordination/chain/learning.go
@@ -6,9 +6,9 @@
 	"wardtray/wire"
 )
 
-// RequestDocument requests the committed document of the tail at an address. A member outside the chain
-// calls it again and again, so that it stays close to the chain that it may join. While a document of this view is on its
-// way to the disk another one would not be taken, so that none is requested.
+// RequestDocument requests the committed document of the tail at an address. A member outside the chain calls it
+// again and again, so that it stays close to the chain that it may join. While a document of this view is on its way
+// to the disk another one would not be taken, so that none is requested.
 func (chain *Chain) RequestDocument(tail string) {
 	if chain.learningView == chain.view.Epoch {
 		return
--- a/coordination/chain/learning_test.go
+++ b/coordination/chain/learning_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// While a document is on its way to the disk of a member outside the chain, the tail sends no other one in vain: each is
-// as long as the whole configuration.
+// While a document is on its way to the disk of a member outside the chain, the tail sends no other one in vain: each
+// is as long as the whole configuration.
 func TestLearnerRequestsNothingThatItWouldDrop(t *testing.T) {
 	cluster := newCluster("a")
 	cluster.add("b")
--- a/verify/simulation/topology.go
+++ b/verify/simulation/topology.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// join connects a host that is new as the others are: one that hears nobody, or is heard by nobody, is not reached by the
-// new one, or doesn't reach it, either.
+// join connects a host that is new as the others are: one that hears nobody, or is heard by nobody, is not reached by
+// the new one, or doesn't reach it, either.
 func (topology *topology) join(joiner *Host, others []*Host) {
 	present := without(others, joiner)
 	for _, host := range present {
--- a/verify/simulation/topology_test.go
+++ b/verify/simulation/topology_test.go
@@ -62,11 +62,9 @@
 // A machine that joins hears a mute host as little as the others do, and a deaf one hears it as little; a link that is
 // cut between two hosts is none of its business.
 func TestJoinerIsConnectedAsTheOthersAre(t *testing.T) {
-	topology, hosts := newTopology(), []*Host{}
-	for _, name := range []string{"deaf", "mute", "one", "other", "joiner"} {
-		hosts = append(hosts, &Host{Address: name})
-	}
-	deaf, mute, one, other, joiner := hosts[0], hosts[1], hosts[2], hosts[3], hosts[4]
+	deaf, mute, one, other, joiner := &Host{Address: "deaf"}, &Host{Address: "mute"}, &Host{Address: "one"},
+		&Host{Address: "other"}, &Host{Address: "joiner"}
+	topology, hosts := newTopology(), []*Host{deaf, mute, one, other, joiner}
 	topology.cutOneWay(deaf, hosts[:4], false)
 	topology.cutOneWay(mute, hosts[:4], true)
 	topology.Cut(one, other)
