--- a/cmd/wtverify/fleet.go
+++ b/cmd/wtverify/fleet.go
@@ -30,6 +30,7 @@
 		StringVar(&options.Folder)
 	command.Flag("keep", "Keep the temporary folder.").BoolVar(&options.Keep)
 	command.Flag("binaries", "Where wtdata and wtcore are; beside wtverify if empty.").StringVar(&options.Binaries)
+	record := command.Flag("record", "Write each scenario's history into this folder, as histories reads it.").String()
 	known[command.FullCommand()] = func() error {
 		chosen := []string{*scenario}
 		if *scenario == "all" {
@@ -39,12 +40,14 @@
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
 		context.AfterFunc(ctx, stop)
-		return proveFleet(ctx, *deployment, chosen, options)
+		return proveFleet(ctx, *deployment, chosen, options, *record)
 	}
 }
 
-// proveFleet runs scenarios one after the other.
-func proveFleet(ctx context.Context, deployment string, scenarios []string, options fleet.Options) error {
+// proveFleet runs scenarios one after the other, and records their histories where a folder is given.
+func proveFleet(
+	ctx context.Context, deployment string, scenarios []string, options fleet.Options, record string,
+) error {
 	if options.Binaries == "" {
 		self, err := os.Executable()
 		if err != nil {
@@ -55,6 +58,9 @@
 	clean := true
 	for _, name := range scenarios {
 		fmt.Printf("--- %s, %s, seed %d\n", deployment, name, options.Seed)
+		if record != "" {
+			options.RecordFile = filepath.Join(record, name+".json")
+		}
 		held, err := fleet.Prove(ctx, fleet.Deployments[deployment], fleet.Scenarios[name], options)
 		if err != nil {
 			return err
--- a/cmd/wtverify/histories.go
+++ b/cmd/wtverify/histories.go
@@ -24,7 +24,7 @@
 // registerHistories adds the command that judges a recorded history.
 func registerHistories(application *kingpin.Application, known commands) {
 	command := application.Command("histories",
-		"Look for an order of a single machine that explains what the callers of a fleet saw, as path --record writes it.")
+		"Look for an order of a single machine that explains what the callers of a fleet saw, as path and fleet record it.")
 	file := command.Arg("file", "The recorded history, as JSON.").Required().String()
 	timeout := command.Flag("timeout", "For how long to look, for the configuration and for the requests.").
 		Default("1m").Duration()
@@ -72,11 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if err := write(target); err != nil {
-		_ = target.Close()
-		return err
-	}
-	return target.Close()
+	return errors.Join(write(target), target.Close())
 }
 
 // recorder writes the histories of simulated runs into a folder; none where its name is empty. It is safe for
@@ -93,7 +89,7 @@
 		return
 	}
 	name := fmt.Sprintf("%d.json", world.Seed)
-	err := writeFile(filepath.Join(recorder.folder, name), world.Recording().Write)
+	err := world.Recording().WriteFile(filepath.Join(recorder.folder, name))
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
 	recorder.err = errors.Join(recorder.err, err)
--- a/cmd/wtverify/histories_test.go
+++ b/cmd/wtverify/histories_test.go
@@ -25,7 +25,7 @@
 		{Span: span(3), Kind: linearizability.KindRead, Answer: linearizability.AnswerDone, Result: second},
 	}}
 	file := filepath.Join(t.TempDir(), "history.json")
-	if err := writeFile(file, recording.Write); err != nil {
+	if err := recording.WriteFile(file); err != nil {
 		t.Fatal(err)
 	}
 	return file
--- a/verify/fleet/prove.go
+++ b/verify/fleet/prove.go
@@ -43,6 +43,8 @@
 	Rate float64
 	// Output is where the report goes.
 	Output io.Writer
+	// RecordFile is where the history of operators and clients goes, as JSON. Default: nowhere.
+	RecordFile string
 	// Timeless judges only by the rules that a slow machine can't break.
 	Timeless bool
 }
@@ -76,7 +78,13 @@
 	if options.Timeless {
 		violations = histories.Timeless(violations)
 	}
-	judged := linearizability.Judge(fleet.Recording(), judgeTimeout)
+	recording := fleet.Recording()
+	if options.RecordFile != "" {
+		if err := recording.WriteFile(options.RecordFile); err != nil {
+			return false, err
+		}
+	}
+	judged := linearizability.Judge(recording, judgeTimeout)
 	violations = append(violations, violationsOf(judged)...)
 	report := newReport(fleet.History, fleet.Runners.CacheShare(), violations)
 	report.Judged = judged
--- a/verify/linearizability/recording.go
+++ b/verify/linearizability/recording.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
+	"os"
 	"time"
 )
 
@@ -98,6 +100,15 @@
 	return encoder.Encode(recording)
 }
 
+// WriteFile writes a recording into a file.
+func (recording Recording) WriteFile(path string) error {
+	file, err := os.Create(path) //nolint:gosec // The caller names the file.
+	if err != nil {
+		return err
+	}
+	return errors.Join(recording.Write(file), file.Close())
+}
+
 // Read reads a recording.
 func Read(source io.Reader) (Recording, error) {
 	recording := Recording{}
