--- a/control/node/catchup_test.go
+++ b/control/node/catchup_test.go
@@ -179,7 +179,8 @@
 	fleet := newTestFleet(t, 5)
 	operator := &testOperator{fleet: fleet, name: "o", routes: 20000}
 	restarted := fleet.members[1]
-	for incarnation := range uint64(max(1, 2/slowness)) {
+	var rounds uint64 = max(1, 2/slowness)
+	for incarnation := range rounds {
 		fleet.until("changes", time.Minute, func() bool { operator.tick(); return operator.number >= 4*(incarnation+1) })
 		fleet.kill(restarted)
 		fleet.start(restarted)
