turned-away: most control machines may run and not reach each other

The checker counted machines that run, and not whether they reach each other; and it did not excuse what daemons can't say of requests that are sent again then.

--- a/verify/histories/records.go
+++ b/verify/histories/records.go
@@ -71,7 +71,8 @@
 	Cancels bool
 	// Resent means that the same request had been sent before, Undeclared that its client did not say whether it had.
 	Resent, Undeclared bool
-	// MinorityLeft means that of the control machines some ran, but not most, when the answer came.
+	// MinorityLeft means that some control machines ran when the answer came, but not most, or that most could not reach
+	// each other, or that this had ended a moment before.
 	MinorityLeft bool
 	// Attempt is the number of the sending, as its client states it; 0: it states none.
 	Attempt int
--- a/verify/simulation/client.go
+++ b/verify/simulation/client.go
@@ -125,7 +125,7 @@
 	}
 	traffic, record := client.traffic, client.record
 	record.Got, record.ConnectionLost, record.RequestSent = traffic.world.Now, lost, client.read
-	record.MinorityLeft = traffic.world.isMinorityLeft()
+	record.MinorityLeft = traffic.world.isolations.isMinorityLeft()
 	traffic.History.Answers = append(traffic.History.Answers, record)
 	if !record.Done {
 		traffic.capacity.record()
--- a/verify/simulation/isolation.go
+++ b/verify/simulation/isolation.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"time"
 
 	"wardtray/verify/histories"
@@ -25,6 +26,9 @@
 type isolationTracker struct {
 	world  *World
 	states map[*Host]*isolation
+	// hasMinority says that some core machines run, but none reaches most of them; hadMinority is when that last ended.
+	hasMinority bool
+	hadMinority time.Time
 }
 
 func newIsolationTracker(world *World) *isolationTracker {
@@ -45,12 +49,42 @@
 	if !world.topology.takeChange() {
 		return
 	}
+	tracker.refreshMinority()
 	settled := tracker.quorumCores()
 	for _, host := range world.Datas() {
 		tracker.set(host, !tracker.reachesAny(host, settled))
 	}
 }
 
+// refreshMinority notes whether a majority of the core can agree on anything.
+func (tracker *isolationTracker) refreshMinority() {
+	running := slices.DeleteFunc(tracker.world.Cores(), func(host *Host) bool { return !host.up || host.frozen })
+	hasMinority := len(running) > 0 && !slices.ContainsFunc(running, func(host *Host) bool {
+		return tracker.reachesMost(host, running)
+	})
+	if tracker.hasMinority && !hasMinority {
+		tracker.hadMinority = tracker.world.Now
+	}
+	tracker.hasMinority = hasMinority
+}
+
+// reachesMost reports whether a core machine reaches, with itself, most of the core among those that run.
+func (tracker *isolationTracker) reachesMost(host *Host, running []*Host) bool {
+	reached := 0
+	for _, other := range running {
+		if other == host || tracker.world.topology.linked(host, other) {
+			reached++
+		}
+	}
+	return 2*reached > len(tracker.world.Cores())
+}
+
+// isMinorityLeft reports whether some core machines run, but can't agree on anything, or could not a moment ago.
+func (tracker *isolationTracker) isMinorityLeft() bool {
+	return tracker.hasMinority ||
+		!tracker.hadMinority.IsZero() && tracker.world.Now.Sub(tracker.hadMinority) <= reconnectBound
+}
+
 // quorumCores returns the running, unfrozen core machines that reach more than half of the core.
 func (tracker *isolationTracker) quorumCores() []*Host {
 	world := tracker.world
