Simulator: a fault of all runners touches those that come while it lasts

Connections were being reset; the runner had come after the fault began, under a new identity, and the fault was recorded for those that were there then.

--- a/verify/simulation/connection_faults.go
+++ b/verify/simulation/connection_faults.go
@@ -44,12 +44,13 @@
 
 // resetConnections resets about half of a daemon's connections, again and again.
 func resetConnections(world *World) func() {
-	end, going := world.injector.record(impact{knowable: perConnection}, world.Runners()...), true
+	touched, going := &touchedRunners{world: world, impact: impact{knowable: perConnection}}, true
 	var reset func()
 	reset = func() {
 		if !going {
 			return
 		}
+		touched.record()
 		host := world.pick(world.Datas())
 		for _, conn := range append([]*conn{}, host.conns...) {
 			if world.random.Intn(2) == 0 {
@@ -59,5 +60,33 @@
 		world.After(time.Duration(world.random.Int63n(int64(resetGap))), reset)
 	}
 	reset()
-	return both(end, func() { going = false })
+	return both(touched.end, func() { going = false })
+}
+
+// touchedRunners are the runners that a fault touches for as long as it lasts, those included that come meanwhile.
+type touchedRunners struct {
+	world  *World
+	impact impact
+	known  map[string]bool
+	ends   []func()
+}
+
+// record records the fault for the runners that are new.
+func (touched *touchedRunners) record() {
+	if touched.known == nil {
+		touched.known = map[string]bool{}
+	}
+	for _, host := range touched.world.Runners() {
+		if identity := host.runner.engine.id; !touched.known[identity] {
+			touched.known[identity] = true
+			touched.ends = append(touched.ends, touched.world.injector.record(touched.impact, host))
+		}
+	}
+}
+
+// end records the end of the fault.
+func (touched *touchedRunners) end() {
+	for _, end := range touched.ends {
+		end()
+	}
 }
