Simulator: operators after two returns at once share no operation id

All power was lost and back twice within 0.2 s, each time followed by an operator who sends changes until one is accepted. Both counted their operations from the same number, so that two different changes had one id. The fleet accepted the one and refused the other with 409 already_taken, as it should since an id stands for one change; the checker took both for one.

Change: operations after a return are counted from a number of its own.

--- a/verify/simulation/fault_injector.go
+++ b/verify/simulation/fault_injector.go
@@ -20,8 +20,23 @@
 // world's log, and for the checker of the request path where there is one.
 type faultInjector struct {
 	world *World
-	// replacements counts the core machines that were started at a new address.
-	replacements int
+	// replacements counts the core machines that were started at a new address, returns the times that all machines were
+	// back.
+	replacements, returns int
+}
+
+// The operations of whoever sends changes after a return of all machines are numbered from firstReturn on, for each
+// return so many.
+const (
+	firstReturn         = 700_000
+	operationsPerReturn = 1000
+)
+
+// nextReturn returns the number from which the operations after a return of all machines are counted. No two returns
+// share any, also where they come at once: one id stands for one change.
+func (injector *faultInjector) nextReturn() int {
+	injector.returns++
+	return firstReturn + operationsPerReturn*injector.returns
 }
 
 // log notes what is done, or undone, and when.
--- a/verify/simulation/connection_faults_test.go
+++ b/verify/simulation/injected_faults_test.go
@@ -37,3 +37,12 @@
 		}
 	}
 }
+
+// Two operators who send changes after two returns at once never name one operation.
+func TestReturnsShareNoOperation(t *testing.T) {
+	injector := &faultInjector{}
+	first, second := injector.nextReturn(), injector.nextReturn()
+	if second-first < operationsPerReturn || first < firstReturn {
+		t.Errorf("operations are counted from %d and from %d", first, second)
+	}
+}
--- a/verify/simulation/machine_faults.go
+++ b/verify/simulation/machine_faults.go
@@ -44,7 +44,7 @@
 		boot(world.Hosts)
 		if traffic := world.Traffic; traffic != nil {
 			traffic.History.Returns = append(traffic.History.Returns, histories.Return{At: world.Now})
-			operators := newOperators(world, 700_000+100*len(world.Check.Orders))
+			operators := newOperators(world, world.injector.nextReturn())
 			operators.retryChange(world.Now.Add(returnBound))
 		}
 	}
