What stood twice in the at-most-once work: one way to ask, one verdict's words

Change, behaviour as it was: Coordinator.request asks a replica for first requests and renewals, which also take their zones from the same function; one Membership is made of a document, not two, so that its groups are ranked once; a decision is counted by a switch, not by a map made each time, and so is each step of the history's model. Verdict.Flaws and WritePages serve the simulator, real processes and the command; endsBefore, isGranted and restartEach are called where their loops stood again; the simulator's two counts of control machines that reach most others are one; a status that is zero anyway is not set to zero.

--- a/cmd/wtverify/histories.go
+++ b/cmd/wtverify/histories.go
@@ -15,12 +15,6 @@
 	"wardtray/verify/simulation"
 )
 
-// The names of the pages that show a history.
-const (
-	configurationPage = "configuration.html"
-	executionsPage    = "requests.html"
-)
-
 // registerHistories adds the command that judges a recorded history.
 func registerHistories(application *kingpin.Application, known commands) {
 	command := application.Command("histories",
@@ -46,35 +40,13 @@
 	found := linearizability.Judge(recording, timeout)
 	printer{output}.println(found)
 	if pages != "" {
-		if err := draw(found, pages); err != nil {
+		if err := found.WritePages(pages); err != nil {
 			return err
 		}
 	}
 	return verdict(found.IsLinearizable())
 }
 
-// draw writes the pages of a verdict into a folder.
-func draw(found linearizability.Verdict, folder string) error {
-	for name, write := range map[string]func(io.Writer) error{
-		configurationPage: found.DrawConfiguration,
-		executionsPage:    found.DrawExecutions,
-	} {
-		if err := writeFile(filepath.Join(folder, name), write); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// writeFile has a file written.
-func writeFile(path string, write func(io.Writer) error) error {
-	target, err := os.Create(path) //nolint:gosec // The caller names the file.
-	if err != nil {
-		return err
-	}
-	return errors.Join(write(target), target.Close())
-}
-
 // recorder writes the histories of simulated runs into a folder; none where its name is empty. It is safe for
 // concurrent use.
 type recorder struct {
--- a/cmd/wtverify/histories_test.go
+++ b/cmd/wtverify/histories_test.go
@@ -38,7 +38,7 @@
 	if err := judgeFile(&output, writeHistory(t, 1, 1), time.Minute, pages); err != nil {
 		t.Errorf("%v: %s", err, &output)
 	}
-	for _, name := range []string{configurationPage, executionsPage} {
+	for _, name := range []string{linearizability.ConfigurationPage, linearizability.ExecutionsPage} {
 		if page, err := os.ReadFile(filepath.Join(pages, name)); err != nil || !bytes.Contains(page, []byte("<html")) {
 			t.Errorf("%s: %d bytes, %v", name, len(page), err)
 		}
@@ -48,7 +48,7 @@
 	if !errors.Is(err, errRulesBroken) || !strings.Contains(output.String(), "not linearizable: [configuration]") {
 		t.Errorf("a read that goes back: %v, %s", err, &output)
 	}
-	if err := judgeFile(&output, filepath.Join(pages, configurationPage), time.Minute, ""); err == nil {
+	if err := judgeFile(&output, filepath.Join(pages, linearizability.ConfigurationPage), time.Minute, ""); err == nil {
 		t.Error("judged what is no history")
 	}
 }
--- a/coordination/reservation/holding.go
+++ b/coordination/reservation/holding.go
@@ -135,24 +135,14 @@
 // sendRenewal asks the replicas that hold a reservation, or follow those that did, to hold it for longer. What they
 // answer changes nothing: the request runs already.
 func (coordinator *Coordinator) sendRenewal(now time.Time, reservation *Reservation) {
-	zones := reservation.zones
-	if reservation.sending.IsFirst() {
-		zones = zones[reservation.current : reservation.current+1]
-	}
-	for _, vote := range zones {
+	for _, vote := range coordinator.asked(reservation) {
 		zone := coordinator.membership.Zone(vote.zone.Name)
 		if zone == nil {
 			continue
 		}
 		request := reservation.request(zone)
 		for _, replica := range zone.Group(reservation.key.shard()) {
-			reservation.contacted[replica.Address] = true
-			if replica == coordinator.self {
-				coordinator.local.Reserve(now, request)
-				continue
-			}
-			coordinator.outbox.Send(replica.Address,
-				&wire.Envelope{Body: &wire.Envelope_ReservationRequest{ReservationRequest: request}})
+			coordinator.request(now, reservation, replica, request)
 		}
 	}
 }
--- a/coordination/reservation/vote.go
+++ b/coordination/reservation/vote.go
@@ -28,16 +28,24 @@
 		if vote.answers[replica.Address] == wire.ReservationOutcome_RESERVATION_GRANTED {
 			continue
 		}
-		reservation.contacted[replica.Address] = true
-		if replica == coordinator.self {
-			reservation.record(vote, replica.Address, coordinator.local.Reserve(now, request))
-			continue
+		if answer := coordinator.request(now, reservation, replica, request); answer != nil {
+			reservation.record(vote, replica.Address, answer)
 		}
-		coordinator.outbox.Send(replica.Address,
-			&wire.Envelope{Body: &wire.Envelope_ReservationRequest{ReservationRequest: request}})
 	}
 }
 
+// request sends a request to a replica. It returns the answer where the replica is this process'; nil: it is to come.
+func (coordinator *Coordinator) request(now time.Time, reservation *Reservation, replica Identity,
+	request *wire.ReservationRequest) *wire.ReservationResponse {
+	reservation.contacted[replica.Address] = true
+	if replica == coordinator.self {
+		return coordinator.local.Reserve(now, request)
+	}
+	coordinator.outbox.Send(replica.Address,
+		&wire.Envelope{Body: &wire.Envelope_ReservationRequest{ReservationRequest: request}})
+	return nil
+}
+
 // HandleResponse handles a replica's answer.
 func (coordinator *Coordinator) HandleResponse(now time.Time, from string, response *wire.ReservationResponse) {
 	reservation := coordinator.pending[response.Token]
@@ -131,10 +139,18 @@
 
 // count counts a decision.
 func (coordinator *Coordinator) count(outcome Outcome) {
-	counters := map[Outcome]*uint64{Granted: &coordinator.counters.Granted, Taken: &coordinator.counters.Taken,
-		InDoubt: &coordinator.counters.InDoubt, Unreachable: &coordinator.counters.Unreachable,
-		Full: &coordinator.counters.Full}
-	if counter := counters[outcome]; counter != nil {
-		*counter++
+	counters := &coordinator.counters
+	switch outcome {
+	case Granted:
+		counters.Granted++
+	case Taken:
+		counters.Taken++
+	case InDoubt:
+		counters.InDoubt++
+	case Unreachable:
+		counters.Unreachable++
+	case Full:
+		counters.Full++
+	case Pending, NotInForce:
 	}
 }
--- a/dataplane/controller/reservations.go
+++ b/dataplane/controller/reservations.go
@@ -60,8 +60,9 @@
 		return
 	}
 	reservations.noteTerm(now, message.Epoch)
-	reservations.replica.Adopt(now, reservation.NewMembership(message))
-	reservations.coordinator.Adopt(now, reservation.NewMembership(message))
+	membership := reservation.NewMembership(message)
+	reservations.replica.Adopt(now, membership)
+	reservations.coordinator.Adopt(now, membership)
 }
 
 // noteTerm notes a term that this process knows from now on. A connection that the process takes from now on was made
--- a/proxy/atmostonce.go
+++ b/proxy/atmostonce.go
@@ -122,8 +122,7 @@
 // announceSend notes that the request is about to be sent, and tells the zone that once, where it is not reserved.
 func (guard *atMostOnce) announceSend() {
 	guard.isSent = true
-	isReserved := guard.reserved != nil && guard.reserved.Outcome() == reservation.Granted
-	if guard.key != nil && !guard.announced && !isReserved {
+	if guard.key != nil && !guard.announced && !guard.isGranted() {
 		guard.announced = true
 		guard.announce(*guard.key, false)
 	}
--- a/proxy/reserve.go
+++ b/proxy/reserve.go
@@ -17,13 +17,11 @@
 	sending := reservation.Sending{Number: request.Attempt, Term: request.Term}
 	if sending.IsFirst() {
 		sending.NotBefore = snapshot.TermBefore(exchange.client.ConnectedAt())
+	} else {
+		route := exchange.routeIn(snapshot.Catalog)
+		exchange.execution.unproven = route == nil || !route.Idempotent
 	}
 	exchange.atMostOnce.sending = sending
-	if sending.IsFirst() {
-		return
-	}
-	route := exchange.routeIn(snapshot.Catalog)
-	exchange.execution.unproven = route == nil || !route.Idempotent
 }
 
 // acceptOnce records a request that must run at most once. It fails if the request was sent before or may have been, so
--- a/verify/fleet/callrecorder.go
+++ b/verify/fleet/callrecorder.go
@@ -3,18 +3,13 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	"wardtray/verify/histories"
 	"wardtray/verify/linearizability"
 )
 
-const (
-	// ruleLinearizable is broken where no order of a single machine explains what callers saw.
-	ruleLinearizable = "not-linearizable"
-	// judgeTimeout is for how long such an order is looked for.
-	judgeTimeout = time.Minute
-)
+// ruleLinearizable is broken where no order of a single machine explains what callers saw.
+const ruleLinearizable = "not-linearizable"
 
 // callRecorder keeps the operators' calls as they saw them. It is safe for concurrent use.
 type callRecorder struct {
@@ -47,16 +42,12 @@
 	return recording
 }
 
-// violationsOf returns what a verdict on a recording says is wrong. What was not decided is not known to be right.
+// violationsOf returns what a verdict on a recording says is wrong.
 func violationsOf(verdict linearizability.Verdict) []histories.Violation {
-	violations := make([]histories.Violation, 0, len(verdict.Broken)+len(verdict.Undecided))
-	for _, part := range verdict.Broken {
-		violations = append(violations, histories.Violation{Rule: ruleLinearizable,
-			Detail: "no order explains the history of the " + part})
-	}
-	for _, part := range verdict.Undecided {
-		violations = append(violations, histories.Violation{Rule: ruleLinearizable,
-			Detail: "in " + judgeTimeout.String() + " no order was found or ruled out for the history of the " + part})
+	flaws := verdict.Flaws()
+	violations := make([]histories.Violation, 0, len(flaws))
+	for _, flaw := range flaws {
+		violations = append(violations, histories.Violation{Rule: ruleLinearizable, Detail: flaw})
 	}
 	return violations
 }
--- a/verify/fleet/prove.go
+++ b/verify/fleet/prove.go
@@ -84,7 +84,7 @@
 			return false, err
 		}
 	}
-	judged := linearizability.Judge(recording, judgeTimeout)
+	judged := linearizability.Judge(recording, linearizability.DefaultTimeout)
 	violations = append(violations, violationsOf(judged)...)
 	report := newReport(fleet.History, fleet.Runners.CacheShare(), violations)
 	report.Judged = judged
--- a/verify/fleet/resend_scenarios.go
+++ b/verify/fleet/resend_scenarios.go
@@ -1,8 +1,6 @@
 package fleet
 
-import (
-	"context"
-)
+import "context"
 
 // sentAgain does what takes the memory of daemons, or the way to it, from those to whom requests are sent again: every
 // data daemon is killed and started, a zone is frozen and resumed, and every process is killed and started.
@@ -22,12 +20,7 @@
 
 // restartDataDaemons kills every data daemon and starts it again at once.
 func restartDataDaemons(ctx context.Context, stage *Stage) error {
-	daemons := stage.DataDaemons()
-	for _, daemon := range daemons {
-		stage.recordFault(daemon.Name+" restarted with all other daemons", daemon, true, daemonExcuse)
-	}
-	killAll(daemons)
-	return startAll(ctx, daemons)
+	return stage.restartEach(ctx, stage.DataDaemons(), "restarted with all other daemons", daemonExcuse)
 }
 
 // freezeZone freezes every process of a zone for a part of the load's length: nothing goes in or out.
--- a/verify/fleet/stage.go
+++ b/verify/fleet/stage.go
@@ -78,11 +78,7 @@
 // restartAll kills every process, starts all of them again and records their return.
 func (stage *Stage) restartAll(ctx context.Context, what string) error {
 	const excused = 5 * time.Second
-	for _, process := range stage.Processes() {
-		stage.recordFault(fmt.Sprintf("%s %s", process.Name, what), process, true, excused)
-	}
-	killAll(stage.Processes())
-	if err := startAll(ctx, stage.Processes()); err != nil {
+	if err := stage.restartEach(ctx, stage.Processes(), what, excused); err != nil {
 		return err
 	}
 	back := histories.Return{At: time.Now()}
@@ -90,6 +86,15 @@
 	return nil
 }
 
+// restartEach kills processes and starts them again; what that breaks is excused for a time.
+func (stage *Stage) restartEach(ctx context.Context, processes []*Process, what string, excused time.Duration) error {
+	for _, process := range processes {
+		stage.recordFault(fmt.Sprintf("%s %s", process.Name, what), process, true, excused)
+	}
+	killAll(processes)
+	return startAll(ctx, processes)
+}
+
 // isAccepted reports whether a change was accepted.
 func isAccepted(order *histories.Order) bool { return order.Outcome == proposal.OutcomeAccepted }
 
--- a/verify/linearizability/configuration.go
+++ b/verify/linearizability/configuration.go
@@ -66,12 +66,19 @@
 
 // step returns the state after a call that was answered as it was; nil: no machine in this state answers so.
 func (state *configuration) step(call Call) *configuration {
-	steps := map[string]func(call Call) *configuration{KindRead: state.read, KindLookup: state.lookUp,
-		KindChange: state.change}
-	if call.Answer == AnswerNothing || steps[call.Kind] == nil {
+	if call.Answer == AnswerNothing {
+		return state
+	}
+	switch call.Kind {
+	case KindRead:
+		return state.read(call)
+	case KindLookup:
+		return state.lookUp(call)
+	case KindChange:
+		return state.change(call)
+	default:
 		return state
 	}
-	return steps[call.Kind](call)
 }
 
 // unchangedIf returns the state where a condition holds, nil otherwise.
--- a/verify/linearizability/judge.go
+++ b/verify/linearizability/judge.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"math"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -28,12 +30,27 @@
 	return len(verdict.Broken) == 0 && len(verdict.Undecided) == 0
 }
 
+// Flaws returns what is wrong, in words. What was not decided is not known to be right.
+func (verdict Verdict) Flaws() []string {
+	flaws := make([]string, 0, len(verdict.Broken)+len(verdict.Undecided))
+	for _, part := range verdict.Broken {
+		flaws = append(flaws, "no order explains the history of the "+part)
+	}
+	for _, part := range verdict.Undecided {
+		flaws = append(flaws, "the history of the "+part+" was not decided")
+	}
+	return flaws
+}
+
 // String returns the verdict in words.
 func (verdict Verdict) String() string {
 	return fmt.Sprintf("%d calls and %d requests judged in %v; not linearizable: %v, not decided: %v", verdict.Calls,
 		verdict.Requests, verdict.Took.Round(time.Millisecond), verdict.Broken, verdict.Undecided)
 }
 
+// DefaultTimeout is for how long an order that explains a history is looked for where nobody waits for the verdict.
+const DefaultTimeout = time.Minute
+
 // The parts of a verdict.
 const (
 	partConfiguration = "configuration"
@@ -161,7 +178,7 @@
 		if call.Answer != AnswerDone {
 			continue
 		}
-		if call.Result >= change.Result && call.End != Never && (change.End == Never || call.End < change.End) {
+		if call.Result >= change.Result && endsBefore(call.End, change.End) {
 			change.End = call.End
 		}
 		if call.Kind == KindRead && call.Result < change.Result && call.Start > change.Start {
@@ -183,6 +200,20 @@
 	return operations
 }
 
+// The names of the pages that show a history.
+const (
+	ConfigurationPage = "configuration.html"
+	ExecutionsPage    = "requests.html"
+)
+
+// WritePages writes the pages that show the history and the orders that were found into a folder.
+func (verdict Verdict) WritePages(folder string) error {
+	return errors.Join(
+		writeFile(filepath.Join(folder, ConfigurationPage), verdict.DrawConfiguration),
+		writeFile(filepath.Join(folder, ExecutionsPage), verdict.DrawExecutions),
+	)
+}
+
 // DrawConfiguration writes a page that shows the operators' calls and the orders that were found, and DrawExecutions
 // one for requests that run at most once.
 func (verdict Verdict) DrawConfiguration(target io.Writer) error {
--- a/verify/linearizability/recording.go
+++ b/verify/linearizability/recording.go
@@ -101,12 +101,15 @@
 }
 
 // WriteFile writes a recording into a file.
-func (recording Recording) WriteFile(path string) error {
+func (recording Recording) WriteFile(path string) error { return writeFile(path, recording.Write) }
+
+// writeFile has a file written.
+func writeFile(path string, write func(io.Writer) error) error {
 	file, err := os.Create(path) //nolint:gosec // The caller names the file.
 	if err != nil {
 		return err
 	}
-	return errors.Join(recording.Write(file), file.Close())
+	return errors.Join(write(file), file.Close())
 }
 
 // Read reads a recording.
--- a/verify/simulation/isolation.go
+++ b/verify/simulation/isolation.go
@@ -58,25 +58,32 @@
 
 // refreshMinority notes whether a majority of the core can agree on anything.
 func (tracker *isolationTracker) refreshMinority() {
-	running := slices.DeleteFunc(tracker.world.Cores(), func(host *Host) bool { return !host.up || host.frozen })
-	hasMinority := len(running) > 0 && !slices.ContainsFunc(running, func(host *Host) bool {
-		return tracker.reachesMost(host, running)
-	})
+	running := tracker.runningCores()
+	hasMinority := len(running) > 0 && len(tracker.thatReachMost(running)) == 0
 	if tracker.hasMinority && !hasMinority {
 		tracker.hadMinority = tracker.world.Now
 	}
 	tracker.hasMinority = hasMinority
 }
 
-// reachesMost reports whether a core machine reaches, with itself, most of the core among those that run.
-func (tracker *isolationTracker) reachesMost(host *Host, running []*Host) bool {
-	reached := 0
-	for _, other := range running {
-		if other == host || tracker.world.topology.linked(host, other) {
-			reached++
+// runningCores returns the core machines that run and are not frozen.
+func (tracker *isolationTracker) runningCores() []*Host {
+	return slices.DeleteFunc(tracker.world.Cores(), func(host *Host) bool { return !host.up || host.frozen })
+}
+
+// thatReachMost returns the running core machines that reach, with themselves, more than half of the core among some
+// of its machines.
+func (tracker *isolationTracker) thatReachMost(among []*Host) []*Host {
+	isLinked := tracker.world.topology.linked
+	return slices.DeleteFunc(tracker.runningCores(), func(host *Host) bool {
+		reached := 0
+		for _, other := range among {
+			if other == host || isLinked(host, other) {
+				reached++
+			}
 		}
-	}
-	return 2*reached > len(tracker.world.Cores())
+		return 2*reached <= len(tracker.world.Cores())
+	})
 }
 
 // isMinorityLeft reports whether some core machines run, but can't agree on anything, or could not a moment ago.
@@ -87,24 +94,7 @@
 
 // quorumCores returns the running, unfrozen core machines that reach more than half of the core.
 func (tracker *isolationTracker) quorumCores() []*Host {
-	world := tracker.world
-	cores := world.Cores()
-	var settled []*Host
-	for _, host := range cores {
-		if !host.up || host.frozen {
-			continue
-		}
-		reached := 0
-		for _, other := range cores {
-			if other == host || world.topology.linked(host, other) {
-				reached++
-			}
-		}
-		if 2*reached > len(cores) {
-			settled = append(settled, host)
-		}
-	}
-	return settled
+	return tracker.thatReachMost(tracker.world.Cores())
 }
 
 // reachesAny reports whether a daemon has a path both ways to any of these core machines.
--- a/verify/simulation/recording.go
+++ b/verify/simulation/recording.go
@@ -7,20 +7,14 @@
 	"wardtray/verify/linearizability"
 )
 
-// judgeTimeout is for how long an order that explains a history is looked for.
-const judgeTimeout = time.Minute
-
 // judge has the history of the world's callers judged, where nothing else is wrong with it yet.
 func (checker *Checker) judge() {
 	if len(checker.Violations) > 0 {
 		return
 	}
-	checker.Verdict = linearizability.Judge(checker.world.Recording(), judgeTimeout)
-	for _, part := range checker.Verdict.Broken {
-		checker.report("not-linearizable: no order explains the history of the %s", part)
-	}
-	for _, part := range checker.Verdict.Undecided {
-		checker.report("not-linearizable: the history of the %s was not decided in %v", part, judgeTimeout)
+	checker.Verdict = linearizability.Judge(checker.world.Recording(), linearizability.DefaultTimeout)
+	for _, flaw := range checker.Verdict.Flaws() {
+		checker.report("not-linearizable: %s", flaw)
 	}
 }
 
@@ -58,9 +52,6 @@
 	}
 	observed := linearizability.Observed{Kind: call.Kind, HasBase: call.HasBase, Status: order.Status,
 		Outcome: order.Outcome}
-	if order.Got.IsZero() {
-		observed.Status = 0
-	}
 	call.Answer = observed.Answer()
 	return call
 }
