--- a/balancer/load/report.go
+++ b/balancer/load/report.go
@@ -6,7 +6,7 @@
 	"wardtray/apierror"
 )
 
-// maxFailedReports is the number of consecutive failed report requests after which a runner is treated as failed.
+// maxFailedReports is the number of consecutive failed report requests after which a runner is treated as unresponsive.
 const maxFailedReports = 3
 
 // RecordReport records a runner's report of its load. It ignores an invalid one.
@@ -51,15 +51,15 @@
 }
 
 // ReportFailed records that a report request failed, and ejects the runner. It reports whether the runner is to be
-// treated as failed: another runner answered at its address, it is no longer listed, or maxFailedReports consecutive
-// report requests have failed.
-func (table *Table) ReportFailed(now time.Time, runner string, why apierror.Code) (failed bool) {
+// treated as unresponsive: another runner answered at its address, it is no longer listed, or maxFailedReports
+// consecutive report requests have failed. An unresponsive runner may still be working on its requests.
+func (table *Table) ReportFailed(now time.Time, runner string, why apierror.Code) (unresponsive bool) {
 	table.update(runner, func(entry *entry) {
 		entry.failedReports++
 		table.eject(now, entry, string(why))
-		failed = why == apierror.WrongIdentity || !entry.listed || entry.failedReports >= maxFailedReports
+		unresponsive = why == apierror.WrongIdentity || !entry.listed || entry.failedReports >= maxFailedReports
 	})
-	return failed
+	return unresponsive
 }
 
 // RunnersToPoll returns the runners to poll for a report, ordered by ID: those whose service needs polling and whose
--- a/dataplane/prober.go
+++ b/dataplane/prober.go
@@ -120,11 +120,15 @@
 	return prober.codec.ParseReport(content)
 }
 
-// onProbeFailed records that a runner returned no report. If that shows for certain that the runner has failed, its
-// inactive connections are aborted at once, so that the requests waiting on them fail now and not at the end of their
-// latency targets.
+// onProbeFailed records that a runner returned no report. A failed probe ends no request: a runner without a connection
+// or a response to spare looks the same as an unreachable one, and may still complete what it works on. Only another
+// runner at its address shows that it has terminated; the requests that wait for it then fail at once.
 func (prober *prober) onProbeFailed(runner string, err *apierror.Error) {
-	if prober.loads.ReportFailed(prober.environment.Now(), runner, err.Code) {
+	unresponsive := prober.loads.ReportFailed(prober.environment.Now(), runner, err.Code)
+	switch {
+	case err.Code == apierror.WrongIdentity:
 		prober.connections.AbortInactive(runner)
+	case unresponsive:
+		prober.connections.CloseIdle(runner)
 	}
 }
--- a/dataplane/prober_test.go
+++ b/dataplane/prober_test.go
@@ -1,8 +1,12 @@
 package dataplane
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -91,3 +95,114 @@
 		}
 	}
 }
+
+// resetAfterFirst accepts the first connection to a listener and resets all later ones, as a runner does that has no
+// connection to spare. It returns the runner's end of the first one.
+func resetAfterFirst(t *testing.T, listener net.Listener) (first <-chan net.Conn) {
+	t.Helper()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		for number := 0; ; number++ {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if number == 0 {
+				accepted <- connection
+				continue
+			}
+			if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+				_ = tcp.SetLinger(0) // Without it the close would be orderly, which the probe sees as a failure too.
+			}
+			_ = connection.Close()
+		}
+	}()
+	return accepted
+}
+
+// Guards against streams that end because their runner is silent and resets the connections of probes: a busy runner
+// does both while it works on its requests. Failed probes must leave every connection in use open, also of a runner
+// that is no longer listed, whatever their number.
+func TestFailedProbesEndNoRequest(t *testing.T) {
+	for name, listed := range map[string][]*wire.Runner{
+		"listed":   {{RunnerId: "r", Address: "x", State: "ready"}},
+		"unlisted": nil,
+	} {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		tested, _, _ := newTestProber(1)
+		now, environment := time.Now(), netio.Real(nil)
+		environment.Now = func() time.Time { return now }
+		tested.environment, tested.connections = environment, connpool.New(environment, "")
+		tested.loads.RequestStarted("r")
+		tested.loads.UpdateListing(now, listed)
+		accepted := resetAfterFirst(t, listener)
+		inUse, err := tested.connections.Take("r", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = inUse.Close() })
+		inUse.RequestSent(false)
+		runnerEnd := <-accepted
+		t.Cleanup(func() { _ = runnerEnd.Close() })
+		for range 5 {
+			now = now.Add(time.Minute)
+			if tested.probe(load.Runner{ID: "r", Address: listener.Addr().String()}, time.Second) {
+				t.Fatalf("%s: a probe whose connection was reset counts as successful", name)
+			}
+		}
+		if _, err := runnerEnd.Write([]byte("x")); err != nil {
+			t.Errorf("%s: the connection in use was closed: %v", name, err)
+			continue
+		}
+		_ = inUse.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if received, err := inUse.Reader.ReadByte(); err != nil || received != 'x' {
+			t.Errorf("%s: the connection in use was closed: %v", name, err)
+		}
+	}
+}
+
+// Guards against requests that wait in vain for a runner that has terminated. Another runner answers at its address,
+// which shows this for certain: the connection of the waiting request must be closed.
+func TestReplacedRunnerEndsItsRequests(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	identity := "r"
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+				continue
+			}
+			document := `{"runner_id":"` + identity + `"}`
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(document), document)
+			identity = "another"
+		}
+	}()
+	tested, _, _ := newTestProber(1)
+	now, environment := time.Now(), netio.Real(nil)
+	environment.Now = func() time.Time { return now }
+	tested.environment, tested.connections = environment, connpool.New(environment, "/identity")
+	inUse, err := tested.connections.Take("r", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = inUse.Close() })
+	inUse.RequestSent(false)
+	now = now.Add(time.Minute)
+	if tested.probe(load.Runner{ID: "r", Address: listener.Addr().String()}, time.Second) {
+		t.Fatal("the probe counts as successful although another runner has answered it")
+	}
+	if _, err := inUse.Write([]byte("x")); err == nil {
+		t.Error("the connection to the terminated runner is still open")
+	}
+}
--- a/transport/connpool/pool.go
+++ b/transport/connpool/pool.go
@@ -153,15 +153,21 @@
 	pool.runners.get(connection.Identity.RunnerID).putIdle(connection, reusable)
 }
 
-// AbortInactive aborts the inactive connections of a runner that seems to have failed, so that requests that wait for
-// its responses fail at once.
+// AbortInactive aborts the inactive connections of a runner that has terminated, so that requests that wait for its
+// responses fail at once.
 //
-// Connections in use that were active during the last second are kept: a runner that shuts down, or only fails to
-// report its load, ends its streams in order, and aborting them would lose responses that were nearly complete.
+// Connections in use that were active during the last second are kept: a process that has closed its port may still end
+// its streams in order, and aborting them would lose responses that were nearly complete.
 func (pool *Pool) AbortInactive(runner string) {
 	pool.runners.get(runner).abortInactive(pool.environment.Now(), pool.abort)
 }
 
+// CloseIdle closes the idle connections of a runner that does not respond. Those in use are kept: silence does not show
+// that the runner has stopped working on their requests.
+func (pool *Pool) CloseIdle(runner string) {
+	pool.runners.get(runner).closeIdle(func() {})
+}
+
 // abort closes a connection while it may be in use.
 func (pool *Pool) abort(connection *Connection) {
 	pool.Counters.Aborted.Add(1)
--- a/verify/histories/answer_rules.go
+++ b/verify/histories/answer_rules.go
@@ -99,6 +99,15 @@
 			report("%s got its final answer %q %v after its cause could be known", attempt.Request, attempt.Kind, late)
 		}
 	},
+	"ended-early": func(checker *Checker, attempt *ClientAttempt, report reportFunc) {
+		if !attempt.AtMostOnce || attempt.ConnectionLost || attempt.Done || attempt.ClientDisconnected || attempt.Resent {
+			return
+		}
+		if run := checker.endedEarly(attempt); run != nil {
+			report("%s was given up as %q %v after it had reached %s, which was still at work on it", attempt.Request,
+				attempt.Kind, run.Canceled.Sub(run.At), run.Runner)
+		}
+	},
 	"resumed": func(checker *Checker, attempt *ClientAttempt, report reportFunc) {
 		for _, run := range checker.runs[attempt.Request] {
 			if run.After > 0 && !attempt.Resumable {
@@ -123,6 +132,34 @@
 	},
 }
 
+// waitLimit returns the time until which a daemon has to wait for the first event of a silent run: the deadline of the
+// request or, if it has none, the time that the daemon grants a run that can't be repeated.
+func (attempt *ClientAttempt) waitLimit(run *Run) time.Time {
+	if attempt.Deadline > 0 && !attempt.Started.IsZero() {
+		return attempt.Started.Add(attempt.Deadline)
+	}
+	return run.At.Add(2 * attempt.LatencyTarget)
+}
+
+// endedEarly returns the run of a request whose connection the daemon closed while the runner was at work and the
+// request still had time; nil if there is none. Only silent runners, or runners without a fault, are judged: anything
+// else may have shown the daemon that the run had failed.
+func (checker *Checker) endedEarly(attempt *ClientAttempt) *Run {
+	for _, fault := range checker.history.Faults {
+		if (fault.Runner == "" || fault.DetectionTime == 0) && fault.excuses(attempt.Sent, attempt.Got) {
+			return nil
+		}
+	}
+	for _, run := range checker.runs[attempt.Request] {
+		atWork := run.Started && (run.Finished.IsZero() || run.Finished.After(run.Canceled))
+		allowance := attempt.waitLimit(run).Sub(run.At) / ClockErrorDivisor
+		if !run.Canceled.IsZero() && atWork && run.Canceled.Before(attempt.waitLimit(run).Add(-allowance)) {
+			return run
+		}
+	}
+	return nil
+}
+
 // lastEventAt returns the time at which the last event of an answer, or the answer itself, was received.
 func (attempt *ClientAttempt) lastEventAt() time.Time {
 	if attempt.Last.IsZero() {
@@ -220,6 +257,10 @@
 			// A fault that ended before it could be detected shows only by the missing answer.
 			at = run.At.Add(2 * attempt.LatencyTarget)
 		}
+		// The silence of a runner does not show that it has stopped working, so the request waits until its time is over.
+		if limit := attempt.waitLimit(run); fault.DetectionTime > 0 && limit.After(at) {
+			at = limit
+		}
 		// An idempotent request is retried at other runners within its latency target.
 		if at.After(known) || attempt.AtMostOnce {
 			known = at
--- a/verify/histories/rules.go
+++ b/verify/histories/rules.go
@@ -72,6 +72,7 @@
 	"turned-away",
 	"no-return-time",
 	"held-back",
+	"ended-early",
 	"resumed",
 	"past-deadline",
 	"left-requester",
@@ -88,6 +89,7 @@
 	"down":           true,
 	"turned-away":    true,
 	"held-back":      true,
+	"ended-early":    true,
 	"past-deadline":  true,
 	"left-requester": true,
 }
--- a/verify/histories/rules_test.go
+++ b/verify/histories/rules_test.go
@@ -252,6 +252,23 @@
 				Got:     at(8),
 			}
 		},
+		"ended-early": func(history *History) {
+			history.Faults = append(history.Faults,
+				Fault{At: at(3.1), Until: at(20), Runner: "r1", DetectionTime: 4 * time.Second})
+			history.Runs[3].Complete, history.Runs[3].Canceled = false, at(5)
+			history.Runs[3].Finished = time.Time{}
+			history.Answers[3] = &ClientAttempt{
+				Request:       "D",
+				AtMostOnce:    true,
+				LatencyTarget: 2 * time.Second,
+				Status:        504,
+				Kind:          "outcome_unknown",
+				Ran:           "unknown",
+				Daemon:        "d1",
+				Sent:          at(3),
+				Got:           at(5),
+			}
+		},
 		"resumed":        func(history *History) { history.Runs[3].After = 2 },
 		"left-requester": func(history *History) { history.Answers[3].DisconnectedAt = at(2.2) },
 		"past-deadline": func(history *History) {
