--- a/proxy/response.go
+++ b/proxy/response.go
@@ -102,12 +102,13 @@
 	return http.NoBody
 }
 
-// readFirstEvent reads the first event of a stream.
+// readFirstEvent reads the first event of a stream. A stream that ends regularly without one is complete: a run that
+// starts after the last event has none left.
 func (attempt *attempt) readFirstEvent() scheduler.AttemptOutcome {
 	exchange := attempt.exchange
 	attempt.reader = stream.NewReader(attempt.remainingBody(), exchange.handler.Codec.Rules(), exchange.lastEventID)
 	first, err := attempt.reader.Next()
-	if err != nil {
+	if err != nil && !stream.EndsRun(err) {
 		attempt.reportFailure(reasonNoFirstEvent)
 		return scheduler.Ambiguous
 	}
