verify/histories: ended-early judges only faults that leave a runner silent

The constant that the simulator and real fleets share for silent faults now says which are meant, and held-back waits for a request's time only for these, as before for others.

--- a/verify/fleet/actions.go
+++ b/verify/fleet/actions.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"time"
+
+	"wardtray/verify/histories"
 )
 
 const (
 	// maximumDetectionTime bounds the time within which the data daemons detect a failure that nothing reports.
-	maximumDetectionTime = 4 * time.Second
+	maximumDetectionTime = histories.SilentDetectionTime
 	// crashGracePeriod is the period after a runner's crash in which failures that it causes are tolerated.
 	crashGracePeriod = time.Second
 	// daemonGracePeriod and coreGracePeriod are the corresponding periods after the end of a data daemon and of a control
--- a/verify/histories/answer_rules.go
+++ b/verify/histories/answer_rules.go
@@ -146,7 +146,7 @@
 // else may have shown the daemon that the run had failed.
 func (checker *Checker) endedEarly(attempt *ClientAttempt) *Run {
 	for _, fault := range checker.history.Faults {
-		if (fault.Runner == "" || fault.DetectionTime == 0) && fault.excuses(attempt.Sent, attempt.Got) {
+		if !fault.isSilent() && fault.excuses(attempt.Sent, attempt.Got) {
 			return nil
 		}
 	}
@@ -258,7 +258,7 @@
 			at = run.At.Add(2 * attempt.LatencyTarget)
 		}
 		// The silence of a runner does not show that it has stopped working, so the request waits until its time is over.
-		if limit := attempt.waitLimit(run); fault.DetectionTime > 0 && limit.After(at) {
+		if limit := attempt.waitLimit(run); fault.isSilent() && limit.After(at) {
 			at = limit
 		}
 		// An idempotent request is retried at other runners within its latency target.
--- a/verify/histories/faults.go
+++ b/verify/histories/faults.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+// SilentDetectionTime is the DetectionTime of faults that nothing reports and that break no connection: the runner is
+// only silent.
+const SilentDetectionTime = 4 * time.Second
+
+// isSilent reports whether the fault only makes a runner silent.
+func (fault *Fault) isSilent() bool {
+	return fault.Runner != "" && fault.DetectionTime == SilentDetectionTime
+}
+
 // overlaps reports whether the fault overlaps a span of time.
 func (fault *Fault) overlaps(from, until time.Time) bool {
 	return !until.Before(fault.At) && from.Before(fault.Until)
--- a/verify/histories/rules_test.go
+++ b/verify/histories/rules_test.go
@@ -254,7 +254,7 @@
 		},
 		"ended-early": func(history *History) {
 			history.Faults = append(history.Faults,
-				Fault{At: at(3.1), Until: at(20), Runner: "r1", DetectionTime: 4 * time.Second})
+				Fault{At: at(3.1), Until: at(20), Runner: "r1", DetectionTime: SilentDetectionTime})
 			history.Runs[3].Complete, history.Runs[3].Canceled = false, at(5)
 			history.Runs[3].Finished = time.Time{}
 			history.Answers[3] = &ClientAttempt{
--- a/verify/simulation/fault_injector.go
+++ b/verify/simulation/fault_injector.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"time"
+
+	"wardtray/verify/histories"
 )
 
 // unresponsiveBound is the longest time until a loss that nobody reports is detected.
-const unresponsiveBound = 4 * time.Second
+const unresponsiveBound = histories.SilentDetectionTime
 
 // impact describes how a fault affects the requests at its daemons and runners.
 type impact struct {
