--- a/dataplane/prober.go
+++ b/dataplane/prober.go
@@ -58,7 +58,7 @@
 }
 
 // probeUnresponsive probes the runners whose connections are inactive while a request waits. The retryable requests at
-// a runner that does not respond are aborted.
+// a runner that does not respond are also sent to another one.
 //
 // Inactivity alone does not show a failure: a runner that processes a long prompt is as inactive as an unreachable one,
 // but it responds to the probe at once.
@@ -68,7 +68,7 @@
 	}
 	for _, id := range prober.connections.Unresponsive(inactivityThreshold) {
 		if runner, found := prober.loads.Lookup(prober.environment.Now(), id, nil); found {
-			prober.start(runner, livenessTimeout, func() { prober.connections.AbortRetryable(id, inactivityThreshold) })
+			prober.start(runner, livenessTimeout, func() { prober.connections.SuspectWaiting(id, inactivityThreshold) })
 		}
 	}
 }
@@ -121,14 +121,15 @@
 }
 
 // onProbeFailed records that a runner returned no report. A failed probe ends no request: a runner without a connection
-// or a response to spare looks the same as an unreachable one, and may still complete what it works on. Only another
-// runner at its address shows that it has terminated; the requests that wait for it then fail at once.
+// or a response to spare looks the same as an unreachable one, and may still complete what it works on. It only lets
+// requests that may be sent again try another runner too. Only another runner at its address shows that it has
+// terminated; the requests that wait for it then fail at once.
 func (prober *prober) onProbeFailed(runner string, err *apierror.Error) {
 	unresponsive := prober.loads.ReportFailed(prober.environment.Now(), runner, err.Code)
 	switch {
 	case err.Code == apierror.WrongIdentity:
 		prober.connections.AbortInactive(runner)
 	case unresponsive:
-		prober.connections.CloseIdle(runner)
+		prober.connections.Suspect(runner)
 	}
 }
--- a/dataplane/prober_test.go
+++ b/dataplane/prober_test.go
@@ -145,7 +145,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = inUse.Close() })
-		inUse.RequestSent(false)
+		inUse.RequestSent()
 		runnerEnd := <-accepted
 		t.Cleanup(func() { _ = runnerEnd.Close() })
 		for range 5 {
@@ -197,7 +197,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = inUse.Close() })
-	inUse.RequestSent(false)
+	inUse.RequestSent()
 	now = now.Add(time.Minute)
 	if tested.probe(load.Runner{ID: "r", Address: listener.Addr().String()}, time.Second) {
 		t.Fatal("the probe counts as successful although another runner has answered it")
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -18,8 +18,8 @@
 const (
 	// writeTimeout bounds how long the operating system may take to accept the bytes of a request.
 	writeTimeout = 2 * time.Second
-	// recheckAfter is the maximum age of the last check of a decision when the bytes go out. An older check means that the
-	// process was frozen or had to wait, so everything is checked again.
+	// recheckAfter is the maximum age of the last check of a decision when the bytes go out. An older check means that
+	// the process was frozen or had to wait, so everything is checked again.
 	recheckAfter = 5 * time.Millisecond
 	// earlyResponseTimeout bounds the wait for a response that the runner sent before it had received the complete
 	// request.
@@ -33,6 +33,7 @@
 // Reasons for which a runner is ejected, as operators see them.
 const (
 	reasonServesOther     = "serves something else than listed"
+	reasonSilent          = "is silent"
 	reasonNoResponse      = "gave no answer"
 	reasonNoFirstEvent    = "gave no first event"
 	reasonNoEvents        = "gave no events"
@@ -56,6 +57,8 @@
 	checkedAt time.Time
 	// connection is the connection to the runner; nil before it is made and after it was returned to the pool.
 	connection *connpool.Connection
+	// awaited is the connection on which await has begun to wait.
+	awaited *connpool.Connection
 	// sentAt is the time at which the write of the request began. partial reports whether the request was not written
 	// completely.
 	sentAt  time.Time
@@ -70,8 +73,8 @@
 	body       []byte
 	// reservationError is the reason why the request must not be sent to any runner; nil if it may be sent.
 	reservationError error
-	// listingIsStale reports whether another runner has the address of the chosen one, so that the list of runners is out
-	// of date.
+	// listingIsStale reports whether another runner has the address of the chosen one, so that the list of runners is
+	// out of date.
 	listingIsStale bool
 }
 
@@ -191,7 +194,7 @@
 		return scheduler.NotSent
 	}
 	exchange.attemptCounter.sends++
-	attempt.connection.RequestSent(exchange.route.Idempotent && exchange.mayAttempt())
+	attempt.connection.RequestSent()
 	exchange.scheduler.RequestSent(attempt.sentAt, exchange.queuedRequest, attempt.decision)
 	return responseReady
 }
@@ -242,6 +245,24 @@
 	_ = attempt.connection.SetDeadline(attempt.exchange.now().Add(timeout))
 }
 
+// await bounds all further reads by the time for which the client waits. If the runner is silent for longer than
+// patience and the request may be sent to another runner, it is, while this attempt goes on. Where the client's time is
+// not known, the wait ends after patience.
+func (attempt *attempt) await(patience time.Duration) {
+	exchange := attempt.exchange
+	now := exchange.now()
+	stall, deadline := now.Add(patience), now.Add(patience)
+	if remaining := exchange.remaining(); remaining > 0 {
+		deadline = now.Add(remaining)
+	}
+	attempt.awaited = attempt.connection
+	if !exchange.mayHedge() {
+		_ = attempt.connection.SetDeadline(deadline)
+		return
+	}
+	_ = attempt.connection.AwaitResponse(attempt, stall, deadline)
+}
+
 // describe returns the parameters of the attempt that a codec needs.
 func (attempt *attempt) describe() codec.Attempt {
 	exchange := attempt.exchange
@@ -272,10 +293,11 @@
 	return written > 0 && attempt.exchange.client.hasDisconnected() && attempt.exchange.route.CancelsOnDisconnect()
 }
 
-// reportFailure ejects the runner, unless the attempt was cancelled because the client disconnected.
+// reportFailure ejects the runner, unless the attempt was cancelled because the client disconnected, or a second
+// attempt was started because the runner was silent, which has ejected it already.
 func (attempt *attempt) reportFailure(reason string) {
 	exchange := attempt.exchange
-	if !exchange.client.hasDisconnected() {
+	if !exchange.client.hasDisconnected() && exchange.hedge == nil {
 		exchange.handler.Loads.Eject(exchange.now(), attempt.decision.Runner.ID, reason)
 	}
 }
--- a/proxy/attemptcounter.go
+++ b/proxy/attemptcounter.go
@@ -32,6 +32,13 @@
 	return counter.attempts < maximumAttempts && (route.Attempts == 0 || counter.sends < route.Attempts)
 }
 
+// add counts the attempts of a second attempt that started with a copy of this counter. That the retry budget denied it
+// a send does not count: the budget may allow one later.
+func (counter *attemptCounter) add(hedged *attemptCounter) {
+	counter.attempts++
+	counter.sends = hedged.sends
+}
+
 // permission is the answer of the retry budget to a send.
 type permission int
 
--- a/proxy/attemptcounter_test.go
+++ b/proxy/attemptcounter_test.go
@@ -127,3 +127,22 @@
 	first.exchange.state.to(stateScheduling)
 	first.exchange.state.to(stateConnecting)
 }
+
+// Guards against more sends than a route allows: those of a second attempt count for the request, whether it delivers
+// or not. That the retry budget denied it a send must not keep the request from being sent again later.
+func TestSecondAttemptCounts(t *testing.T) {
+	route := &config.Route{Attempts: 2}
+	for name, trial := range map[string]struct {
+		hedged attemptCounter
+		remain bool
+	}{
+		"sent":   {attemptCounter{attempts: 2, sends: 2}, false},
+		"denied": {attemptCounter{attempts: maximumAttempts, sends: 1}, true},
+	} {
+		counter := attemptCounter{attempts: 1, sends: 1}
+		counter.add(&trial.hedged)
+		if remain := counter.remain(route); remain != trial.remain || counter.attempts != 2 {
+			t.Errorf("%s: %d attempts, another one is allowed: %v", name, counter.attempts, remain)
+		}
+	}
+}
--- a/proxy/deadline.go
+++ b/proxy/deadline.go
@@ -11,8 +11,8 @@
 	idleTimeout = 15 * time.Second
 	// firstEventGrace is the time that a first event may take beyond its latency target if no deadline is known.
 	firstEventGrace = time.Second
-	// pauseFactor is the multiple of the usual pause of its route after which a stalled resumable stream is resumed at
-	// another runner.
+	// pauseFactor is the multiple of the usual pause of its route after which a stalled resumable stream is also asked
+	// for at another runner.
 	pauseFactor = 2
 	// minimumRemaining is the remaining time reported after a deadline has passed, since 0 stands for no deadline.
 	minimumRemaining = time.Millisecond
@@ -82,27 +82,29 @@
 	return target
 }
 
-// firstEvent returns the maximum wait for the first event. earlyRetry allows a runner that does not respond to be
-// abandoned for another one before the deadline.
+// firstEvent returns the wait for the first event after which another runner is tried too, if the request may be
+// repeated; otherwise, or if no deadline is known, the maximum wait. earlyRetry allows another runner to be tried
+// before the deadline.
 func (limits waitLimits) firstEvent(earlyRetry bool) time.Duration {
 	target := time.Duration(limits.route.LatencyTarget)
 	if limits.remaining > 0 {
-		// A run that can't be repeated is useful until the client's deadline, and a runner that is silent may still respond.
-		// A run that can be repeated is better started again at another runner while there is time.
+		// A run that can't be repeated is useful until the client's deadline, and a runner that is silent may still
+		// respond. A run that can be repeated is better started at another runner too while there is time.
 		if !limits.route.Idempotent || !limits.mayRetry || !earlyRetry {
 			return limits.remaining
 		}
 		return min(limits.remaining, max(target, limits.remaining/2))
 	}
-	// A run that can't be repeated gets twice its latency target before its outcome is reported as unknown; a run that can
-	// be repeated is better started again. No request waits longer than that for a runner that seems healthy.
+	// A run that can't be repeated gets twice its latency target before its outcome is reported as unknown; a run that
+	// can be repeated is better started again. No request waits longer than that for a runner that seems healthy.
 	if !limits.route.Idempotent {
 		return max(target+firstEventGrace, 2*target)
 	}
 	return target + firstEventGrace
 }
 
-// nextEvent returns the maximum wait for an event after the first.
+// nextEvent returns the wait for an event after the first after which another runner is asked for the rest of a
+// resumable stream; otherwise the maximum wait.
 func (limits waitLimits) nextEvent() time.Duration {
 	if limits.remaining == 0 {
 		return idleTimeout
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"time"
 
 	"wardtray/apierror"
@@ -38,6 +39,10 @@
 	// runner.
 	decision scheduler.Decision
 	attempt  *attempt
+	// hedge is the second attempt beside the current one; nil if there is none. isHedge reports whether this exchange is
+	// the copy that a second attempt uses.
+	hedge   *hedge
+	isHedge bool
 	// lastEventID is the id of the last event that the client has received.
 	lastEventID int
 	// relayedBytes counts the bytes of the events that were relayed.
@@ -117,6 +122,17 @@
 	return by != nil && exchange.now().Add(exchange.scheduler.MaxDuration(exchange.queuedRequest)).After(*by)
 }
 
+// enterSchedulerAgain creates a new queue entry for a request whose current attempt has used up the previous one. It
+// excludes the runners that the request was sent to before.
+func (exchange *Exchange) enterSchedulerAgain() {
+	excluded := maps.Clone(exchange.queuedRequest.Requirements.ExcludedRunners)
+	excluded[exchange.attempt.decision.Runner.ID] = true
+	exchange.enterScheduler()
+	// The request has waited before; what is left of its time is its deadline now.
+	exchange.queuedRequest.Requirements.ExcludedRunners = excluded
+	exchange.queuedRequest.Requirements.Deadline = exchange.remaining()
+}
+
 // enterScheduler selects the scheduler of the backend and creates the queue entry of the request.
 func (exchange *Exchange) enterScheduler() {
 	route, backend, request := &exchange.route, &exchange.backend, exchange.request
--- a/proxy/fakeclock_test.go
+++ b/proxy/fakeclock_test.go
@@ -102,6 +102,10 @@
 	return nil
 }
 
+func (connection *fakeConnection) SetReadDeadline(deadline time.Time) error {
+	return connection.SetDeadline(deadline)
+}
+
 func (connection *fakeConnection) Close() error {
 	connection.closed = true
 	return nil
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -65,6 +65,15 @@
 
 // rejectedByScheduler counts a rejection by the scheduler and returns it as a refusal.
 func (exchange *Exchange) rejectedByScheduler() *codec.Refusal {
+	decision := exchange.decision
+	if !exchange.isHedge {
+		exchange.countRejection()
+	}
+	return exchange.refusal(decision.ErrorCode, decision.Reason, scheduler.DidNotRun, decision.RetryAfter)
+}
+
+// countRejection counts a rejection that the client receives.
+func (exchange *Exchange) countRejection() {
 	late := exchange.now().Sub(exchange.deadline.started) > earlyRefusalLimit
 	exchange.count(func(route *metrics.RouteMetrics) {
 		if late {
@@ -73,8 +82,6 @@
 			route.RefusedEarly++
 		}
 	})
-	decision := exchange.decision
-	return exchange.refusal(decision.ErrorCode, decision.Reason, scheduler.DidNotRun, decision.RetryAfter)
 }
 
 // refusalOf returns the refusal for an error that occurred before this attempt was sent.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -24,8 +24,8 @@
 	exchange *Exchange
 	pace     paceMeter
 	pending  []byte
-	// endError is the error that Read returns once pending is empty; nil while the run continues. finishRequest finishes
-	// the request and is called once; finished reports whether it was called.
+	// endError is the error that Read returns once pending is empty; nil while the run continues. finishRequest
+	// finishes the request and is called once; finished reports whether it was called.
 	endError      error
 	finishRequest func()
 	finished      bool
@@ -104,8 +104,19 @@
 		attempt.firstEvent.Raw = nil
 		return first, nil
 	}
-	attempt.setTimeout(relay.exchange.waitLimits().nextEvent())
-	return attempt.reader.Next()
+	attempt.await(relay.exchange.waitLimits().nextEvent())
+	event, err := attempt.reader.Next()
+	if !relay.exchange.settleHedge(err == nil || stream.EndsRun(err)) {
+		return event, err
+	}
+	relay.recordResumption()
+	return relay.next()
+}
+
+// recordResumption records that another runner has taken up the run.
+func (relay *relay) recordResumption() {
+	relay.exchange.recordFirstEvent()
+	relay.exchange.count(func(route *metrics.RouteMetrics) { route.Resumed++ })
 }
 
 // forward appends an event to the bytes that are pending for the client.
@@ -154,22 +165,15 @@
 	}
 }
 
-// resume continues the run at another runner after the last complete event that was relayed. If that is not possible it
-// returns the refusal.
+// resume continues a run that has ended early at another runner, after the last complete event that was relayed. If
+// that is not possible it returns the refusal.
 func (relay *relay) resume() *codec.Refusal {
 	exchange := relay.exchange
 	exchange.attempt.release()
-	// The first event was received long ago; the rest is scheduled anew, with a latency target of at most the remaining
-	// time, and the remaining time as its deadline.
-	excluded := exchange.queuedRequest.Requirements.ExcludedRunners
-	exchange.enterScheduler()
-	excluded[exchange.attempt.decision.Runner.ID] = true
-	exchange.queuedRequest.Requirements.ExcludedRunners = excluded
-	exchange.queuedRequest.Requirements.Deadline = exchange.remaining()
+	exchange.enterSchedulerAgain()
 	refusal := exchange.findRunner(scheduler.Broken)
 	if refusal == nil {
-		exchange.recordFirstEvent()
-		exchange.count(func(route *metrics.RouteMetrics) { route.Resumed++ })
+		relay.recordResumption()
 	}
 	return refusal
 }
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -12,6 +12,9 @@
 	"wardtray/proxy/dedup"
 )
 
+// relayTimeout is the client's timeout of the requests of newRelay.
+const relayTimeout = time.Minute
+
 // newRelay returns the relay of a stream from the runner r0 whose first event has arrived. The request is recorded if
 // its route is at-most-once.
 func newRelay(t *testing.T, daemon *testDaemon, route string) *relay {
@@ -22,7 +25,7 @@
 	if err := exchange.acceptAtMostOnce(); err != nil {
 		t.Fatal(err)
 	}
-	exchange.request.Timeout = time.Minute
+	exchange.request.Timeout = relayTimeout
 	if err := exchange.resolve(); err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +69,8 @@
 		route  string
 		text   string
 		closes bool
-		// end is the outcome under which the request is counted, and state its recorded state if the route is at-most-once.
+		// end is the outcome under which the request is counted, and state its recorded state if the route is
+		// at-most-once.
 		end   string
 		state dedup.State
 	}{
@@ -223,8 +227,14 @@
 	}
 }
 
+// rejecting returns a connection to a runner that rejects the request; the caller sets its clock.
+func rejecting() *fakeConnection {
+	return responding(nil, delivery{0, completeResponse(codec.NotExecuted)})
+}
+
 // A resumable stream continues at another runner after the last event that was relayed, once it has stalled for twice
-// its usual pause. If no runner is left it ends as incomplete, once.
+// its usual pause. If no runner can take it up it ends as incomplete, once, and not before its deadline: the first
+// runner might still go on.
 func TestRelayResumes(t *testing.T) {
 	const pause = time.Second // The pause of the route "resumed".
 	first := tokenEvents("x", 1, 2)
@@ -234,11 +244,12 @@
 		second  *fakeConnection
 		resumed uint64
 		end     string
+		took    time.Duration
 	}{
-		"at another runner":              {responding(nil, delivery{0, continued}), 1, endDone},
-		"where the other one restarts":   {responding(nil, delivery{0, restarted}), 0, failed},
-		"where the other one rejects it": {responding(nil, delivery{0, completeResponse(codec.NotExecuted)}), 0, failed},
-		"where there is no other one":    {nil, 0, failed},
+		"at another runner":              {responding(nil, delivery{0, continued}), 1, endDone, pauseFactor * pause},
+		"where the other one restarts":   {responding(nil, delivery{0, restarted}), 0, failed, relayTimeout},
+		"where the other one rejects it": {rejecting(), 0, failed, relayTimeout},
+		"where there is no other one":    {nil, 0, failed, relayTimeout},
 	} {
 		clock := &fakeClock{}
 		connections := []*fakeConnection{responding(clock, delivery{0, streamed(first)})}
@@ -269,7 +280,7 @@
 			// The relay also waits to see whether the response ends with its last event.
 			took -= tailTimeout
 		}
-		if resumed := daemon.Metrics.Routes()["resumed"].Resumed; resumed != trial.resumed || took != pauseFactor*pause {
+		if resumed := daemon.Metrics.Routes()["resumed"].Resumed; resumed != trial.resumed || took != trial.took {
 			t.Errorf("%s: %d resumed after %v", name, resumed, took)
 		}
 	}
--- a/proxy/search.go
+++ b/proxy/search.go
@@ -21,7 +21,7 @@
 		exchange.attemptCounter.attempts++
 		exchange.attempt = &attempt{exchange: exchange, decision: exchange.decision}
 		outcome := exchange.attempt.execute()
-		if outcome == responseReady {
+		if exchange.settleHedge(outcome == responseReady) || outcome == responseReady {
 			return nil
 		}
 		exchange.attempt.release()
--- a/transport/connpool/connection.go
+++ b/transport/connpool/connection.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -56,9 +58,9 @@
 	// lastActive is the time at which the last byte arrived from the runner, a request was sent, or the connection was
 	// taken from the pool, whichever is latest.
 	lastActive atomic.Pointer[time.Time]
-	// awaitingResponse is set from the sending of a request until the first event of its response. retryable is set if
-	// that request may be retried at another runner.
-	awaitingResponse, retryable atomic.Bool
+	// awaitingResponse is set from the sending of a request until the first event of its response.
+	awaitingResponse atomic.Bool
+	wait             readWait
 	// unbindContext undoes Bind and reports whether the context had not closed the connection; nil if the connection is
 	// not bound.
 	unbindContext func() bool
@@ -76,10 +78,9 @@
 	return unbindContext == nil || unbindContext()
 }
 
-// RequestSent records that a request was sent over the connection, and whether it may be retried at another runner.
-func (connection *Connection) RequestSent(retryable bool) {
+// RequestSent records that a request was sent over the connection.
+func (connection *Connection) RequestSent() {
 	connection.touch()
-	connection.retryable.Store(retryable)
 	connection.awaitingResponse.Store(true)
 }
 
@@ -115,15 +116,42 @@
 	return min(maximumIdleTime, connection.idleTimeout-idleMargin)
 }
 
-// Read reads from the connection and records activity if it read any bytes.
+// Read reads from the connection and records activity if it read any bytes. During a wait that AwaitResponse has begun
+// it goes on reading after a stall.
 func (connection *Connection) Read(buffer []byte) (int, error) {
-	count, err := connection.Conn.Read(buffer)
-	if count > 0 {
-		connection.touch()
+	for {
+		count, err := connection.Conn.Read(buffer)
+		if count > 0 {
+			connection.touch()
+		}
+		timedOut := count == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		if !timedOut || !connection.wait.resume(connection.Conn, connection.pool.environment.Now) {
+			return count, err
+		}
 	}
-	return count, err
 }
 
+// SetDeadline sets the deadline of all further reads and writes, and ends a wait that AwaitResponse has begun.
+func (connection *Connection) SetDeadline(deadline time.Time) error {
+	return connection.wait.begin(connection.Conn, nil, deadline, deadline)
+}
+
+// AwaitResponse sets the deadline of all further reads and writes. If a read waits until stall, before the deadline,
+// the connection notifies the handler and goes on reading. It notifies the handler at most once, and earlier if the
+// runner is suspected to be unresponsive.
+func (connection *Connection) AwaitResponse(handler StallHandler, stall, deadline time.Time) error {
+	return connection.wait.begin(connection.Conn, handler, stall, deadline)
+}
+
+// Interrupt ends the read of the wait that AwaitResponse has begun for this handler. It does nothing if that wait has
+// ended.
+func (connection *Connection) Interrupt(handler StallHandler) {
+	connection.wait.interrupt(connection.Conn, handler)
+}
+
+// suspect notifies the handler of a pending wait at once, instead of at its stall time.
+func (connection *Connection) suspect() { connection.wait.suspect(connection.Conn) }
+
 // Close aborts the connection and removes it from the pool.
 func (connection *Connection) Close() error {
 	connection.pool.runners.get(connection.Identity.RunnerID).release(connection)
--- a/transport/connpool/pool.go
+++ b/transport/connpool/pool.go
@@ -42,8 +42,8 @@
 	identityPath string
 	runners      runnerTable
 	Counters     Counters
-	// IsForeign reports whether a response belongs to a client's request and so can't answer the pool's own request for a
-	// document. If nil, no response is foreign. The owner sets it before first use.
+	// IsForeign reports whether a response belongs to a client's request and so can't answer the pool's own request for
+	// a document. If nil, no response is foreign. The owner sets it before first use.
 	IsForeign func(response *fasthttp.Response) bool
 }
 
@@ -162,12 +162,6 @@
 	pool.runners.get(runner).abortInactive(pool.environment.Now(), pool.abort)
 }
 
-// CloseIdle closes the idle connections of a runner that does not respond. Those in use are kept: silence does not show
-// that the runner has stopped working on their requests.
-func (pool *Pool) CloseIdle(runner string) {
-	pool.runners.get(runner).closeIdle(func() {})
-}
-
 // abort closes a connection while it may be in use.
 func (pool *Pool) abort(connection *Connection) {
 	pool.Counters.Aborted.Add(1)
@@ -188,10 +182,22 @@
 	return unresponsive
 }
 
-// AbortRetryable aborts the connections of a runner on which a retryable request has waited at least threshold for the
-// start of its response. Other requests would gain nothing from an abort, as the runner may still respond.
-func (pool *Pool) AbortRetryable(runner string, threshold time.Duration) {
-	pool.runners.get(runner).abortRetryable(pool.environment.Now(), threshold, pool.abort)
+// SuspectWaiting notifies the stall handlers of the requests that have waited at least threshold for the start of a
+// runner's response. Their connections stay open, as the runner may still respond.
+func (pool *Pool) SuspectWaiting(runner string, threshold time.Duration) {
+	now := pool.environment.Now()
+	pool.runners.get(runner).suspect(func(connection *Connection) bool {
+		return connection.awaitingResponse.Load() && connection.inactivity(now) >= threshold
+	})
+}
+
+// Suspect closes the idle connections of a runner that does not respond, and notifies the stall handlers of the
+// requests on its inactive connections. Connections in use stay open: silence does not show that the runner has stopped
+// working on their requests.
+func (pool *Pool) Suspect(runner string) {
+	now, connections := pool.environment.Now(), pool.runners.get(runner)
+	connections.closeIdle(func() {})
+	connections.suspect(func(connection *Connection) bool { return connection.inactivity(now) >= activeWindow })
 }
 
 // Remove closes the idle connections of a runner that is no longer listed, and removes its entry if none is in use.
--- a/transport/connpool/pool_test.go
+++ b/transport/connpool/pool_test.go
@@ -135,21 +135,42 @@
 	}
 }
 
-// A runner without activity while a response is awaited must be reported as unresponsive. Only its retryable requests
-// may be aborted: others would gain nothing, and the runner may still respond.
+// stallRecorder records the notifications of a wait.
+type stallRecorder struct{ notified chan struct{} }
+
+func newStallRecorder() *stallRecorder { return &stallRecorder{make(chan struct{}, 8)} }
+
+func (recorder *stallRecorder) Stalled() { recorder.notified <- struct{}{} }
+
+// A runner without activity while a response is awaited must be reported as unresponsive. The requests that may be sent
+// to another runner must be notified at once, and only these. No connection may be closed, as the runner may still
+// respond.
 func TestUnresponsiveRunners(t *testing.T) {
 	listener := listen(t)
 	now, environment := time.Now(), netio.Real(nil)
 	environment.Now = func() time.Time { return now }
 	pool := New(environment, "")
-	taken := make([]*Connection, 0, 2)
-	for _, retryable := range []bool{true, false} {
+	taken, responders := make([]*Connection, 0, 2), make([]net.Conn, 0, 2)
+	recorders := []*stallRecorder{newStallRecorder(), newStallRecorder()}
+	deadline := now.Add(time.Minute)
+	for index, retryable := range []bool{true, false} {
 		connection, err := pool.Take("r", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		connection.RequestSent(retryable)
+		connection.RequestSent()
+		if retryable {
+			_ = connection.AwaitResponse(recorders[index], deadline, deadline)
+		} else {
+			_ = connection.SetDeadline(deadline)
+		}
 		taken = append(taken, connection)
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = accepted.Close() })
+		responders = append(responders, accepted)
 	}
 	threshold := 200 * time.Millisecond
 	if unresponsive := pool.Unresponsive(threshold); len(unresponsive) != 0 {
@@ -159,14 +180,23 @@
 	if unresponsive := pool.Unresponsive(threshold); len(unresponsive) != 1 || unresponsive[0] != "r" {
 		t.Fatalf("%v is reported as unresponsive, want r", unresponsive)
 	}
-	pool.AbortRetryable("r", threshold)
-	if _, err := taken[0].Write([]byte("x")); err == nil {
-		t.Fatal("the connection with the retryable request was not aborted")
+	pool.SuspectWaiting("r", threshold)
+	go func() {
+		<-recorders[0].notified
+		for _, responder := range responders {
+			_, _ = responder.Write([]byte("x")) // The read below fails if the connection is closed.
+		}
+	}()
+	for index, connection := range taken {
+		if received, err := connection.Reader.ReadByte(); err != nil || received != 'x' {
+			t.Fatalf("connection %d was closed: %v", index, err)
+		}
 	}
-	if _, err := taken[1].Write([]byte("x")); err != nil {
-		t.Fatalf("the connection with the other request was aborted: %v", err)
+	if again, other := len(recorders[0].notified), len(recorders[1].notified); again != 0 || other != 0 {
+		t.Fatalf("%d further notifications of the retryable request, %d of the other", again, other)
 	}
 	// An active stream on another connection shows that the runner is reachable.
+	now = now.Add(threshold)
 	taken[1].ResponseStarted()
 	if unresponsive := pool.Unresponsive(threshold); len(unresponsive) != 1 {
 		t.Fatalf("%v", unresponsive)
--- a/transport/connpool/runner.go
+++ b/transport/connpool/runner.go
@@ -129,17 +129,13 @@
 	return awaited
 }
 
-// abortRetryable aborts the connections on which a retryable request awaits its response and which have been inactive
-// for at least the threshold.
-func (connections *runnerConnections) abortRetryable(
-	now time.Time, threshold time.Duration, abort func(connection *Connection),
-) {
+// suspect notifies the stall handlers of the matching connections in use.
+func (connections *runnerConnections) suspect(matches func(connection *Connection) bool) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	for _, connection := range connections.busy {
-		waiting := connection.awaitingResponse.Load() && connection.retryable.Load()
-		if waiting && connection.inactivity(now) >= threshold {
-			abort(connection)
+		if matches(connection) {
+			connection.suspect()
 		}
 	}
 }
