verify/histories: a request sent to a frozen runner is due when its time is over

held-back counted a request without a recorded run from its latency target. Trace of: sent at 16.34 s, runner frozen from 16 s, no run recorded, answered at 22.41 s, twice its target of 3 s.

TestAnswerOfARequestSentInSilence: due at its time, reported beyond the same allowance, and reported as before where no runner is silent.

--- a/verify/histories/rules_test.go
+++ b/verify/histories/rules_test.go
@@ -367,3 +367,36 @@
 		}
 	}
 }
+
+// A request that can't be repeated may be sent to a frozen runner, which never begins to work on it. Its final answer is
+// due when its time is over, not before; without a silent runner it is due within its latency target.
+func TestAnswerOfARequestSentInSilence(t *testing.T) {
+	for name, trial := range map[string]struct {
+		answered   float64
+		silent     bool
+		isHeldBack bool
+	}{
+		"in time":            {3 + 4, true, false},
+		"beyond its time":    {3 + 4 + 2.1, true, true},
+		"no silent runner":   {3 + 4 + 0.1, false, true},
+		"at its target only": {3 + 2, false, false},
+	} {
+		history := clean()
+		at := func(seconds float64) time.Time {
+			return history.Started.Add(time.Duration(seconds * float64(time.Second)))
+		}
+		if trial.silent {
+			history.Faults = []Fault{{At: at(2), Until: at(30), Runner: "r1", DetectionTime: SilentDetectionTime}}
+		}
+		history.Runs = append(history.Runs[:3], history.Runs[4:]...)
+		history.Answers[3] = &ClientAttempt{Request: "D", AtMostOnce: true, LatencyTarget: 2 * time.Second, Status: 504,
+			Kind: "outcome_unknown", Ran: "unknown", Daemon: "d1", Sent: at(3), Got: at(trial.answered)}
+		isHeldBack := false
+		for _, violation := range Check(history) {
+			isHeldBack = isHeldBack || violation.Rule == "held-back"
+		}
+		if isHeldBack != trial.isHeldBack {
+			t.Errorf("%s: held back %v", name, isHeldBack)
+		}
+	}
+}
