--- a/transport/connpool/pool_test.go
+++ b/transport/connpool/pool_test.go
@@ -142,6 +142,15 @@
 
 func (recorder *stallRecorder) Stalled() { recorder.notified <- struct{}{} }
 
+// awaitResponse begins the wait for a response; only that of a retryable request has a stall handler.
+func awaitResponse(connection *Connection, handler StallHandler, retryable bool, deadline time.Time) {
+	if retryable {
+		_ = connection.AwaitResponse(handler, deadline, deadline) // The next read reports a closed connection.
+		return
+	}
+	_ = connection.SetDeadline(deadline) // The next read reports a closed connection.
+}
+
 // A runner without activity while a response is awaited must be reported as unresponsive. The requests that may be sent
 // to another runner must be notified at once, and only these. No connection may be closed, as the runner may still
 // respond.
@@ -159,11 +168,7 @@
 			t.Fatal(err)
 		}
 		connection.RequestSent()
-		if retryable {
-			_ = connection.AwaitResponse(recorders[index], deadline, deadline)
-		} else {
-			_ = connection.SetDeadline(deadline)
-		}
+		awaitResponse(connection, recorders[index], retryable, deadline)
 		taken = append(taken, connection)
 		accepted, err := listener.Accept()
 		if err != nil {
--- a/verify/histories/rules_test.go
+++ b/verify/histories/rules_test.go
@@ -368,8 +368,8 @@
 	}
 }
 
-// A request that can't be repeated may be sent to a frozen runner, which never begins to work on it. Its final answer is
-// due when its time is over, not before; without a silent runner it is due within its latency target.
+// A request that can't be repeated may be sent to a frozen runner, which never begins to work on it. Its final answer
+// is due when its time is over, not before; without a silent runner it is due within its latency target.
 func TestAnswerOfARequestSentInSilence(t *testing.T) {
 	for name, trial := range map[string]struct {
 		answered   float64
