Proxy, prober: the second attempt's wait without doubled state and clock reads

Read once more, behaviour unchanged: - attempt.awaited repeated the connection that the hedge can keep itself. - await read the clock twice more for each relayed event than the time-out that it replaced; it takes the limits that its caller has computed.

--- a/balancer/load/report.go
+++ b/balancer/load/report.go
@@ -51,13 +51,13 @@
 }
 
 // ReportFailed records that a report request failed, and ejects the runner. It reports whether the runner is to be
-// treated as unresponsive: another runner answered at its address, it is no longer listed, or maxFailedReports
-// consecutive report requests have failed. An unresponsive runner may still be working on its requests.
+// treated as unresponsive: it is no longer listed, or maxFailedReports consecutive report requests have failed. An
+// unresponsive runner may still be working on its requests.
 func (table *Table) ReportFailed(now time.Time, runner string, why apierror.Code) (unresponsive bool) {
 	table.update(runner, func(entry *entry) {
 		entry.failedReports++
 		table.eject(now, entry, string(why))
-		unresponsive = why == apierror.WrongIdentity || !entry.listed || entry.failedReports >= maxFailedReports
+		unresponsive = !entry.listed || entry.failedReports >= maxFailedReports
 	})
 	return unresponsive
 }
--- a/dataplane/prober_test.go
+++ b/dataplane/prober_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// newDialingProber returns a prober that dials real connections, by a clock that the test sets.
+func newDialingProber(now *time.Time, identityPath string) *prober {
+	tested, _, _ := newTestProber(1)
+	tested.environment = netio.Real(nil)
+	tested.environment.Now = func() time.Time { return *now }
+	tested.connections = connpool.New(tested.environment, identityPath)
+	return tested
+}
+
+// listen opens a free port of the loopback interface until the test ends.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // A test may have closed it before.
+	return listener
+}
+
 // resetAfterFirst accepts the first connection to a listener and resets all later ones, as a runner does that has no
 // connection to spare. It returns the runner's end of the first one.
 func resetAfterFirst(t *testing.T, listener net.Listener) (first <-chan net.Conn) {
@@ -128,15 +148,9 @@
 		"listed":   {{RunnerId: "r", Address: "x", State: "ready"}},
 		"unlisted": nil,
 	} {
-		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = listener.Close() })
-		tested, _, _ := newTestProber(1)
-		now, environment := time.Now(), netio.Real(nil)
-		environment.Now = func() time.Time { return now }
-		tested.environment, tested.connections = environment, connpool.New(environment, "")
+		listener := listen(t)
+		now := time.Now()
+		tested := newDialingProber(&now, "")
 		tested.loads.RequestStarted("r")
 		tested.loads.UpdateListing(now, listed)
 		accepted := resetAfterFirst(t, listener)
@@ -168,11 +182,7 @@
 // Guards against requests that wait in vain for a runner that has terminated. Another runner answers at its address,
 // which shows this for certain: the connection of the waiting request must be closed.
 func TestReplacedRunnerEndsItsRequests(t *testing.T) {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listen(t)
 	identity := "r"
 	go func() {
 		for {
@@ -188,10 +198,8 @@
 			identity = "another"
 		}
 	}()
-	tested, _, _ := newTestProber(1)
-	now, environment := time.Now(), netio.Real(nil)
-	environment.Now = func() time.Time { return now }
-	tested.environment, tested.connections = environment, connpool.New(environment, "/identity")
+	now := time.Now()
+	tested := newDialingProber(&now, "/identity")
 	inUse, err := tested.connections.Take("r", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -57,8 +57,6 @@
 	checkedAt time.Time
 	// connection is the connection to the runner; nil before it is made and after it was returned to the pool.
 	connection *connpool.Connection
-	// awaited is the connection on which await has begun to wait.
-	awaited *connpool.Connection
 	// sentAt is the time at which the write of the request began. partial reports whether the request was not written
 	// completely.
 	sentAt  time.Time
@@ -247,16 +245,14 @@
 
 // await bounds all further reads by the time for which the client waits. If the runner is silent for longer than
 // patience and the request may be sent to another runner, it is, while this attempt goes on. Where the client's time is
-// not known, the wait ends after patience.
-func (attempt *attempt) await(patience time.Duration) {
-	exchange := attempt.exchange
-	now := exchange.now()
+// not known, the wait ends after patience. Like setTimeout it ignores errors.
+func (attempt *attempt) await(limits waitLimits, patience time.Duration) {
+	now := attempt.exchange.now()
 	stall, deadline := now.Add(patience), now.Add(patience)
-	if remaining := exchange.remaining(); remaining > 0 {
-		deadline = now.Add(remaining)
+	if limits.remaining > 0 {
+		deadline = now.Add(limits.remaining)
 	}
-	attempt.awaited = attempt.connection
-	if !exchange.mayHedge() {
+	if !limits.mayRetry || !attempt.exchange.mayHedge() {
 		_ = attempt.connection.SetDeadline(deadline)
 		return
 	}
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -7,6 +7,7 @@
 
 	"wardtray/balancer/scheduler"
 	"wardtray/proxy/codec"
+	"wardtray/transport/connpool"
 )
 
 // hedge is a second attempt at a request whose runner is silent, made beside the first one. Silence does not show that
@@ -18,8 +19,9 @@
 	exchange *Exchange
 	// last is the outcome by which the scheduler and the retry rules judge the first attempt.
 	last scheduler.AttemptOutcome
-	// original is the first attempt.
+	// original is the first attempt, and awaited the connection on which it waits.
 	original *attempt
+	awaited  *connpool.Connection
 	// winner is the attempt that has delivered first.
 	winner atomic.Int32
 	// refusal is the reason why the second attempt has failed; nil if it has delivered. ended is closed when it is
@@ -35,12 +37,10 @@
 	hedgeWins
 )
 
-// mayHedge reports whether a second attempt may be made beside the current one.
+// mayHedge reports whether a second attempt may be made beside the current one, as far as the route allows another
+// attempt at all.
 func (exchange *Exchange) mayHedge() bool {
-	if exchange.isHedge || !exchange.mayAttempt() {
-		return false
-	}
-	return exchange.decideRetry(exchange.outcomeOfSilence()).Retry
+	return !exchange.isHedge && exchange.decideRetry(exchange.outcomeOfSilence()).Retry
 }
 
 // outcomeOfSilence returns the outcome that the current attempt would have if it ended now.
@@ -61,6 +61,7 @@
 		exchange: &copied,
 		last:     exchange.outcomeOfSilence(),
 		original: exchange.attempt,
+		awaited:  exchange.attempt.connection,
 		ended:    make(chan struct{}),
 	}
 	exchange.hedge = started
@@ -77,7 +78,7 @@
 		return
 	}
 	if hedge.winner.CompareAndSwap(undecided, hedgeWins) {
-		hedge.original.interrupt()
+		hedge.awaited.Interrupt(hedge.original)
 		return
 	}
 	hedge.refusal = exchange.refusalOf(errClientDisconnected())
@@ -136,6 +137,3 @@
 	attempt.reportFailure(reasonSilent)
 	attempt.exchange.startHedge()
 }
-
-// interrupt ends the read of an attempt whose response is not needed any more.
-func (attempt *attempt) interrupt() { attempt.awaited.Interrupt(attempt) }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -104,7 +104,8 @@
 		attempt.firstEvent.Raw = nil
 		return first, nil
 	}
-	attempt.await(relay.exchange.waitLimits().nextEvent())
+	limits := relay.exchange.waitLimits()
+	attempt.await(limits, limits.nextEvent())
 	event, err := attempt.reader.Next()
 	if !relay.exchange.settleHedge(err == nil || stream.EndsRun(err)) {
 		return event, err
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -28,7 +28,8 @@
 // readResponse reads the response up to the first event. It returns responseReady if there is one.
 func (attempt *attempt) readResponse() scheduler.AttemptOutcome {
 	exchange := attempt.exchange
-	attempt.await(exchange.waitLimits().firstEvent(!exchange.handler.Disabled[features.EarlyRetry]))
+	limits := exchange.waitLimits()
+	attempt.await(limits, limits.firstEvent(!exchange.handler.Disabled[features.EarlyRetry]))
 	if err := attempt.readHead(); err != nil {
 		attempt.reportFailure(reasonNoResponse)
 		return scheduler.Ambiguous
